Check requests in one place, and close connections that prove nothing within 2 s

Checked: a tap of the requests and of the module's view of workers. Requests with Content-Length and Transfer-Encoding were read by the latter, and what stood inside became the next request; some carried the id of another client's open request. Workers answered both with errors (3 to 12 a second at one node), and the module struck the worker each time, until most of the fleet was on probation with a job each: that is where the refusals came from. Ruled out: turned-away streams (none), lack of descriptors (168 links at most, and idle ones made room), and CPU (0.59 of a core at most).

At fault: Downstream._read and _arrival (no check of framing nor of open ids), KEEP_MS and READ_MS of 75 and 10 s for connections that had brought nothing, and _make_room, which spared those that were not idle.

Now intake.py checks every request, connections that bring no job are closed after 2 s, a close after an error waits for what still comes, and those that have proven nothing are the first to make room.

--- a/molespur/net/downstream.py
+++ b/molespur/net/downstream.py
@@ -1,50 +1,61 @@
 """The clients' side: HTTP requests become streams, final answers become responses."""
 
 import logging
-from hashlib import blake2b
+import re
 
 import h11
 import trio
 
 from .failure import Served
 from .host import Arrival, Failed, Refused
-from .upstream import BREAKS, Payload
+from .intake import BODY_MOST, Rejection, check_framing, check_request
+from .upstream import BREAKS
 
 log = logging.getLogger(__name__)
-BODY_MOST = 64 * 1024
-AHEAD_MOST = 96 * 1024  # read while an answer is awaited; clients send one request at a time
-READ_MS = 10_000.0  # for a request to arrive whole once it has begun
-WRITE_MS = 5_000.0  # for a client to take its answer
-KEEP_MS = 75_000.0  # an idle connection is kept for this long
+AHEAD_MOST = 16 * 1024  # read while an answer is awaited; clients send one request at a time
+FIRST_MS = 2_000.0  # for the first job to arrive whole, counted from connecting: until then nothing is proven
+READ_MS = 2_000.0  # for a later one to arrive whole once it has begun
+WRITE_MS = 2_000.0  # for a client to take its answer
+KEEP_MS = 75_000.0  # an idle connection that has brought a job is kept for this long
+LINGER_MS = 1_000.0  # after an error, for the client to read it and stop sending
+LINGER_LEAST, LINGER_MOST = 1 << 20, 1 << 26  # bytes thrown away meanwhile: by any, and by LINGERERS at once
+LINGERERS = 2
 OVERFLOW = 16  # connections beyond the bound that are taken only to be told so
-ATTRS = {"slots": "slots", "memory": "memory", "x1": "slots", "x2": "memory", "ramUnits": "memory"}
-
-
-class Rejection(Exception):
-    """A request that can't be taken in, with its 4xx status."""
-
-    def __init__(self, status: int, why: str):
-        super().__init__(why)
-        self.status = status
+LOGGED = 50  # rejections logged one by one; guards the log and the CPU against floods of them
+_starts_request = re.compile(rb"[A-Z]{1,16}( |$)").match
 
 
 class Link:
     """One client's connection."""
 
-    def __init__(self, stream):
+    def __init__(self, stream, now: float):
         self.stream, self.http = stream, h11.Connection(h11.SERVER)
+        self.scope = trio.CancelScope()  # all that is done on it
         self.waiting: trio.CancelScope | None = None  # between requests; to cancel it closes the connection
+        self.head = b""  # what has come of a request until its head is whole
+        self.since = now  # when it was opened, or last told something without having brought a job
+        self.proven = False  # it has brought a job
 
 
 class Downstream:
-    """Takes connections in, bounded, and serves them until told to close."""
+    """Takes connections in, bounded, and serves them until told to close.
+
+    Where there are too many, those go first that have been told an error, then those that have brought no
+    job yet, then those that have been idle longest: connections that say nothing or nonsense must not cost
+    the usual clients theirs.
+    """
 
     def __init__(self, host, wheel, counters, classes, most: int):
         self.host, self.wheel, self.counters = host, wheel, counters
         self.classes, self.most = {c.name: c for c in classes}, most
-        self.links: dict[Link, None] = {}  # in the order of their last request
+        self.links: dict[Link, None] = {}
+        # each in the order in which they came there: the first is the first to go
+        self.leaving: dict[Link, None] = {}
+        self.fresh: dict[Link, None] = {}
+        self.idle: dict[Link, None] = {}
+        self.ids: set[str] = set()  # of the streams that are owed an answer
         self.ready = False  # not before we can serve, and no more once told to stop
-        self._accepting, self._room = trio.CancelScope(), trio.Event()
+        self._accepting, self._room, self._lingerers = trio.CancelScope(), trio.Event(), 0
 
     # -- Connections -----------------------------------------------------------------------------
 
@@ -78,13 +89,16 @@
 
     async def serve(self, stream) -> None:
         """Serve one connection until either side closes it."""
-        link = Link(stream)
+        link = Link(stream, self.host.clock.now())
         self.links[link] = None
         self.counters["in.connections"] += 1
         self._make_room()
+        self.fresh[link] = None
         try:
-            while await self._serve_one(link):
-                link.http.start_next_cycle()
+            with link.scope:
+                while await self._serve_one(link):
+                    link.http.start_next_cycle()
+                    link.since = self.host.clock.now()
         except BREAKS:
             pass  # the client is gone, which its stream has been told
         except Exception:
@@ -92,39 +106,50 @@
             log.exception("a connection failed in a way not foreseen")
             self.counters["in.exceptions"] += 1
         finally:
-            del self.links[link]
+            for group in (self.links, self.leaving, self.fresh, self.idle):
+                group.pop(link, None)
             self._room.set()
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
     def _make_room(self) -> None:
-        """Close the connection that has been idle longest if there are too many."""
-        if len(self.links) > self.most:
-            idle = next((link for link in self.links if link.waiting), None)
-            if idle is not None:
-                idle.waiting.cancel()
+        """Close a connection that can be spared if there are too many."""
+        if len(self.links) <= self.most:
+            return
+        for group in (self.leaving, self.fresh, self.idle):
+            for link in group:
+                self.counters["in.shed"] += 1
+                del group[link]
+                # an idle one has only its wait cancelled: what it has read by then is served first
+                (link.waiting if group is self.idle else link.scope).cancel()
+                return
 
     async def _serve_one(self, link: Link) -> bool:
         """Serve one request; tell whether the connection can carry another."""
         try:
             request, body = await self._read(link)
+            if request is None or link.scope.cancel_called:
+                return False
+            if request.target == b"/up":
+                await self._respond(link, 200 if self.ready else 503, b"")
+                return link.http.our_state is h11.DONE and link.http.their_state is h11.DONE
+            arrival = check_request(request, body, self.classes)
+            if arrival.payload.request_id in self.ids:
+                # guards the stream that has this id: its answer must come from its own upstream requests
+                raise Rejection(409, "X-Request-ID is that of an open request")
         except Rejection as problem:
             await self._reject(link, problem)
             return False
         except h11.RemoteProtocolError as problem:
             await self._reject(link, Rejection(problem.error_status_hint, str(problem)))
             return False
-        if request is None:
-            return False
-        if request.target == b"/up":
-            await self._respond(link, 200 if self.ready else 503, b"")
-            return link.http.our_state is h11.DONE
+        link.proven = True
+        self.fresh.pop(link, None)
+        self.ids.add(arrival.payload.request_id)
         try:
-            arrival = self._arrival(request, body)
-        except Rejection as problem:
-            await self._reject(link, problem)
-            return False
-        answer = await self._answer(link, arrival)
+            answer = await self._answer(link, arrival)
+        finally:
+            self.ids.discard(arrival.payload.request_id)
         if answer is None:
             return False
         await self._tell(link, answer)
@@ -132,82 +157,58 @@
 
     # -- Reading ---------------------------------------------------------------------------------
 
+    async def _receive(self, link: Link) -> None:
+        data = await link.stream.receive_some(16384)
+        if link.http.their_state is h11.IDLE:
+            link.head += data
+        link.http.receive_data(data)
+
     async def _next_event(self, link: Link):
         while (event := link.http.next_event()) is h11.NEED_DATA:
             if link.http.they_are_waiting_for_100_continue:
                 go_on = h11.InformationalResponse(status_code=100, headers=[])
                 await link.stream.send_all(link.http.send(go_on))
-            link.http.receive_data(await link.stream.receive_some(16384))
+            await self._receive(link)
         return event
 
     async def _read(self, link: Link):
         """One whole request, or (None, None) where the client has no more."""
-        if not link.http.trailing_data[0]:
+        link.head = link.http.trailing_data[0]
+        # guards against silent connections: what has brought no job gets no longer for the next
+        limit_ms = FIRST_MS - (self.host.clock.now() - link.since)
+        if not link.head:
+            if link.proven:
+                self.idle[link] = None
+                limit_ms = KEEP_MS if self.ready else READ_MS
             # guards against the loss of a request that was read as its connection was being closed as idle:
             # only the wait is cancelled, and where it has read something that is served first
-            with self.wheel.limit(KEEP_MS if self.ready else READ_MS) as link.waiting:
-                link.http.receive_data(await link.stream.receive_some(16384))
+            with self.wheel.limit(limit_ms) as link.waiting:
+                await self._receive(link)
             waited, link.waiting = link.waiting, None
+            self.idle.pop(link, None)
             if waited.cancelled_caught:
                 return None, None
-        self.links[link] = self.links.pop(link)
-        with self.wheel.limit(READ_MS):
-            request = await self._next_event(link)
-            if type(request) is not h11.Request:
-                return None, None
-            length = dict(request.headers).get(b"content-length", b"0")
-            if int(length) > BODY_MOST:
-                raise Rejection(413, "the body is too large")
-            body = bytearray()
-            while type(event := await self._next_event(link)) is h11.Data:
-                body += event.data
-                if len(body) > BODY_MOST:
-                    raise Rejection(413, "the body is too large")
-            if type(event) is h11.EndOfMessage:
-                return request, bytes(body)
-            return None, None
+        limit_ms = READ_MS if link.proven else FIRST_MS - (self.host.clock.now() - link.since)
+        with self.wheel.limit(limit_ms):
+            return await self._read_rest(link)
         raise Rejection(408, "the request did not arrive whole in time")
 
-    def _arrival(self, request: h11.Request, body: bytes) -> Arrival:
-        """Check a request and put it in the host's terms."""
-        headers = {}
-        for name, value in request.headers:
-            if name in headers and name.startswith(b"x-"):
-                raise Rejection(400, f"{name.decode()} is given twice")
-            headers[name] = value.decode("latin-1").strip()
-        if request.method != b"POST":
-            raise Rejection(405, "jobs arrive by POST")
-        name = request.target.decode("latin-1").lstrip("/").partition("?")[0].partition("/")[0]
-        given = headers.get(b"x-priority-class", name)
-        cls = self.classes.get(given)
-        if cls is None:
-            raise Rejection(404, f"unknown class {given!r}")
-        if given != name:
-            raise Rejection(400, "the path and X-Priority-Class name different classes")
-        request_id = headers.get(b"x-request-id")
-        if not request_id:
-            raise Rejection(400, "X-Request-ID is missing")
-        if cls.key_ttl_ms and cls.effect.value == "keyed" and not headers.get(b"idempotency-key"):
-            raise Rejection(400, "Idempotency-Key is missing")
-        time_left = _number(headers, b"x-timeout-ms", cls.deadline_ms)
-        cost = _number(headers, b"x-cost", None)
-        attrs = {"slots": 1.0, "memory": 0.0}
-        for part in filter(None, headers.get(b"x-attrs", "").split(",")):
-            key, _, value = part.partition("=")
-            if key.strip() in ATTRS:
-                attrs[ATTRS[key.strip()]] = _number({b"x-attrs": value}, b"x-attrs", 0.0)
-        key = headers.get(b"x-route-key")
-        return Arrival(
-            given,
-            min(time_left, cls.deadline_ms),
-            Payload(request_id, request.method, request.target, tuple(request.headers.raw_items()), body),
-            attrs["slots"] or 1.0,
-            attrs["memory"],
-            # any text is a key; the module only compares keys
-            int.from_bytes(blake2b(key.encode(), digest_size=6).digest()) if key else None,
-            None if cost is None else cost / 1000,
-            headers.get(b"x-tenant-id"),
-        )
+    async def _read_rest(self, link: Link):
+        request = await self._next_event(link)
+        if type(request) is not h11.Request:
+            return None, None
+        check_framing(request, link.head)
+        link.head, body = b"", bytearray()
+        while type(event := await self._next_event(link)) is h11.Data:
+            body += event.data
+            if len(body) > BODY_MOST:
+                raise Rejection(413, "the body is too large")
+        if type(event) is not h11.EndOfMessage:
+            return None, None
+        rest = link.http.trailing_data[0]
+        if rest and not _starts_request(rest[:17]):
+            raise Rejection(400, "the body is longer than its length")
+        return request, bytes(body)
 
     # -- Answering -------------------------------------------------------------------------------
 
@@ -254,11 +255,35 @@
             await self._respond(link, 502, b"")
 
     async def _reject(self, link: Link, problem: Rejection) -> None:
-        """A 4xx, after which the connection is closed."""
+        """An error, after which the connection is closed."""
         self.counters["in.rejected"] += 1
-        log.info("rejected with %d: %s", problem.status, problem)
+        if self.counters["in.rejected"] <= LOGGED:
+            log.info("rejected with %d: %s", problem.status, problem)
         if link.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             await self._respond(link, problem.status, f"{problem}\n".encode(), close=True)
+            await self._linger(link)
+
+    async def _linger(self, link: Link) -> None:
+        """Throw away what still comes, within bounds.
+
+        Guards against a reset that overtakes the error: the kernel sends one if a connection is closed with
+        bytes unread, and the client, still sending its body, never sees what it was told.
+        """
+        self.fresh.pop(link, None)
+        self.leaving[link] = None
+        seen, more = 0, False
+        try:
+            await link.stream.send_eof()
+            with self.wheel.limit(LINGER_MS):
+                while (data := await link.stream.receive_some(65536)) and seen < LINGER_MOST:
+                    seen += len(data)
+                    if seen > LINGER_LEAST and not more:
+                        if self._lingerers >= LINGERERS:
+                            break
+                        more = True
+                        self._lingerers += 1
+        finally:
+            self._lingerers -= more
 
     async def _respond(self, link: Link, status: int, body: bytes, headers=(), close: bool = False) -> None:
         headers = [*headers, ("Content-Length", str(len(body)))]
@@ -271,17 +296,3 @@
             await link.stream.send_all(data)
         if limit.cancelled_caught:
             raise trio.BrokenResourceError("the client does not take its answer")
-
-
-def _number(headers: dict, name: bytes, default):
-    """A header that is a number of at least 0."""
-    text = headers.get(name)
-    if text is None:
-        return default
-    try:
-        value = float(text)
-    except ValueError:
-        value = -1.0
-    if not 0 <= value < float("inf"):
-        raise Rejection(400, f"{name.decode()}: not a number of at least 0")
-    return value
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -4,6 +4,7 @@
 workers (w1, w2, ..) and discovery (d).
 
     a send lookup r1        a client hands in a job;            a raw TEXT     sends bytes as they are
+                                                                a raw-on TEXT  sends more of them
     a expect 200 text       its answer, with what it holds;     a expect closed
     w1 expect r1            a worker has the whole request;     w1 expect closed r1
     w1 send r1 done hello   a line of its answer;               w1 raw r1 TEXT sends bytes as they are
@@ -167,6 +168,8 @@
             request = h11.Request(method="POST", target=f"/{cls}", headers=list(headers.items()))
             head = http.send(request)
             await peer.stream.send_all(head + http.send(h11.Data(data=b"hi")) + http.send(h11.EndOfMessage()))
+        elif verb == "raw-on":
+            await peer.stream.send_all(" ".join(words).encode())
         elif verb == "raw":
             peer.http.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
             peer.http.send(h11.EndOfMessage())
