Read the configuration again on SIGHUP and go to the discovery it names

Checked: __main__ took no SIGHUP, whose default ends the process; trio delivers signals that nobody took once more when its receiver closes, so a late one would have ended the program at its orderly end, too.

At fault: wait_for_stop in __main__.py, and LB_DISCOVERY going before the file in config.load for good.

--- a/molespur/__main__.py
+++ b/molespur/__main__.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from dataclasses import replace
 
 import trio
 
@@ -36,18 +37,48 @@
         await trio.sleep(0.05)
 
 
-async def wait_for_stop(signals, name: str, counters: Counters) -> None:
-    """Print the counters on SIGUSR1; return on SIGTERM or SIGINT."""
+async def wait_for_stop(signals, counters: Counters, config: configuration.Config, cluster: Cluster) -> None:
+    """Print the counters on SIGUSR1, read the configuration again on SIGHUP; return on SIGTERM or SIGINT."""
     async for number in signals:
-        if number != signal.SIGUSR1:
+        if number == signal.SIGUSR1:
+            print(counters.line(config.name), file=sys.stderr, flush=True)
+        elif number == signal.SIGHUP:
+            config = reload(config, counters, cluster)
+        else:
             return
-        print(counters.line(name), file=sys.stderr, flush=True)
 
 
-async def serve(config: configuration.Config, counters: Counters) -> None:
+def reload(
+    running: configuration.Config, counters: Counters, cluster: Cluster, environ=os.environ
+) -> configuration.Config:
+    """Read the configuration again and go to the discovery that it names; give what is in force then."""
+    counters["reload.asked"] += 1
+    try:
+        given = configuration.load(environ, running)
+    except Exception as problem:
+        # guards against a file that can't be used, whatever is wrong with it, ending a program that serves
+        counters["reload.failed"] += 1
+        log.error("reload: %s; the running configuration stays", problem)
+        return running
+    if keys := configuration.needs_restart(running, given):
+        log.warning("reload: changed, but read only at start: %s", ", ".join(keys))
+    log.info("reload: discovery at %s:%d", *given.discovery)
+    cluster.move(given.discovery)
+    return replace(running, discovery=given.discovery)
+
+
+async def pass_over(signals) -> None:
+    """Guards the orderly end: a signal that nobody takes is delivered again at the end, and kills."""
+    async for number in signals:
+        log.info("signal %d passed over: about to end", number)
+
+
+async def serve(environ, counters: Counters) -> None:
     """Serve until told to stop, and then until all that was taken is answered."""
-    listener = await open_listener(config.listen)
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
+    wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
+    with trio.open_signal_receiver(*wanted) as signals:
+        config = configuration.load(environ)
+        listener = await open_listener(config.listen)
         async with trio.open_nursery() as nursery:
             clock, wheel = Clock(), Wheel(config.tick_ms)
             free = config.sockets - OWN_SOCKETS
@@ -63,26 +94,27 @@
             cluster.start()
             nursery.start_soon(downstream.listen, listener, nursery)
             downstream.ready = True
-            await wait_for_stop(signals, config.name, counters)
+            await wait_for_stop(signals, counters, config, cluster)
             log.info("told to stop")
+            nursery.start_soon(pass_over, signals)
             downstream.ready = False
             await trio.sleep(GRACE_S)
             await downstream.leave()
             nursery.cancel_scope.cancel()
-    await listener.aclose()
+        await listener.aclose()
+    print(counters.line(config.name), file=sys.stderr, flush=True)
 
 
 def main() -> int:
     """Run one scheduler; the exit code says whether it stopped as told."""
+    # guards against a SIGHUP before we listen for it, or after, which would end the program
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(name)s %(message)s")
-    counters = Counters()
     try:
-        config = configuration.load(os.environ)
-        trio.run(serve, config, counters)
+        trio.run(serve, os.environ, Counters())
     except configuration.ConfigError as problem:
         print(f"molespur: {problem}", file=sys.stderr)
         return 2
-    print(counters.line(config.name), file=sys.stderr, flush=True)
     return 0
 
 
--- a/molespur/config.py
+++ b/molespur/config.py
@@ -259,8 +259,12 @@
     has_reports: bool = False
 
 
-def load(environ) -> Config:
-    """Read the environment and the file it names; a variable that is set goes before the file."""
+def load(environ, running: Config | None = None) -> Config:
+    """Read the environment and the file it names; a variable that is set goes before the file.
+
+    Where a running program reads it again, its discovery goes before LB_DISCOVERY: the environment is as old
+    as the program, and would mask the new address for good.
+    """
     path = environ.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG: not set")
@@ -281,6 +285,8 @@
         raise ConfigError(f"LB_CONFIG: seed: must be hexadecimal, got {given.seed!r}") from None
     if machine.sockets < 64:
         raise ConfigError(f"LB_CONFIG: limits.sockets: must be at least 64, got {machine.sockets}")
+    variable = environ.get("LB_DISCOVERY")
+    discovery = given.discovery or variable if running else variable or given.discovery
     defaults = Config.__dataclass_fields__
 
     def positive(value, field, key):
@@ -293,7 +299,9 @@
     return Config(
         name=environ.get("LB_NAME") or given.name or "molespur",
         listen=parse_address(environ.get("LB_LISTEN") or given.listen, "LB_LISTEN"),
-        discovery=parse_address(environ.get("LB_DISCOVERY") or given.discovery, "LB_DISCOVERY"),
+        discovery=parse_address(
+            discovery, "LB_DISCOVERY" if discovery == variable else "LB_CONFIG: discovery"
+        ),
         seed=seed,
         sockets=machine.sockets,
         known=given.known or ClusterList(0, True, []),
@@ -304,3 +312,10 @@
         max_open=positive(limits.max_open, "max_open", "limits.maxOpen"),
         has_reports=bool(raw.report and raw.report.via != "silent"),
     )
+
+
+def needs_restart(running: Config, given: Config) -> list[str]:
+    """The keys that differ but are read only at start: all but discovery, and seed and known, which go by."""
+    kept = ("discovery", "seed", "known")
+    keys = [key for key in Config.__dataclass_fields__ if key not in kept]
+    return [key for key in keys if getattr(running, key) != getattr(given, key)]
--- a/molespur/net/cluster.py
+++ b/molespur/net/cluster.py
@@ -23,8 +23,9 @@
     def __init__(self, config, wheel, clock, counters, nursery, host, upstream, dial=dial_tcp):
         self.config, self.wheel, self.clock, self.counters = config, wheel, clock, counters
         self.nursery, self.host, self.upstream, self.dial = nursery, host, upstream, dial
+        self.address = config.discovery
         self.rev, self.lives = 0, {}
-        self._scope = None
+        self._scope, self._moved = None, False
 
     def lifecycle(self, uid: str) -> Lifecycle | None:
         """Where an upstream host is in its life; None if the list has never named it."""
@@ -60,12 +61,20 @@
         self._scope = trio.CancelScope()
         self.nursery.start_soon(self._run, self._scope)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery is elsewhere from now on: ask there at once, for the whole list.
+
+        The list we hold stands until then.  Its version may mean something else there, so it is not told.
+        """
+        self.address, self._moved = address, True
+        self.watch()
+
     async def _run(self, scope: trio.CancelScope) -> None:
         why, stream = "", None
         try:
             with scope:
                 with self.wheel.limit(DIAL_MS):
-                    stream = await self.dial(self.config.discovery)
+                    stream = await self.dial(self.address)
                 why = await self._follow(stream) if stream else "no connection in time"
         except BREAKS as problem:
             why = str(problem)
@@ -88,8 +97,8 @@
     async def _follow(self, stream) -> str:
         """Read the watch until it ends; say why it did."""
         http = h11.Connection(h11.CLIENT)
-        address = "{}:{}".format(*self.config.discovery)
-        target = f"/discovery/hosts?watch=1&after={self.rev}"
+        address = "{}:{}".format(*self.address)
+        target = "/discovery/hosts?watch=1" + ("" if self._moved else f"&after={self.rev}")
         head = http.send(h11.Request(method="GET", target=target, headers=[("Host", address)]))
         await stream.send_all(head + http.send(h11.EndOfMessage()))
         buffer, told = b"", False
@@ -111,6 +120,10 @@
             for line in lines:
                 if line.strip():
                     change = _decode_list(line)
+                    if self._moved and not change.all:
+                        # guards against changes to a list that we do not hold
+                        raise ValueError("changes, where the whole list was asked for")
+                    self._moved = False
                     self._take(change, NewsMode.COMPLETE if change.all else NewsMode.PARTIAL)
                 elif not told:
                     # nothing has changed since the list we hold: that, too, answers the module's Watch
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -12,7 +12,7 @@
     d expect 0              discovery is watched from version 0;    d send {json} (or nothing: an empty line)
     X close [r1]            closes a connection;                wait 200       lets milliseconds pass
     count sent.ok 1         a counter's value;                  break module   the next event raises
-    mute module             the next event is lost on it
+    mute module             the next event is lost on it;   move discovery 9   it is on another port now
     within 5050             no more than these milliseconds have passed
 """
 
@@ -95,15 +95,15 @@
         settings = self.config.settings
         self.host = Host(self.dispatcher, clock, self.wheel, self.counters, settings, 100)
         upstream = Upstream(self.config, self.wheel, clock, self.counters, nursery, 100, self.dial)
-        cluster = Cluster(
+        self.cluster = Cluster(
             self.config, self.wheel, clock, self.counters, nursery, self.host, upstream, self.dial
         )
-        self.host.connect(upstream, cluster)
+        self.host.connect(upstream, self.cluster)
         self.downstream = Downstream(self.host, self.wheel, self.counters, settings.classes, 3)
         self.downstream.ready = True
         nursery.start_soon(self.wheel.run)
         self.host.deliver(Started())
-        cluster.start()
+        self.cluster.start()
         self.start = trio.current_time()
 
     async def dial(self, address):
@@ -126,7 +126,7 @@
         while type(head := await peer.event()) is h11.Request:
             while type(await peer.event()) is h11.Data:
                 pass
-            if address == self.config.discovery:
+            if address == self.cluster.address:
                 self.watch = (peer, head.target.decode())
                 continue
             headers = dict(head.headers)
@@ -228,7 +228,7 @@
             await trio.sleep(0.001)
         peer, asked = self.watch
         if verb == "expect":
-            assert asked.endswith(f"watch=1&after={words[0]}"), asked
+            assert asked.endswith("watch=1" if words == ["whole"] else f"watch=1&after={words[0]}"), asked
             return
         if verb == "close":
             self.watch = None
@@ -247,6 +247,9 @@
             assert self.counters[verb] == int(words[0]), dict(self.counters)
         elif who == "within":
             assert (trio.current_time() - self.start) * 1000 <= int(verb)
+        elif who == "move":
+            self.watch = None
+            self.cluster.move(("127.0.0.1", int(words[0])))
         elif who in ("break", "mute"):
             self.whole, self.dispatcher.handle = self.dispatcher.handle, getattr(self, f"{who}_once")
         elif who == "d":
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -230,6 +230,33 @@
         w1 send r1 done one
         a expect 200 one
         count cluster.errors 1""",
+    "a new discovery is asked at once for the whole list; streams and the old list stand till then": f"""
+        d expect 0
+        d send {LIST % (7, "false", "leaving")}
+        a send lookup r1
+        w1 expect r1
+        move discovery 9
+        d expect whole
+        b send lookup r2
+        w1 send r2 done two
+        b expect 200 two
+        d send {LIST % (4, "true", "active")}
+        b send lookup r3
+        w2 send r3 done three
+        b expect 200 three
+        w1 send r1 done one
+        a expect 200 one
+        d close
+        d expect 4
+        within 3000""",
+    "a new discovery that tells only of changes has not told its list": f"""
+        d expect 0
+        move discovery 9
+        d expect whole
+        d send {LIST % (7, "false", "active")}
+        count cluster.errors 1
+        wait 2000
+        d expect whole""",
     "a worker that has started anew gets a new connection": """
         a send lookup r1
         w1 send r1 done one
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,5 +1,6 @@
 """The program as it is started: configuration, signals, exit, and its timer wheel."""
 
+import contextlib
 import json
 import os
 import signal
@@ -49,7 +50,7 @@
     ("content", "names"),
     [
         (changed("listen", "nowhere"), ["LB_LISTEN", "nowhere"]),
-        (changed("discovery", "127.0.0.1:x"), ["LB_DISCOVERY"]),
+        (changed("discovery", "127.0.0.1:x"), ["LB_CONFIG: discovery"]),
         (changed("seed", "xyz"), ["seed"]),
         (changed("limits.sockets", 8), ["limits.sockets"]),
         (changed("settings.profiles.0.aim", "soon"), ["settings.profiles[0].aim"]),
@@ -88,32 +89,67 @@
         return f"127.0.0.1:{sock.getsockname()[1]}"
 
 
+@contextlib.contextmanager
+def running(tmp_path, listen, **environ):
+    """The program, up, with a way to read its log up to a word."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(GOOD | {"listen": listen, "discovery": free_address()}))
+    env = (
+        {k: v for k, v in os.environ.items() if not k.startswith("LB_")} | {"LB_CONFIG": str(path)} | environ
+    )
+    run = [sys.executable, "-m", "molespur"]
+    program = subprocess.Popen(run, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
+
+    def read_to(word):
+        while word not in (line := program.stderr.readline()):
+            assert line, "the program has ended"
+        return line
+
+    try:
+        while program.poll() is None:
+            try:
+                with urllib.request.urlopen(f"http://{listen}/up") as answer:
+                    assert answer.status == 200
+                break
+            except OSError:
+                time.sleep(0.05)
+        yield program, path, read_to
+        program.send_signal(signal.SIGTERM)
+        _, rest = program.communicate(timeout=60)
+        assert program.returncode == 0 and "counters n" in rest
+    finally:
+        program.kill()
+
+
 def test_program_comes_up_tells_its_counters_leaves_and_binds_again(tmp_path):
     """Discovery is down: the program serves with the list it has, and SIGTERM ends it with 0."""
     here = free_address()
-    path = tmp_path / "config.json"
-    path.write_text(json.dumps(GOOD | {"listen": here, "discovery": free_address()}))
-    env = {k: v for k, v in os.environ.items() if not k.startswith("LB_")} | {"LB_CONFIG": str(path)}
     for _ in range(2):
-        run = [sys.executable, "-m", "molespur"]
-        program = subprocess.Popen(run, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
-        try:
-            while program.poll() is None:
-                try:
-                    with urllib.request.urlopen(f"http://{here}/up") as answer:
-                        assert answer.status == 200
-                    break
-                except OSError:
-                    time.sleep(0.05)
+        with running(tmp_path, here) as (program, _, read_to):
             program.send_signal(signal.SIGUSR1)
-            while "counters n" not in (line := program.stderr.readline()):
-                assert line, "the program has ended"
-            assert '"in.connections":1' in line
-            program.send_signal(signal.SIGTERM)
-            _, rest = program.communicate(timeout=60)
-            assert program.returncode == 0 and "counters n" in rest
-        finally:
-            program.kill()
+            assert '"in.connections":1' in read_to("counters n")
+
+
+def test_a_reload_goes_to_the_new_discovery_and_never_ends_the_program(tmp_path):
+    """Guards against a SIGHUP that kills, a file that can't be used, and a variable that masks the file."""
+    with (
+        socket.create_server(("127.0.0.1", 0)) as discovery,
+        running(tmp_path, free_address(), LB_DISCOVERY=free_address()) as (program, path, read_to),
+    ):
+        for content, named in (("{nonsense", "JSON"), (json.dumps(changed("discovery", "x")), "discovery")):
+            path.write_text(content)
+            program.send_signal(signal.SIGHUP)
+            assert named in read_to("the running configuration stays")
+        new = "{}:{}".format(*discovery.getsockname())
+        path.write_text(json.dumps(changed("discovery", new) | {"listen": "127.0.0.9:80"}))
+        program.send_signal(signal.SIGHUP)
+        assert "listen" in read_to("read only at start")
+        discovery.settimeout(60)
+        asked, _ = discovery.accept()
+        assert asked.recv(4096).startswith(b"GET /discovery/hosts?watch=1 ")
+        program.send_signal(signal.SIGTERM)  # amid the reload: it ends with 0 all the same
+        program.send_signal(signal.SIGHUP)
+        asked.close()
 
 
 def test_timers_come_in_order_at_ticks_and_can_be_called_off():
