Give each key homes that all dispatchers share, and let held jobs block no others

A log of every refusal shows forecast waits of 1 to 20 ms, 3 to 8 free slots at most workers, 30 to 48 held lookups, and most refused with their aim already past: they had waited it out.

Checked: a job whose key is warm nowhere misses its aim by the fetch alone (0.87 to 1.0 mean runs), is held for an idle worker that would not help, and every later lookup is held behind it, warm or not (_submitted and 'like' in _serve_held). Ruled out: load (waits above), struck workers (none at that time), CPU.

--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -8,6 +8,7 @@
 from heapq import heappop, heappush
 from math import exp, log, sqrt
 from random import Random
+from zlib import crc32
 
 from . import interface as io
 from .interface import NEVER_RAN, Effect, Group, Lifecycle, NewsMode, Outcome
@@ -19,6 +20,7 @@
 SUBSET_PER_US = 1.0  # workers of the own subset, for each microsecond of CPU that a request may cost
 SUBSET = 24  # the same without such a limit: the fewer, the oftener each is heard of
 EXPLORE = 0.01  # share of jobs drawn from the missing tier, so that recovered workers are found
+HOME_MATCH = (0.9, 0.5)  # key match of a worker that is the key's first or second home
 WARM_MATCH = 0.8  # key match above which a worker counts as warm for the key
 WARM_EXPLORE = 0.02  # share of jobs that pass over the warm filter, so that keys get second homes
 WARM_PENALTY = 1.0  # warm workers lose their claim if this many mean runs slower than the best
@@ -41,8 +43,6 @@
 MAX_STRIKES = 4
 PANIC_SHARE = 0.5  # with fewer healthy workers than this share, ejection is ignored
 CHECK_SHARE = 0.1  # an attempt not begun after this share of its class's aim is looked at again
-MOVE_GAIN = 0.2  # a waiting job moves if that gains this share of its aim
-MOVE_LOOK = 4  # workers of the subset forecast for a move: one that is clearly better is enough
 HELD_COST_MS = 1.0  # least time between goes through the held queue for each job in it
 HOLD_SHARE = 0.1  # held jobs are tried again after this share of a mean run, and when a slot of ours frees
 ANSWER_MARGIN_MS = 40.0  # a held job is answered this long before its client gives up
@@ -61,7 +61,7 @@
         self.s, self.rng = settings, Random(seed)
         lowest = min(c.priority for c in settings.classes)
         self.classes = {c.name: ClassState(c, c.priority == lowest) for c in settings.classes}
-        self.workers, self.live, self.pools, self.jobs, self.held = {}, [], {}, {}, []
+        self.homes, self.workers, self.live, self.pools, self.jobs, self.held = {}, {}, [], {}, {}, []
         limit = settings.cpu_per_request_us
         self.subset = max(int(SUBSET_PER_US * limit), 2) if limit else SUBSET
         self.timers, self.armed, self.serial = [], float("inf"), 0
@@ -132,7 +132,7 @@
         self.live = [w for w in self.workers.values() if w.list_ok]
         others = max(len({w.zone for w in self.live}) - 1, 1)
         self.live.sort(key=lambda w: w.rank / others if w.zone == self.s.zone else w.rank)
-        self.pools = {}
+        self.pools, self.homes = {}, {}
         self._rebase()
         self._serve_held()
 
@@ -215,10 +215,18 @@
             wait += silent  # guards against cut-off workers, which look idle: unheard work is censored
         return wait, over
 
-    @staticmethod
-    def _match(w, key):
-        """How recently this key was sent there, from 1 (last) to 0 (not among those kept)."""
-        return 1 - list(reversed(w.keys)).index(key) / KEYS_KEPT if key in w.keys else 0.0
+    def _match(self, w, key):
+        """How recently this key was sent there, from 1 (last) to 0 (not among those kept).
+
+        Each key also has homes, by a hash that all dispatchers share: without a word between them they send
+        it to the same few workers, which then keep it.
+        """
+        homes = self.homes.get(key)
+        if homes is None:
+            order = sorted(self.live, key=lambda v: crc32(f"{v.id}/{key}".encode()))
+            homes = self.homes[key] = dict(zip((v.id for v in order), HOME_MATCH, strict=False))
+        sent = 1 - list(reversed(w.keys)).index(key) / KEYS_KEPT if key in w.keys else 0.0
+        return max(sent, homes.get(w.id, 0.0))
 
     def _train(self, attempt, elapsed):
         """Keep a sample in its bucket: slot use in tenths by key match in quarters."""
@@ -357,7 +365,7 @@
         self.jobs[job.id] = job
         if job.deadline - now <= ANSWER_MARGIN_MS:
             self._give_up(job)
-        elif any(j.state is state for j in self.held) or not self._try_send(job):
+        elif not self._try_send(job):
             self._hold(job)
 
     def _within_share(self, bucket):
@@ -438,7 +446,7 @@
         waiting, stuck = [], set()
         for job in self.held:
             # what fails for one job of a class fails for the next
-            like = (job.state.cls.name, job.ask, job.aim_at < now)
+            like = (job.state.cls.name, job.ask, job.key, job.aim_at < now)
             if like in stuck:
                 waiting.append(job)
             elif not self._try_send(job):
@@ -528,7 +536,7 @@
                 w.others, w.seen = min(max(w.others, 0.0), room), self.now
 
     def _check_begun(self, attempt):
-        """A job that has not begun tells that its worker is full; move it if another would be in time."""
+        """A job that has not begun tells that its worker is full."""
         if attempt.outcome is not None or attempt.began is not None:
             return
         w, job = attempt.worker, attempt.job
@@ -536,20 +544,7 @@
             self._give_up(job)  # guards against late work that keeps workers from jobs still in time
             return
         w.others, w.seen = max(w.others, w.slots - w.running), self.now
-        # guards against moves that feed themselves: where second copies are let be, called-off work may go on
-        movable = self.s.may_cancel and not self.s.second_copies and job.state.cls.effect is not Effect.UNSAFE
-        if not (job.open and movable) or not self._attempts_left(job):
-            return
-        job.tried = (w,)
-        few = self._pool(job)[: self.subset]
-        choice = self._choose(job, self.rng.sample(few, min(len(few), MOVE_LOOK)))
-        job.tried = ()
-        here = self.wait_coef * self._wait(w, 0.0)[0] + job.run * w.slope
-        if choice is None or here - choice[3] < MOVE_GAIN * job.state.cls.aim_ms:
-            self._at(self.now - attempt.sent, self._check_begun, attempt)  # ever seldomer: a look costs CPU
-            return
-        job.tried = (w,)
-        self._cancel(attempt)
+        self._at(self.now - attempt.sent, self._check_begun, attempt)  # ever seldomer: a look costs CPU
 
     def _cancel(self, attempt):
         if self.s.may_cancel and not attempt.cancelled:
