End a stop within 3.3 s, and refuse connections once it takes no more

Checked: leave() waits for the last deadline, 6 s after a request, and the listener is closed only after that.

--- a/molespur/__main__.py
+++ b/molespur/__main__.py
@@ -21,6 +21,7 @@
 
 log = logging.getLogger("molespur")
 GRACE_S = 0.6  # after SIGTERM clients still arrive for 0.4 s, and what arrives after 0.7 s may be cut off
+STOP_S = 3.3  # after SIGTERM all is answered: SIGKILL may come 3.7 s after it
 OWN_SOCKETS = 48  # descriptors for standard streams, the poller, the watch, the listener, and some to spare
 BIND_S = 5.0  # the address may still be held by the process before us
 
@@ -73,6 +74,20 @@
         log.info("signal %d passed over: about to end", number)
 
 
+async def stop(downstream: Downstream, host: Host, listener) -> None:
+    """Serve clients for the grace time, take no more, and come back once all that was taken is answered."""
+    until = trio.current_time() + STOP_S
+    downstream.ready = False
+    await trio.sleep(GRACE_S)
+    downstream.stop_accepting()
+    # guards against connections that nobody will ever take: from now on they are refused
+    await listener.aclose()
+    with trio.move_on_at(until):
+        await downstream.leave()
+    host.end_all()
+    await downstream.leave()
+
+
 async def serve(environ, counters: Counters) -> None:
     """Serve until told to stop, and then until all that was taken is answered."""
     wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
@@ -97,11 +112,8 @@
             await wait_for_stop(signals, counters, config, cluster)
             log.info("told to stop")
             nursery.start_soon(pass_over, signals)
-            downstream.ready = False
-            await trio.sleep(GRACE_S)
-            await downstream.leave()
+            await stop(downstream, host, listener)
             nursery.cancel_scope.cancel()
-        await listener.aclose()
     print(counters.line(config.name), file=sys.stderr, flush=True)
 
 
--- a/molespur/net/downstream.py
+++ b/molespur/net/downstream.py
@@ -78,9 +78,13 @@
         self._room = trio.Event()
         await self._room.wait()
 
+    def stop_accepting(self) -> None:
+        """Take no connection from now on."""
+        self._accepting.cancel()
+
     async def leave(self) -> None:
         """Take nothing new, and come back once all that was taken is answered."""
-        self._accepting.cancel()
+        self.stop_accepting()
         for link in self.links:
             if link.waiting:
                 link.waiting.cancel()
--- a/molespur/net/host.py
+++ b/molespur/net/host.py
@@ -232,6 +232,17 @@
 
         self.upstream.probe(action.worker, ended)
 
+    def end_all(self) -> None:
+        """Answer all that is still open: the program is about to end.
+
+        Guards against streams that are cut off unanswered when we are killed.
+        """
+        for stream in [s for s in self.streams.values() if not s.over]:
+            self.counters["answered.at_the_end"] += 1
+            self._finish(stream, Failed() if stream.attempts else Refused())
+            self.deliver(io.ClientGone(stream.number))
+            self._forget(stream)
+
     # -- Ends ------------------------------------------------------------------------------------
 
     def _answer(self, number: int, answer: Answer) -> None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -13,12 +13,14 @@
     X close [r1]            closes a connection;                wait 200       lets milliseconds pass
     count sent.ok 1         a counter's value;                  break module   the next event raises
     mute module             the next event is lost on it;   move discovery 9   it is on another port now
+    stop program            SIGTERM has come
     within 5050             no more than these milliseconds have passed
 """
 
 import codecs
 import contextlib
 import json
+import types
 
 import h11
 import msgspec
@@ -26,6 +28,7 @@
 from trio.testing import MockClock, memory_stream_pair, wait_all_tasks_blocked
 
 from molespur import Dispatcher, config
+from molespur.__main__ import stop
 from molespur.interface import Started
 from molespur.net.cluster import Cluster
 from molespur.net.counters import Counters
@@ -247,6 +250,9 @@
             assert self.counters[verb] == int(words[0]), dict(self.counters)
         elif who == "within":
             assert (trio.current_time() - self.start) * 1000 <= int(verb)
+        elif who == "stop":
+            listener = types.SimpleNamespace(aclose=trio.lowlevel.checkpoint)
+            self.nursery.start_soon(stop, self.downstream, self.host, listener)
         elif who == "move":
             self.watch = None
             self.cluster.move(("127.0.0.1", int(words[0])))
