Give hot keys more homes, sharpen the draw and let the fit learn faster

The timer wheel could spin for ever on a mock clock, at ticks that the clock's reading rounds to just before; a test hung on it once refits came at other times.

--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -15,22 +15,23 @@
 from .records import DEFAULT_SLOTS, KEYS_KEPT, Attempt, ClassState, Job, Worker, solve
 
 # -- Tunables ------------------------------------------------------------------------------------
-DRAW_SCALE = 0.3  # a worker whose forecast is this share longer than the best gets 1/e of its weight
+DRAW_SCALE = 0.14  # a worker whose forecast is this share longer than the best gets 1/e of its weight
 CROSSING = 15.0  # headroom that a zone crossing costs in the draw: times its price, times the allowed time
 SUBSET_PER_US = 1.0  # workers of the own subset, for each microsecond of CPU that a request may cost
 SUBSET = 24  # the same without such a limit: the fewer, the oftener each is heard of
 EXPLORE = 0.01  # share of jobs drawn from the missing tier, so that recovered workers are found
-HOME_MATCH = (0.9, 0.5)  # key match of a worker that is the key's first or second home
+HOME_MATCH = 0.9, 0.5  # key match of a worker that is one of the key's homes, or would be the next
+HOT = 4.0  # further homes of a key for each fair share of one worker that it makes up of all jobs
 WARM_MATCH = 0.8  # key match above which a worker counts as warm for the key
 WARM_EXPLORE = 0.02  # share of jobs that pass over the warm filter, so that keys get second homes
 WARM_PENALTY = 1.0  # warm workers lose their claim if this many mean runs slower than the best
 BUCKET_CAP = 16  # samples kept of each bucket: a rare regime is remembered, a common one stays recent
-REFIT_MS, REFIT_JOBS = 4000.0, 30  # least time and jobs between refits, each as dear as thirty forecasts
+REFIT_MS, REFIT_JOBS = 2000.0, 30  # least time and jobs between refits, each as dear as thirty forecasts
 RECENCY = 0.95  # weight of a sample against the next newer one of its bucket
-RIDGE = 12.0  # samples that the prior is worth: an instance sees only a few jobs a second
+RIDGE = 4.0  # samples that the prior is worth: an instance sees only a few jobs a second
 CLIP = (2.0, 3.0)  # most forecasts a run counts for, without and with a size hint: tails say little
 PACE_GAIN = 0.04  # weight of one finish in a worker's own pace: a hint errs by more than workers differ
-PACE_KEPT = 0.8  # share of a worker's pace kept at each refit: what is shunned must be tried again
+PACE_KEPT, HEAT_KEPT = 0.8, 0.9  # shares of a worker's pace and of a key's count kept at each refit
 MARGIN_UP, MARGIN_DOWN = 0.1, 0.005  # for a late job and one in time; the higher, the faster it falls
 CLASS_GAIN = 0.05  # weight of one job in its class's share in time
 MARGIN_MOST = 3.0  # mean runs
@@ -38,7 +39,7 @@
 ROOM_REGAINED = 0.02  # queue room a full worker is given back for each job it serves
 RHO_GAIN = 0.05  # weight of one report in the usual load by others
 JOB_REST = 0.05  # mean runs a job waits after its second full answer; doubles with each further one
-FADE = 2.0  # mean run times after which a report of others' work counts half
+FADE = 1.0  # mean run times after which a report of others' work counts half
 EJECT_MS = 2000.0  # first rest of a failing worker; doubles with each strike
 MAX_STRIKES = 4
 PANIC_SHARE = 0.5  # with fewer healthy workers than this share, ejection is ignored
@@ -71,7 +72,8 @@
         self.rho = [0.3, 0.0]  # usual load of a slot by others: on warm workers, and on cold ones
         self.ask_wait, self.asked, self.subscribed = ASK_MS, False, False
         self.quota = {t.name: [t.quota_per_s / settings.balancers, 0.0, 0.0] for t in settings.tenants}
-        self.margins = {}  # needed kind -> (mean runs of headroom to leave, worth of the late jobs there)
+        # how often each key was asked for lately; needed kind -> (mean runs of headroom, worth of late jobs)
+        self.heat, self.heat_all, self.margins = {}, 0.0, {}
         self.arrivals, self.born, self.served_at, self.reported = 0, 0.0, 0.0, False
         self.routes = {
             io.Submitted: self._submitted, io.AttemptEnded: self._ended, io.Progressed: self._progressed,
@@ -219,12 +221,13 @@
         """How recently this key was sent there, from 1 (last) to 0 (not among those kept).
 
         Each key also has homes, by a hash that all dispatchers share: without a word between them they send
-        it to the same few workers, which then keep it.
+        it to the same few workers, which then keep it.  The more it is asked for, the more homes it has.
         """
         homes = self.homes.get(key)
         if homes is None:
             order = sorted(self.live, key=lambda v: crc32(f"{v.id}/{key}".encode()))
-            homes = self.homes[key] = dict(zip((v.id for v in order), HOME_MATCH, strict=False))
+            many = 1 + int(HOT * len(order) * self.heat.get(key, 0.0) / max(self.heat_all, 20.0))
+            homes = self.homes[key] = {v.id: HOME_MATCH[i == many] for i, v in enumerate(order[: many + 1])}
         sent = 1 - list(reversed(w.keys)).index(key) / KEYS_KEPT if key in w.keys else 0.0
         return max(sent, homes.get(w.id, 0.0))
 
@@ -256,6 +259,8 @@
                             row[j] += weight * a * b
                 weight *= RECENCY
         solved = solve(rows, right)
+        self.heat = {key: heat * HEAT_KEPT for key, heat in self.heat.items() if heat > 0.1}
+        self.heat_all, self.homes = self.heat_all * HEAT_KEPT, {}
         self.coef = {k: min(max(solved[i], 0.2), 5.0) for k, i in place.items()}
         self.wait_coef, self.miss_coef = max(solved[kinds], 0.2), max(solved[kinds + 1], 0.0)
         self.const = max(solved[-1], 0.0) * unit
@@ -363,6 +368,8 @@
         if event.tenant in self.quota and not self._within_share(self.quota[event.tenant]):
             job.sheddable, job.worth = True, cls.worth * self.s.over_share_worth
         self.jobs[job.id] = job
+        self.heat[job.key] = self.heat.get(job.key, 0.0) + 1
+        self.heat_all += 1
         if job.deadline - now <= ANSWER_MARGIN_MS:
             self._give_up(job)
         elif not self._try_send(job):
@@ -624,12 +631,12 @@
             self._hold(job)
 
     def _begun(self, event):
-        if event.request in self.jobs:  # the client owns it now: neither cancelled nor answered again
-            self.jobs[event.request].open = False
+        if job := self.jobs.get(event.request):
+            job.open = False  # the client owns it now: neither cancelled nor answered again
 
     def _client_gone(self, event):
-        if event.request in self.jobs:
-            self._close(self.jobs[event.request])
+        if job := self.jobs.get(event.request):
+            self._close(job)
 
     # -- Cold budget -----------------------------------------------------------------------------
 
@@ -674,8 +681,7 @@
             return
         if event.outcome is Outcome.OK:
             w.heard = self.now
-            if event.report:
-                self._report(w, event.report)
+            self._report(w, event.report or {})
         elif event.outcome is Outcome.CONNECT_FAILED:
             self._strike(w)
         elif event.outcome is Outcome.TIMEOUT:
--- a/molespur/net/wheel.py
+++ b/molespur/net/wheel.py
@@ -52,7 +52,8 @@
         self._sleeping = None
 
     def _tick_now(self) -> int:
-        return int(trio.current_time() * 1000 / self.tick_ms)
+        # guards against a wake-up at a tick that rounding puts just before it: the wheel would spin on it
+        return int(trio.current_time() * 1000 / self.tick_ms + 1e-6)
 
     def after(self, delay_ms: float, call: Callable, *args) -> Timer:
         """Call once delay_ms have passed, at the next tick."""
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -467,3 +467,18 @@
     d.homes = {n: {} for n in range(100)}
     assert not of(submit(d, 1, key=50, work_hint_ms=100.0), io.Send) and len(d.held) == 1
     assert of(submit(d, 2, key=19, work_hint_ms=100.0, now=3.0), io.Send)
+
+
+def test_a_key_asked_for_by_many_has_many_homes():
+    """Guards against all dispatchers crowding one worker with the key that most jobs need."""
+    d = make()
+    news(d, *(entry(f"w{n}") for n in range(10)))
+    for n in range(200):
+        submit(d, n, key=7 if n % 4 == 0 else 1000 + n, now=10.0 + n)
+        end(d, n, Outcome.OK, 10.5 + n)
+    d.homes = {}
+    homes = {key: sum(d._match(w, key) > 0.8 and key not in w.keys for w in d.live) for key in (7, 2000)}
+    for w in d.live:
+        w.keys.clear()
+    warm = {key: sum(d._match(w, key) > 0.8 for w in d.live) for key in (7, 2000)}
+    assert warm[2000] == 1 and warm[7] >= 4 and homes[2000] == 1
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -181,3 +181,23 @@
     proof = stage < Stage.SENT or cause in (Cause.TURNED_AWAY, Cause.NOT_SENT)
     never = Failure(stage, cause).outcome in NEVER_RAN
     assert never == (proof and cause is not Cause.CANCELLED)
+
+
+def test_a_wake_up_at_a_tick_counts_as_that_tick():
+    """Guards against a wheel that spins: at some ticks the clock's reading rounds to just before them."""
+
+    async def main():
+        wheel, seen = Wheel(4.0), []
+        ticks = [t for t in range(1, 3000) if int(t * 4.0 / 1000 * 1000 / 4.0) < t]
+        assert ticks
+        for tick in ticks:
+            wheel.after(tick * 4.0 - 1, seen.append, tick)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wheel.run)
+            with trio.move_on_after(13):
+                while len(seen) < len(ticks):
+                    await trio.sleep(0.5)
+            nursery.cancel_scope.cancel()
+        assert seen == ticks
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
