--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -40,10 +40,11 @@
 RHO_GAIN = 0.05  # weight of one report in the usual load by others
 JOB_REST = 0.05  # mean runs a job waits after its second full answer; doubles with each further one
 FADE = 1.0  # mean run times after which a report of others' work counts half
+FAULTS = 3.0  # failures at which a worker is rested, each finished job halving their count
+MUTE, HEARD_MS = 2, 300.0  # probes in a row and time without a word after which a worker has fallen silent
 EJECT_MS = 2000.0  # first rest of a failing worker; doubles with each strike
 MAX_STRIKES = 4
 PANIC_SHARE = 0.5  # with fewer healthy workers than this share, ejection is ignored
-CHECK_SHARE = 0.1  # an attempt not begun after this share of its class's aim is looked at again
 HELD_COST_MS = 1.0  # least time between goes through the held queue for each job in it
 HOLD_SHARE = 0.1  # held jobs are tried again after this share of a mean run, and when a slot of ours frees
 ANSWER_MARGIN_MS = 40.0  # a held job is answered this long before its client gives up
@@ -190,8 +191,7 @@
 
     def _rest(self, w):
         """Let a full worker be until a slot may be free, lest jobs burn their attempts on it."""
-        between = self.turn * w.slope / w.slots  # its finishes
-        w.full_until = self.now + between * (0.5 + self.rng.random()) * 2**w.fulls
+        w.full_until = self.now + self.turn * w.slope / w.slots * (0.5 + self.rng.random()) * 2**w.fulls
 
     def _strike(self, w):
         """Rest a failing worker; guards against the black hole that a fast failure makes."""
@@ -200,6 +200,20 @@
             w.eject_until = self.now + EJECT_MS * 2 ** (w.strikes - 1) * (0.8 + 0.4 * self.rng.random())
             w.probation = True
 
+    def _fault(self, w, count):
+        """Count failures; guards against resting workers for single breaks, as lossy networks have them."""
+        w.faults += count
+        if w.faults >= FAULTS:
+            self._strike(w)
+
+    def _mute(self, w):
+        """Rest a worker that has fallen silent, and take its jobs elsewhere while they can be in time."""
+        self._strike(w)
+        for job in [j for j in self.jobs.values() if j.open and j.out]:
+            attempt = job.attempts[-1]
+            if attempt.worker is w and attempt.outcome is None and attempt.sent >= w.heard - HEARD_MS:
+                self._cancel(attempt)
+
     # -- Forecast --------------------------------------------------------------------------------
 
     def _wait(self, w, ask):
@@ -520,8 +534,6 @@
             w.budget.append((self.now, self._work(job)))
             w.lump_from, w.lump_part = self.now, 1.0
         self.out.append(io.Send(job.id, w.id, 0.0))
-        if self.s.tells_start:
-            self._at(CHECK_SHARE * job.state.cls.aim_ms, self._check_begun, attempt)
 
     def _still_out(self, event):
         """The attempt that the event tells of, unless it is unknown or has ended."""
@@ -542,17 +554,6 @@
             if w.others > room or w.seen < attempt.sent:
                 w.others, w.seen = min(max(w.others, 0.0), room), self.now
 
-    def _check_begun(self, attempt):
-        """A job that has not begun tells that its worker is full."""
-        if attempt.outcome is not None or attempt.began is not None:
-            return
-        w, job = attempt.worker, attempt.job
-        if job.open and not job.state.cls.late_worth and self.now + job.run * w.slope > job.aim_at:
-            self._give_up(job)  # guards against late work that keeps workers from jobs still in time
-            return
-        w.others, w.seen = max(w.others, w.slots - w.running), self.now
-        self._at(self.now - attempt.sent, self._check_begun, attempt)  # ever seldomer: a look costs CPU
-
     def _cancel(self, attempt):
         if self.s.may_cancel and not attempt.cancelled:
             attempt.cancelled = True
@@ -584,7 +585,7 @@
         """Let one outcome speak for its worker."""
         w, job = attempt.worker, attempt.job
         if outcome is Outcome.OK:
-            w.heard = now
+            w.heard, w.faults = now, w.faults / 2
             w.room += ROOM_REGAINED
             w.full_until, w.fulls = 0.0, max(w.fulls - 1, 0)  # one of its slots has just come free
             w.probation = w.probation and attempt.sent <= w.eject_until
@@ -612,8 +613,8 @@
             self._rest(w)
             w.fulls = min(w.fulls + 1, 3)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.TIMEOUT):
-            if outcome is not Outcome.TIMEOUT or w.heard <= attempt.sent:
-                self._strike(w)  # also for workers that take jobs and are never heard of again
+            if outcome is not Outcome.TIMEOUT or w.heard <= attempt.sent:  # never heard of again
+                self._fault(w, FAULTS if outcome is Outcome.TIMEOUT else 1.0)
             self._train(attempt, max(elapsed, sum(attempt.sample[1:4])))
 
     def _after_failure(self, job, attempt, outcome):
@@ -680,12 +681,12 @@
         if w is None:
             return
         if event.outcome is Outcome.OK:
-            w.heard = self.now
+            w.heard, w.mute = self.now, 0
             self._report(w, event.report or {})
-        elif event.outcome is Outcome.CONNECT_FAILED:
-            self._strike(w)
-        elif event.outcome is Outcome.TIMEOUT:
-            w.others, w.seen = max(w.others, w.slots - w.own + 1), self.now
+        elif event.outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT):
+            w.others, w.seen, w.mute = max(w.others, w.slots - w.own + 1), self.now, w.mute + 1
+            if w.mute >= MUTE and self.now - w.heard > HEARD_MS:
+                self._mute(w)
 
     def _at(self, delay, call, *args):
         self.serial += 1
