Serve clients that hold a connection for 2.5 s after SIGTERM, not 0.6 s

The second node is told to stop 3 s after the first, which is started again 4.9 s after its own SIGTERM: for 1.5 s there is no scheduler that serves.

Clients use the connections they have as long as those stay open, and we closed all of them 0.6 s after SIGTERM and said 'Connection: close' from the first answer on (_respond, leave, GRACE_S).

Now connections are kept and served for 2.5 s, and everything is answered at 3.4 s, before SIGKILL may come.

--- a/molespur/__main__.py
+++ b/molespur/__main__.py
@@ -20,8 +20,10 @@
 from .net.wheel import Clock, Wheel
 
 log = logging.getLogger("molespur")
-GRACE_S = 0.6  # after SIGTERM clients still arrive for 0.4 s, and what arrives after 0.7 s may be cut off
-STOP_S = 3.3  # after SIGTERM all is answered: SIGKILL may come 3.7 s after it
+# After SIGTERM new clients arrive for 0.4 s, but those that have a connection go on using it, and we may be
+# all that is there for them until another scheduler is back from its own restart.
+GRACE_S = 2.5
+STOP_S = 3.4  # after SIGTERM all is answered: SIGKILL may come 3.7 s after it
 OWN_SOCKETS = 48  # descriptors for standard streams, the poller, the watch, the listener, and some to spare
 BIND_S = 5.0  # the address may still be held by the process before us
 
--- a/molespur/net/downstream.py
+++ b/molespur/net/downstream.py
@@ -55,6 +55,7 @@
         self.idle: dict[Link, None] = {}
         self.ids: set[str] = set()  # of the streams that are owed an answer
         self.ready = False  # not before we can serve, and no more once told to stop
+        self.closing = False  # the grace time is over: connections are closed as soon as they are idle
         self._accepting, self._room, self._lingerers = trio.CancelScope(), trio.Event(), 0
 
     # -- Connections -----------------------------------------------------------------------------
@@ -79,7 +80,8 @@
         await self._room.wait()
 
     def stop_accepting(self) -> None:
-        """Take no connection from now on."""
+        """Take no connection from now on, and keep none."""
+        self.closing = True
         self._accepting.cancel()
 
     async def leave(self) -> None:
@@ -183,7 +185,7 @@
         if not link.head:
             if link.proven:
                 self.idle[link] = None
-                limit_ms = KEEP_MS if self.ready else READ_MS
+                limit_ms = READ_MS if self.closing else KEEP_MS
             # guards against the loss of a request that was read as its connection was being closed as idle:
             # only the wait is cancelled, and where it has read something that is served first
             with self.wheel.limit(limit_ms) as link.waiting:
@@ -291,7 +293,7 @@
 
     async def _respond(self, link: Link, status: int, body: bytes, headers=(), close: bool = False) -> None:
         headers = [*headers, ("Content-Length", str(len(body)))]
-        if close or not self.ready:
+        if close or self.closing:
             headers.append(("Connection", "close"))
         http = link.http
         head = http.send(h11.Response(status_code=status, headers=headers))
