Close idle client connections before they use up what clients may hold

Checked: the end of each client connection logged. 45 a second bring one job each, then stand for 3 s until the client closes them: 94 idle and 30 with a stream at a node, which is all of the 128 that clients may hold with 384 descriptors; the next jobs could not come. Another 45 a second say nothing. Ruled out: the module, rejections (none), the order of shedding (silent ones went first, at an age of 0.2 s to 1 s, in bursts of 400 to 630 a second).

At fault: Downstream kept idle connections up to its own bound of 168, and _read closed without a last look.

Now idle ones are closed where clients hold three quarters of their third, and none with bytes unread.

--- a/molespur/__main__.py
+++ b/molespur/__main__.py
@@ -105,7 +105,8 @@
             upstream = Upstream(config, wheel, clock, counters, nursery, free - clients)
             cluster = Cluster(config, wheel, clock, counters, nursery, host, upstream)
             host.connect(upstream, cluster)
-            downstream = Downstream(host, wheel, counters, settings.classes, clients)
+            usual = config.sockets // 3  # clients hold at most a third for jobs
+            downstream = Downstream(host, wheel, counters, settings.classes, clients, usual)
             nursery.start_soon(wheel.run)
             host.deliver(Started())
             cluster.start()
--- a/molespur/net/downstream.py
+++ b/molespur/net/downstream.py
@@ -9,7 +9,7 @@
 from .failure import Served
 from .host import Arrival, Failed, Refused
 from .intake import BODY_MOST, Rejection, check_framing, check_request
-from .upstream import BREAKS
+from .upstream import BREAKS, is_quiet
 
 log = logging.getLogger(__name__)
 AHEAD_MOST = 16 * 1024  # read while an answer is awaited; clients send one request at a time
@@ -20,6 +20,7 @@
 LINGER_MS = 1_000.0  # after an error, for the client to read it and stop sending
 LINGER_LEAST, LINGER_MOST = 1 << 20, 1 << 26  # bytes thrown away meanwhile: by any, and by LINGERERS at once
 LINGERERS = 2
+KEPT_SHARE = 0.75  # of the connections that clients hold for jobs: where more are open, idle ones are closed
 OVERFLOW = 16  # connections beyond the bound that are taken only to be told so
 LOGGED = 50  # rejections logged one by one; guards the log and the CPU against floods of them
 _starts_request = re.compile(rb"[A-Z]{1,16}( |$)").match
@@ -45,9 +46,10 @@
     the usual clients theirs.
     """
 
-    def __init__(self, host, wheel, counters, classes, most: int):
+    def __init__(self, host, wheel, counters, classes, most: int, usual: int):
         self.host, self.wheel, self.counters = host, wheel, counters
         self.classes, self.most = {c.name: c for c in classes}, most
+        self.kept_most = KEPT_SHARE * usual  # usual: connections that clients hold at most for jobs
         self.links: dict[Link, None] = {}
         # each in the order in which they came there: the first is the first to go
         self.leaving: dict[Link, None] = {}
@@ -130,6 +132,20 @@
                 (link.waiting if group is self.idle else link.scope).cancel()
                 return
 
+    def _thin_out(self) -> None:
+        """Close connections that have been idle longest where clients hold nearly all that they may.
+
+        Guards against clients that open one for each job and let the last ones stand: the bound on what they
+        hold is theirs, so what stands idle keeps them from bringing the next job.
+        """
+        over = len(self.links) - len(self.fresh) - len(self.leaving) - self.kept_most
+        while over > 0 and self.idle:
+            link = next(iter(self.idle))
+            del self.idle[link]
+            self.counters["in.thinned"] += 1
+            link.waiting.cancel()
+            over -= 1
+
     async def _serve_one(self, link: Link) -> bool:
         """Serve one request; tell whether the connection can carry another."""
         try:
@@ -151,6 +167,7 @@
             return False
         link.proven = True
         self.fresh.pop(link, None)
+        self._thin_out()
         self.ids.add(arrival.payload.request_id)
         try:
             answer = await self._answer(link, arrival)
@@ -193,7 +210,10 @@
             waited, link.waiting = link.waiting, None
             self.idle.pop(link, None)
             if waited.cancelled_caught:
-                return None, None
+                # guards against the loss of a request that has come while we were too busy to read it
+                if not link.proven or is_quiet(link.stream):
+                    return None, None
+                await self._receive(link)
         limit_ms = READ_MS if link.proven else FIRST_MS - (self.host.clock.now() - link.since)
         with self.wheel.limit(limit_ms):
             return await self._read_rest(link)
--- a/molespur/net/upstream.py
+++ b/molespur/net/upstream.py
@@ -67,6 +67,15 @@
     return trio.SocketStream(sock)
 
 
+def is_quiet(stream) -> bool:
+    """Whether the other side of an idle connection has neither closed it nor sent anything."""
+    if not isinstance(stream, trio.SocketStream):
+        return True
+    poll = select.poll()
+    poll.register(stream.socket.fileno(), select.POLLIN)
+    return not poll.poll(0)
+
+
 class Connection:
     """One connection to an upstream host, carrying one exchange at a time."""
 
@@ -76,14 +85,6 @@
         self.idle_since = 0.0
         self.stood_ms: float | None = None  # how long it had been idle when it was taken up again
 
-    def is_quiet(self) -> bool:
-        """Whether the other side has neither closed this idle connection nor spoken out of turn."""
-        if not isinstance(self.stream, trio.SocketStream):
-            return True
-        poll = select.poll()
-        poll.register(self.stream.socket.fileno(), select.POLLIN)
-        return not poll.poll(0)
-
     async def next_event(self):
         """The next part of the answer."""
         while (event := self.http.next_event()) is h11.NEED_DATA:
@@ -195,7 +196,7 @@
         while host.idle:
             connection = host.idle.pop()
             connection.stood_ms = now - connection.idle_since
-            if connection.stood_ms < self.usable_ms and connection.is_quiet():
+            if connection.stood_ms < self.usable_ms and is_quiet(connection.stream):
                 self.counters["upstream.reused"] += 1
                 return connection
             self._close_soon(connection)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -221,6 +221,22 @@
         w1 send r3 done three
         a expect 200 three
         count in.shed 1""",
+    "connections that stand idle are closed where clients hold nearly all that they may": """
+        a send lookup r1
+        w1 send r1 done one
+        a expect 200 one
+        b send lookup r2
+        w1 send r2 done two
+        b expect 200 two
+        wait 100
+        c send lookup r3
+        a expect closed
+        w1 send r3 done three
+        c expect 200 three
+        b send lookup r4
+        w1 send r4 done four
+        b expect 200 four
+        count in.thinned 1""",
     "a time with a fraction": "a send lookup r1 X-Timeout-Ms=1e3\na expect 400 x-timeout-ms",
     "a negative time": "a send lookup r1 X-Timeout-Ms=-1\na expect 400 x-timeout-ms",
     "a job without an id": "a send lookup r1 X-Request-ID=\na expect 400 X-Request-ID",
