Bound bodies by the memory granted, and ask discovery by one chain of askings

Read again beside the protocol: each failed watch set off a second chain of askings (_ask and _news both schedule one), so that they doubled through an outage and each new watch cut off the last; and bodies were bounded by connections alone, 64 KiB each, whatever memory the limits grant.

Checked: a test without the guard counts the askings of a 30 s outage, which fails on the old code (more than 16) and passes now.

--- a/molespur/__main__.py
+++ b/molespur/__main__.py
@@ -25,6 +25,7 @@
 GRACE_S = 2.5
 STOP_S = 3.4  # after SIGTERM all is answered: SIGKILL may come 3.7 s after it
 OWN_SOCKETS = 48  # descriptors for standard streams, the poller, the watch, the listener, and some to spare
+BODIES_SHARE = 0.1  # of the memory granted; the program takes 20 to 26 MB without them
 BIND_S = 5.0  # the address may still be held by the process before us
 
 
@@ -106,7 +107,8 @@
             cluster = Cluster(config, wheel, clock, counters, nursery, host, upstream)
             host.connect(upstream, cluster)
             usual = config.sockets // 3  # clients hold at most a third for jobs
-            downstream = Downstream(host, wheel, counters, settings.classes, clients, usual)
+            bodies = BODIES_SHARE * config.memory_mb * 2**20
+            downstream = Downstream(host, wheel, counters, settings.classes, clients, usual, bodies)
             nursery.start_soon(wheel.run)
             host.deliver(Started())
             cluster.start()
--- a/molespur/config.py
+++ b/molespur/config.py
@@ -252,6 +252,7 @@
     sockets: int
     known: ClusterList
     settings: Settings
+    memory_mb: float = 192.0
     tick_ms: float = 4.0
     dial_timeout_ms: float = 1000.0
     conn_idle_ms: float = 30_000.0
@@ -289,11 +290,11 @@
     discovery = given.discovery or variable if running else variable or given.discovery
     defaults = Config.__dataclass_fields__
 
-    def positive(value, field, key):
+    def positive(value, field, key, part="settings"):
         if value is None:
             return defaults[field].default
         if not 0 < value < float("inf"):
-            raise ConfigError(f"LB_CONFIG: settings.{key}: must be above 0, got {value!r}")
+            raise ConfigError(f"LB_CONFIG: {part}.{key}: must be above 0, got {value!r}")
         return value
 
     return Config(
@@ -306,6 +307,7 @@
         sockets=machine.sockets,
         known=given.known or ClusterList(0, True, []),
         settings=settings,
+        memory_mb=positive(machine.memory_mb, "memory_mb", "memory_mb", "limits"),
         tick_ms=positive(raw.tick, "tick_ms", "tick"),
         dial_timeout_ms=positive(limits.dial_timeout, "dial_timeout_ms", "limits.dialTimeout"),
         conn_idle_ms=positive(limits.conn_idle, "conn_idle_ms", "limits.connIdle"),
--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -71,7 +71,7 @@
         self.wait_coef, self.miss_coef, self.const = 1.0, 1.0, 0.0
         self.turn = sum(c.median for c in self.classes.values()) / len(self.classes)
         self.rho = [0.3, 0.0]  # usual load of a slot by others: on warm workers, and on cold ones
-        self.ask_wait, self.asked, self.subscribed = ASK_MS, False, False
+        self.ask_wait, self.asks, self.subscribed = ASK_MS, 0, False
         self.quota = {t.name: [t.quota_per_s / settings.balancers, 0.0, 0.0] for t in settings.tenants}
         # how often each key was asked for lately; needed kind -> (mean runs of headroom, worth of late jobs)
         self.heat, self.heat_all, self.margins = {}, 0.0, {}
@@ -97,18 +97,18 @@
         self.born = self.now
         self._at(REFIT_MS * (0.2 + 0.3 * self.rng.random()), self._refit)
         if self.s.subscribes:
-            self._ask()
+            self._ask(0)
         if self.s.may_probe:
             self._at(PROBE_MS[0] * self.rng.random(), self._probe_next)
 
-    def _ask(self):
+    def _ask(self, turn):
         """Subscribe, and again with growing, jittered waits while no answer comes."""
-        if self.subscribed:
-            return
+        if self.subscribed or turn != self.asks:
+            return  # guards against askings that double at each error until they only cut each other off
         self.out.append(io.Watch())
-        self.asked = True
+        self.asks += 1
         wait = max(self.ask_wait, self.s.must_ask_in_ms / 4) if self.ask_wait == ASK_MS else self.ask_wait
-        self._at(wait * (0.75 + 0.5 * self.rng.random()), self._ask)
+        self._at(wait * (0.75 + 0.5 * self.rng.random()), self._ask, self.asks)
 
     def _news(self, event):
         now = self.now
@@ -116,9 +116,10 @@
             # guards against silent staleness: a broken subscription is asked for again, ever more slowly
             self.subscribed = False
             self.ask_wait = min(self.ask_wait * 2, max(self.s.must_ask_in_ms / 2, ASK_MS))
-            self._at(self.ask_wait * (0.5 + self.rng.random()), self._ask)
+            self.asks += 1
+            self._at(self.ask_wait * (0.5 + self.rng.random()), self._ask, self.asks)
             return
-        if event.mode is not NewsMode.PERSISTED and self.asked:
+        if event.mode is not NewsMode.PERSISTED and self.asks:
             self.subscribed, self.ask_wait = True, ASK_MS
         if event.mode is not NewsMode.PARTIAL:
             named = {e.worker for e in event.entries}
@@ -677,8 +678,7 @@
         self._at(gap * (0.8 + 0.4 * self.rng.random()), self._probe_next)
 
     def _probe_ended(self, event):
-        w = self.workers.get(event.worker)
-        if w is None:
+        if (w := self.workers.get(event.worker)) is None:
             return
         if event.outcome is Outcome.OK:
             w.heard, w.mute = self.now, 0
--- a/molespur/net/downstream.py
+++ b/molespur/net/downstream.py
@@ -36,6 +36,7 @@
         self.head = b""  # what has come of a request until its head is whole
         self.since = now  # when it was opened, or last told something without having brought a job
         self.proven = False  # it has brought a job
+        self.held = 0  # bytes of the body that it has brought and that is still needed
 
 
 class Downstream:
@@ -46,10 +47,11 @@
     the usual clients theirs.
     """
 
-    def __init__(self, host, wheel, counters, classes, most: int, usual: int):
+    def __init__(self, host, wheel, counters, classes, most: int, usual: int, memory: float):
         self.host, self.wheel, self.counters = host, wheel, counters
         self.classes, self.most = {c.name: c for c in classes}, most
         self.kept_most = KEPT_SHARE * usual  # usual: connections that clients hold at most for jobs
+        self.memory = memory  # bytes that bodies may take together
         self.links: dict[Link, None] = {}
         # each in the order in which they came there: the first is the first to go
         self.leaving: dict[Link, None] = {}
@@ -105,6 +107,7 @@
         try:
             with link.scope:
                 while await self._serve_one(link):
+                    self._let_go(link)
                     link.http.start_next_cycle()
                     link.since = self.host.clock.now()
         except BREAKS:
@@ -114,12 +117,17 @@
             log.exception("a connection failed in a way not foreseen")
             self.counters["in.exceptions"] += 1
         finally:
+            self._let_go(link)
             for group in (self.links, self.leaving, self.fresh, self.idle):
                 group.pop(link, None)
             self._room.set()
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
+    def _let_go(self, link: Link) -> None:
+        self.memory += link.held
+        link.held = 0
+
     def _make_room(self) -> None:
         """Close a connection that can be spared if there are too many."""
         if len(self.links) <= self.most:
@@ -227,8 +235,13 @@
         link.head, body = b"", bytearray()
         while type(event := await self._next_event(link)) is h11.Data:
             body += event.data
+            link.held += len(event.data)
+            self.memory -= len(event.data)
             if len(body) > BODY_MOST:
                 raise Rejection(413, "the body is too large")
+            if self.memory < 0:
+                # guards against being killed for memory by many bodies at once: this one never ran
+                raise Rejection(503, "too many bodies at once")
         if type(event) is not h11.EndOfMessage:
             return None, None
         rest = link.http.trailing_data[0]
@@ -282,6 +295,7 @@
 
     async def _reject(self, link: Link, problem: Rejection) -> None:
         """An error, after which the connection is closed."""
+        self._let_go(link)
         self.counters["in.rejected"] += 1
         if self.counters["in.rejected"] <= LOGGED:
             log.info("rejected with %d: %s", problem.status, problem)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -102,7 +102,7 @@
             self.config, self.wheel, clock, self.counters, nursery, self.host, upstream, self.dial
         )
         self.host.connect(upstream, self.cluster)
-        self.downstream = Downstream(self.host, self.wheel, self.counters, settings.classes, 3, 3)
+        self.downstream = Downstream(self.host, self.wheel, self.counters, settings.classes, 3, 3, 70_000)
         self.downstream.ready = True
         nursery.start_soon(self.wheel.run)
         self.host.deliver(Started())
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -499,3 +499,14 @@
     assert sent["a"] in {c.request for c in called} and sent["b"] not in {c.request for c in called}
     moved = of(end(d, sent["a"], Outcome.CANCELLED, 401.0), io.Send)
     assert [s.worker for s in moved] == ["b"]
+
+
+def test_asking_for_the_watch_does_not_double_at_each_error():
+    """Guards against a discovery that is down being asked so often that each asking cuts off the last."""
+    d, now, asked = make(subscribes=True, must_ask_in_ms=10000.0), 0.0, 1
+    for _ in range(600):
+        now += 50.0
+        for _ in of(d.handle(now, io.TimerFired("due")), io.Watch):
+            asked += 1
+            news(d, now=now, mode=io.NewsMode.ERROR)
+    assert 5 <= asked <= 16  # 30 s: waits of 0.4 s that double up to 5 s
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -237,6 +237,15 @@
         w1 send r4 done four
         b expect 200 four
         count in.thinned 1""",
+    "bodies together take no more than their share of memory": f"""
+        a raw {POST}Content-Length: 60000{END}{"x" * 50000}
+        b raw {POST}Content-Length: 60000{END}{"x" * 50000}
+        b expect 503 bodies
+        a close
+        wait 10
+        c send lookup r1
+        w1 send r1 done one
+        c expect 200 one""",
     "a time with a fraction": "a send lookup r1 X-Timeout-Ms=1e3\na expect 400 x-timeout-ms",
     "a negative time": "a send lookup r1 X-Timeout-Ms=-1\na expect 400 x-timeout-ms",
     "a job without an id": "a send lookup r1 X-Request-ID=\na expect 400 X-Request-ID",
