Give the program a command line, structured logs, a deployment file and a cluster seam

Need: a registry client and what follows it need sub-commands, settings of their own and several sources of one cluster; the platform's start must stay as it is.

Change: molespur serve|config on click, settings as flag, variable, file and default with their origin, logs as events with fields (structlog where asked for), net/cluster.py as the one list with net/discovery.py as its first source, the registry's pure records, view and session. An upstream request whose host was told to drain while its connection was being made is not sent any more.

--- a/molespur/__main__.py
+++ b/molespur/__main__.py
@@ -1,7 +1,6 @@
 """One real scheduler: start, signals, exit."""
 
 import errno
-import logging
 import os
 import signal
 import sys
@@ -10,16 +9,18 @@
 import trio
 
 from . import config as configuration
+from . import logs
 from .interface import Started
 from .logic import Dispatcher
 from .net.cluster import Cluster
 from .net.counters import Counters
+from .net.discovery import Discovery
 from .net.downstream import Downstream
 from .net.host import Host
 from .net.upstream import Upstream
 from .net.wheel import Clock, Wheel
 
-log = logging.getLogger("molespur")
+log = logs.get("molespur")
 # After SIGTERM new clients arrive for 0.4 s, but those that have a connection go on using it, and we may be
 # all that is there for them until another scheduler is back from its own restart.
 GRACE_S = 2.5
@@ -41,40 +42,43 @@
         await trio.sleep(0.05)
 
 
-async def wait_for_stop(signals, counters: Counters, config: configuration.Config, cluster: Cluster) -> None:
+async def wait_for_stop(signals, counters: Counters, config: configuration.Config, source) -> None:
     """Print the counters on SIGUSR1, read the configuration again on SIGHUP; return on SIGTERM or SIGINT."""
     async for number in signals:
         if number == signal.SIGUSR1:
             print(counters.line(config.name), file=sys.stderr, flush=True)
         elif number == signal.SIGHUP:
-            config = reload(config, counters, cluster)
+            config = reload(config, counters, source)
         else:
             return
 
 
 def reload(
-    running: configuration.Config, counters: Counters, cluster: Cluster, environ=os.environ
+    running: configuration.Config, counters: Counters, source, environ=os.environ
 ) -> configuration.Config:
-    """Read the configuration again and go to the discovery that it names; give what is in force then."""
+    """Read the configuration again and go to the discovery that it names; give what is in force then.
+
+    Another source than discovery reads again what it stands on.
+    """
     counters["reload.asked"] += 1
     try:
-        given = configuration.load(environ, running)
+        given = configuration.load(environ, running, isinstance(source, Discovery))
     except Exception as problem:
         # guards against a file that can't be used, whatever is wrong with it, ending a program that serves
         counters["reload.failed"] += 1
-        log.error("reload: %s; the running configuration stays", problem)
+        log.error("reload.failed", why=str(problem), then="the running configuration stays")
         return running
     if keys := configuration.needs_restart(running, given):
-        log.warning("reload: changed, but read only at start: %s", ", ".join(keys))
-    log.info("reload: discovery at %s:%d", *given.discovery)
-    cluster.move(given.discovery)
+        log.warning("reload.needs_restart", keys=", ".join(keys))
+    log.info("reload.done", discovery="{}:{}".format(*given.discovery))
+    source.move(given.discovery)
     return replace(running, discovery=given.discovery)
 
 
 async def pass_over(signals) -> None:
     """Guards the orderly end: a signal that nobody takes is delivered again at the end, and kills."""
     async for number in signals:
-        log.info("signal %d passed over: about to end", number)
+        log.info("signal.passed_over", number=number)
 
 
 async def stop(downstream: Downstream, host: Host, listener) -> None:
@@ -91,11 +95,16 @@
     await downstream.leave()
 
 
-async def serve(environ, counters: Counters) -> None:
-    """Serve until told to stop, and then until all that was taken is answered."""
+async def serve(environ, counters: Counters, deployment=None) -> None:
+    """Serve until told to stop, and then until all that was taken is answered.
+
+    A deployment may name another source of the cluster than the platform's discovery; without one nothing
+    of that is imported.
+    """
+    registered = deployment is not None and deployment.cluster.source != "discovery"
     wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
     with trio.open_signal_receiver(*wanted) as signals:
-        config = configuration.load(environ)
+        config = configuration.load(environ, needs_discovery=not registered)
         listener = await open_listener(config.listen)
         async with trio.open_nursery() as nursery:
             clock, wheel = Clock(), Wheel(config.tick_ms)
@@ -104,7 +113,14 @@
             dispatcher, settings = Dispatcher(config.settings, config.seed), config.settings
             host = Host(dispatcher, clock, wheel, counters, settings, min(config.max_open, clients))
             upstream = Upstream(config, wheel, clock, counters, nursery, free - clients)
-            cluster = Cluster(config, wheel, clock, counters, nursery, host, upstream)
+            cluster = Cluster(config.known, clock, host, upstream)
+            if registered:
+                from .registry.source import open_source
+
+                source = open_source(deployment, config, cluster, wheel, clock, counters, nursery)
+            else:
+                source = Discovery(cluster, config, wheel, clock, counters, nursery)
+            cluster.source = source
             host.connect(upstream, cluster)
             usual = config.sockets // 3  # clients hold at most a third for jobs
             bodies = BODIES_SHARE * config.memory_mb * 2**20
@@ -114,21 +130,24 @@
             cluster.start()
             nursery.start_soon(downstream.listen, listener, nursery)
             downstream.ready = True
-            await wait_for_stop(signals, counters, config, cluster)
-            log.info("told to stop")
+            await wait_for_stop(signals, counters, config, source)
+            log.info("stop.told")
             nursery.start_soon(pass_over, signals)
             await stop(downstream, host, listener)
             nursery.cancel_scope.cancel()
     print(counters.line(config.name), file=sys.stderr, flush=True)
 
 
-def main() -> int:
+def main(deployment=None) -> int:
     """Run one scheduler; the exit code says whether it stopped as told."""
     # guards against a SIGHUP before we listen for it, or after, which would end the program
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(name)s %(message)s")
+    if deployment is None:
+        logs.plain()
+    else:
+        logs.structured(deployment.log.format, deployment.log.level)
     try:
-        trio.run(serve, os.environ, Counters())
+        trio.run(serve, os.environ, Counters(), deployment)
     except configuration.ConfigError as problem:
         print(f"molespur: {problem}", file=sys.stderr)
         return 2
@@ -136,4 +155,8 @@
 
 
 if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        from .cli import main as command_line
+
+        command_line()
     sys.exit(main())
--- /dev/null
+++ b/molespur/config/__init__.py
@@ -0,0 +1,28 @@
+"""All configuration: the platform's LB_* variables and file here, other installations' in `deployment`.
+
+`deployment` is imported only where it is asked for: the platform's `run` line needs none of it.
+"""
+
+from .platform import (
+    ClusterList,
+    Config,
+    ConfigError,
+    load,
+    needs_restart,
+    parse_address,
+    read_settings,
+    report_from,
+    worker_entry,
+)
+
+__all__ = [
+    "ClusterList",
+    "Config",
+    "ConfigError",
+    "load",
+    "needs_restart",
+    "parse_address",
+    "read_settings",
+    "report_from",
+    "worker_entry",
+]
--- /dev/null
+++ b/molespur/config/deployment.py
@@ -0,0 +1,230 @@
+"""The deployment file of other installations: TOML, each key also a flag and an environment variable.
+
+A key `part.name` is the flag `--part-name` and the variable `MOLESPUR_PART_NAME`.  The order is flag,
+environment, file, default.  What the platform tells a scheduler (`LB_CONFIG`, other `LB_*`) is not here.
+"""
+
+import difflib
+import os
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta
+
+from .platform import ConfigError, parse_address
+
+FILE_VARIABLE = "MOLESPUR_DEPLOYMENT"
+Positive = Annotated[float, Meta(gt=0)]
+Count = Annotated[int, Meta(ge=1)]
+
+
+class _Part(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A table of the file."""
+
+
+class Log(_Part):
+    """How the program logs."""
+
+    format: Annotated[
+        Literal["plain", "json", "console"], Meta(description="form of the log's lines")
+    ] = "plain"
+    level: Annotated[
+        Literal["debug", "info", "warning", "error"], Meta(description="the least that is logged")
+    ] = "info"
+
+
+class ClusterPart(_Part):
+    """Where the list of workers comes from."""
+
+    source: Annotated[
+        Literal["discovery", "etcd", "consul", "file"],
+        Meta(description="what lists the workers: the platform's discovery, a registry or a static file"),
+    ] = "discovery"
+    file: Annotated[str, Meta(description="the static file (JSON or TOML); read again on SIGHUP")] = ""
+
+
+class Registry(_Part):
+    """The registry of workers."""
+
+    endpoints: Annotated[
+        list[str], Meta(description="its members, host:port, numeric; comma separated as a flag")
+    ] = msgspec.field(default_factory=lambda: ["127.0.0.1:2379"])
+    prefix: Annotated[str, Meta(description="keys of workers begin with this")] = "molespur/workers/"
+    service: Annotated[
+        str, Meta(description="Consul only: follow the health of this service in place of keys")
+    ] = ""
+    user: Annotated[str, Meta(description="etcd: user to authenticate as")] = ""
+    password: Annotated[str, Meta(description="etcd: that user's password; better by environment")] = ""
+    token: Annotated[str, Meta(description="Consul: ACL token; better by environment")] = ""
+    stale_reads: Annotated[bool, Meta(description="let any member answer reads, also one that lags")] = False
+    max_stale_ms: Annotated[
+        Positive, Meta(description="Consul: a stale answer this long without its leader is not taken")
+    ] = 10_000.0
+    page: Annotated[Count, Meta(description="keys a page of a full read (etcd)")] = 500
+    wait_ms: Annotated[Positive, Meta(description="Consul: how long a blocking query may wait")] = 30_000.0
+    dial_ms: Annotated[Positive, Meta(description="for a connection to a member to come up")] = 1_000.0
+    read_ms: Annotated[Positive, Meta(description="for one answer, or one page of a full read")] = 5_000.0
+    silence_ms: Annotated[
+        Positive, Meta(description="a watch that says nothing for this long is opened again")
+    ] = 15_000.0
+    backoff_ms: Annotated[
+        Positive, Meta(description="first wait after a failure; doubles, with jitter")
+    ] = 100.0
+    backoff_most_ms: Annotated[Positive, Meta(description="the longest wait after failures")] = 5_000.0
+    most_workers: Annotated[
+        Count, Meta(description="workers beyond this are passed over, and counted")
+    ] = 20_000
+    record_most: Annotated[Count, Meta(description="bytes of a worker's record at most")] = 4_096
+    snapshot: Annotated[
+        str, Meta(description="file for the last list, loaded at start if newer; empty: none")
+    ] = ""
+    snapshot_every_ms: Annotated[
+        Positive, Meta(description="the snapshot is written at most this often")
+    ] = 1_000.0
+
+
+class Registration(_Part):
+    """A worker's own registration."""
+
+    ttl_s: Annotated[Count, Meta(description="a lease's time to live, whole seconds")] = 10
+
+
+class Deployment(_Part):
+    """The whole file."""
+
+    log: Log = Log()
+    cluster: ClusterPart = ClusterPart()
+    registry: Registry = Registry()
+    registration: Registration = Registration()
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    """One setting: `name` is part.field."""
+
+    part: str
+    field: str
+    type: Any
+    default: Any
+    about: str
+
+    @property
+    def name(self) -> str:
+        return f"{self.part}.{self.field}"
+
+    @property
+    def flag(self) -> str:
+        return "--" + self.name.replace(".", "-").replace("_", "-")
+
+    @property
+    def variable(self) -> str:
+        return "MOLESPUR_" + self.name.replace(".", "_").upper()
+
+
+def all_keys() -> Iterator[Key]:
+    """All settings, in the file's order."""
+    for part in msgspec.structs.fields(Deployment):
+        for field in msgspec.structs.fields(part.type):
+            about = next(
+                (m.description for m in getattr(field.type, "__metadata__", ()) if m.description), ""
+            )
+            default = field.default
+            if default is msgspec.NODEFAULT:
+                default = field.default_factory()
+            yield Key(part.name, field.name, field.type, default, about)
+
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """A value and where it came from: flag, environment, file or default."""
+
+    key: Key
+    value: Any
+    source: str
+
+
+def _fault(where: str, known: list[str], given: str, kind: str = "key") -> ConfigError:
+    near = difflib.get_close_matches(given, known, 1, 0.5)
+    return ConfigError(f"{where}: unknown {kind}" + (f", did you mean {near[0]}?" if near else ""))
+
+
+def _read_file(path: str) -> dict:
+    try:
+        with open(path, "rb") as file:
+            given = msgspec.toml.decode(file.read())
+    except OSError as problem:
+        raise ConfigError(f"{path}: {problem.strerror}") from None
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as problem:
+        raise ConfigError(f"{path}: not TOML: {problem}") from None
+    parts = {part.name: part.type for part in msgspec.structs.fields(Deployment)}
+    for part, table in given.items():
+        if part not in parts:
+            raise _fault(f"{path}: {part}", list(parts), part, "table")
+        if not isinstance(table, dict):
+            raise ConfigError(f"{path}: {part}: must be a table")
+        names = [f.name for f in msgspec.structs.fields(parts[part])]
+        for name in table:
+            if name not in names:
+                raise _fault(f"{path}: {part}.{name}", [f"{part}.{n}" for n in names], f"{part}.{name}")
+    return given
+
+
+def _value(key: Key, given: Any, where: str) -> Any:
+    """A checked value; texts from flags and variables are read as the key's type."""
+    plain = getattr(key.type, "__origin__", key.type)
+    try:
+        if isinstance(given, str) and plain == list[str]:
+            given = [text.strip() for text in given.split(",") if text.strip()]
+        return msgspec.convert(given, key.type, strict=where.endswith(".toml"))
+    except msgspec.ValidationError as problem:
+        raise ConfigError(f"{where}: {key.name}: {problem}") from None
+
+
+def read(
+    path: str | None = None, environ: Mapping[str, str] = os.environ, flags: Mapping[str, Any] | None = None
+) -> tuple[Deployment, list[Origin]]:
+    """The deployment, and each value with its origin.  Raises ConfigError that names the key.
+
+    `path` goes before the variable MOLESPUR_DEPLOYMENT; with neither there is no file.
+    """
+    flags = flags or {}
+    path = path or environ.get(FILE_VARIABLE)
+    table = _read_file(path) if path else {}
+    origins = []
+    for key in all_keys():
+        if flags.get(key.name) is not None:
+            origins.append(Origin(key, _value(key, flags[key.name], key.flag), "flag"))
+        elif key.variable in environ:
+            origins.append(Origin(key, _value(key, environ[key.variable], key.variable), "environment"))
+        elif key.field in table.get(key.part, {}):
+            value = table[key.part][key.field]
+            where = path if path.endswith(".toml") else f"{path}.toml"
+            origins.append(Origin(key, _value(key, value, where), f"file {path}"))
+        else:
+            origins.append(Origin(key, key.default, "default"))
+    known = {key.variable for key in all_keys()} | {FILE_VARIABLE}
+    for variable in environ:
+        if variable.startswith("MOLESPUR_") and variable not in known:
+            raise _fault(variable, sorted(known), variable, "variable")
+    parts: dict[str, dict] = {}
+    for origin in origins:
+        parts.setdefault(origin.key.part, {})[origin.key.field] = origin.value
+    deployment = msgspec.convert(parts, Deployment)
+    _check(deployment)
+    return deployment, origins
+
+
+def _check(deployment: Deployment) -> None:
+    """What one key alone can't tell."""
+    if deployment.cluster.source == "file" and not deployment.cluster.file:
+        raise ConfigError("cluster.file: must be set where cluster.source is 'file'")
+    if not deployment.registry.endpoints:
+        raise ConfigError("registry.endpoints: must name at least one member")
+    for endpoint in deployment.registry.endpoints:
+        parse_address(endpoint, "registry.endpoints")
+    if not deployment.registry.prefix.strip("/"):
+        raise ConfigError("registry.prefix: must not be empty")
+    if deployment.registry.backoff_most_ms < deployment.registry.backoff_ms:
+        raise ConfigError("registry.backoff_most_ms: must be at least registry.backoff_ms")
--- a/molespur/config.py
+++ b/molespur/config/platform.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from .interface import Effect, Group, JobClass, Lifecycle, Settings, Tenant, WorkerEntry
+from ..interface import Effect, Group, JobClass, Lifecycle, Settings, Tenant, WorkerEntry
 
 EFFECTS = {"retryable": Effect.SAFE, "dedup": Effect.KEYED, "fragile": Effect.UNSAFE}
 REPORT_FIELDS = {
@@ -260,11 +260,12 @@
     has_reports: bool = False
 
 
-def load(environ, running: Config | None = None) -> Config:
+def load(environ, running: Config | None = None, needs_discovery: bool = True) -> Config:
     """Read the environment and the file it names; a variable that is set goes before the file.
 
     Where a running program reads it again, its discovery goes before LB_DISCOVERY: the environment is as old
-    as the program, and would mask the new address for good.
+    as the program, and would mask the new address for good.  Where another source lists the workers
+    (`needs_discovery` is off) discovery may be left out, and is then port 0.
     """
     path = environ.get("LB_CONFIG")
     if not path:
@@ -302,7 +303,9 @@
         listen=parse_address(environ.get("LB_LISTEN") or given.listen, "LB_LISTEN"),
         discovery=parse_address(
             discovery, "LB_DISCOVERY" if discovery == variable else "LB_CONFIG: discovery"
-        ),
+        )
+        if discovery or needs_discovery
+        else ("", 0),
         seed=seed,
         sockets=machine.sockets,
         known=given.known or ClusterList(0, True, []),
--- /dev/null
+++ b/molespur/logs.py
@@ -0,0 +1,100 @@
+"""Structured logs: every line is an event name and fields, over the standard library's logging.
+
+`get` gives a logger whose calls cost one comparison where their level is off.  `plain` writes the lines
+without any further library, which is what the platform's `run` line does; `structured` gives them to
+structlog, as JSON or for a console.
+"""
+
+import logging
+import sys
+
+LEVELS = ("debug", "info", "warning", "error")
+FORMATS = ("plain", "json", "console")
+
+
+class EventLogger:
+    """Logs events by name (dotted, lower case) with their fields."""
+
+    __slots__ = ("_log",)
+
+    def __init__(self, name: str):
+        self._log = logging.getLogger(name)
+
+    def _say(self, level: int, event: str, fields: dict, exc_info=None) -> None:
+        if self._log.isEnabledFor(level):
+            self._log.log(level, event, exc_info=exc_info, extra={"fields": fields})
+
+    def debug(self, event: str, **fields) -> None:
+        self._say(logging.DEBUG, event, fields)
+
+    def info(self, event: str, **fields) -> None:
+        self._say(logging.INFO, event, fields)
+
+    def warning(self, event: str, **fields) -> None:
+        self._say(logging.WARNING, event, fields)
+
+    def error(self, event: str, **fields) -> None:
+        self._say(logging.ERROR, event, fields)
+
+    def exception(self, event: str, **fields) -> None:
+        """An error with the exception that is being handled."""
+        self._say(logging.ERROR, event, fields, exc_info=True)
+
+
+def get(name: str) -> EventLogger:
+    """The logger of a module."""
+    return EventLogger(name)
+
+
+class PlainFormatter(logging.Formatter):
+    """`time logger event key=value ..`, one line but for tracebacks."""
+
+    def __init__(self):
+        super().__init__("%(asctime)s %(name)s %(message)s")
+
+    def formatMessage(self, record: logging.LogRecord) -> str:
+        fields = getattr(record, "fields", None) or {}
+        return super().formatMessage(record) + "".join(f" {k}={v!r}" for k, v in fields.items())
+
+
+def plain(level: str = "info") -> None:
+    """Log to standard error as the platform's `run` line does."""
+    _install(PlainFormatter(), level)
+
+
+def structured(form: str, level: str) -> None:
+    """Log to standard error through structlog: `json` has one object a line, `console` is for people.
+
+    `plain` is as without it.  Raises ValueError for a form or level that there is not.
+    """
+    if form not in FORMATS or level not in LEVELS:
+        raise ValueError(f"no such log format or level: {form!r}, {level!r}")
+    if form == "plain":
+        plain(level)
+        return
+    import structlog
+
+    def fields(_logger, _name, event):
+        event.update(getattr(event["_record"], "fields", None) or {})
+        return event
+
+    if form == "json":
+        last = [structlog.processors.format_exc_info, structlog.processors.JSONRenderer(default=repr)]
+    else:
+        last = [structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())]
+    formatter = structlog.stdlib.ProcessorFormatter(
+        foreign_pre_chain=[
+            structlog.stdlib.add_logger_name,
+            structlog.stdlib.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            fields,
+        ],
+        processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta, *last],
+    )
+    _install(formatter, level)
+
+
+def _install(formatter: logging.Formatter, level: str) -> None:
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(formatter)
+    logging.basicConfig(handlers=[handler], level=level.upper(), force=True)
--- a/molespur/net/downstream.py
+++ b/molespur/net/downstream.py
@@ -1,17 +1,17 @@
 """The clients' side: HTTP requests become streams, final answers become responses."""
 
-import logging
 import re
 
 import h11
 import trio
 
+from .. import logs
 from .failure import Served
 from .host import Arrival, Failed, Refused
 from .intake import BODY_MOST, Rejection, check_framing, check_request
 from .upstream import BREAKS, is_quiet
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 AHEAD_MOST = 16 * 1024  # read while an answer is awaited; clients send one request at a time
 FIRST_MS = 2_000.0  # for the first job to arrive whole, counted from connecting: until then nothing is proven
 READ_MS = 2_000.0  # for a later one to arrive whole once it has begun
@@ -74,7 +74,7 @@
                     stream = await listener.accept()
                 except OSError as problem:
                     # guards against a loop that dies of one connection that was reset before it was taken
-                    log.warning("accept: %s", problem)
+                    log.warning("in.accept_failed", why=str(problem))
                     await trio.sleep(0.01)
                     continue
                 nursery.start_soon(self.serve, stream)
@@ -114,7 +114,7 @@
             pass  # the client is gone, which its stream has been told
         except Exception:
             # guards against one connection's surprise taking all others down
-            log.exception("a connection failed in a way not foreseen")
+            log.exception("in.failed")
             self.counters["in.exceptions"] += 1
         finally:
             self._let_go(link)
@@ -298,7 +298,7 @@
         self._let_go(link)
         self.counters["in.rejected"] += 1
         if self.counters["in.rejected"] <= LOGGED:
-            log.info("rejected with %d: %s", problem.status, problem)
+            log.info("in.rejected", status=problem.status, why=str(problem))
         if link.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             await self._respond(link, problem.status, f"{problem}\n".encode(), close=True)
             await self._linger(link)
--- a/molespur/net/host.py
+++ b/molespur/net/host.py
@@ -4,17 +4,17 @@
 its payload to upstream hosts, so a second protocol would go through the same decisions and checks.
 """
 
-import logging
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from .. import interface as io
+from .. import logs
 from ..interface import Lifecycle, Outcome
 from .failure import Cause, Failure, Served, Stage
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 BACKSTOP_MS = 20.0  # past the deadline; within the rule's slack, after the module's own last word
 
 
@@ -102,7 +102,7 @@
             actions = self.dispatcher.handle(self.clock.now(), event)
         except Exception:
             # guards against one bad event taking the scheduler, and so all other streams, down
-            log.exception("the decision module failed on %r", event)
+            log.exception("module.failed", on=repr(event))
             self.counters["module.exceptions"] += 1
             actions, failed = list(self.dispatcher.out), True  # it has booked these as done
         for action in actions:
@@ -144,7 +144,7 @@
         """Guards rule 1 where the module, for whatever reason, has left a stream without an answer."""
         if stream.over:
             return
-        log.error("stream %d had no final answer at its deadline", stream.number)
+        log.error("answered.overdue", stream=stream.number)
         self.counters["answered.overdue"] += 1
         self._finish(stream, Failed())
         self.deliver(io.ClientGone(stream.number))
--- a/molespur/net/upstream.py
+++ b/molespur/net/upstream.py
@@ -1,6 +1,5 @@
 """Upstream requests, the connections that carry them, and probes."""
 
-import logging
 import select
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -9,18 +8,17 @@
 import msgspec
 import trio
 
+from .. import logs
 from ..config import report_from
 from ..interface import Outcome
 from .failure import Cause, Failure, Served, Stage
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 LINE_MOST = 64 * 1024  # no body is larger, so no line is
 TAIL_MS = 500.0  # for the rest of an answer whose last line is in, before its connection is closed instead
 PROBE_MS = 200.0  # a probe is answered beside the queue: one that takes longer tells nothing
-STALE_CUT, FRESH_GAIN = (
-    0.8,
-    1.05,
-)  # of the idle time held to be safe, at a break and at each use that went well
+# of the idle time held to be safe, at a break and at each use that went well
+STALE_CUT, FRESH_GAIN = 0.8, 1.05
 USABLE_LEAST_MS = 50.0  # so short a rest says nothing
 IDLE_SHARE = 0.8  # of the idle limit: a request that crosses an upstream host's own close may have run
 DONE, FAILED, RETURNED, LOST = "done", "failed", "returned", "lost"
@@ -104,6 +102,7 @@
     started: float
     idle: list[Connection] = field(default_factory=list)  # the latest used last, and used first
     gone: bool = False  # replaced or restarted: what is still out ends, nothing is kept
+    wanted: bool = True  # it wants new work
 
 
 class UpstreamRequest:
@@ -152,14 +151,15 @@
 
     # -- The hosts -------------------------------------------------------------------------------
 
-    def place(self, uid: str, address: tuple[str, int], started: float) -> None:
-        """Note where an upstream host is reached."""
+    def place(self, uid: str, address: tuple[str, int], started: float, wanted: bool = True) -> None:
+        """Note where an upstream host is reached, and whether it wants new work."""
         host = self.hosts.get(uid)
         if host is not None and (host.address, host.started) == (address, started):
+            host.wanted = wanted
             return
         # guards against kept connections to a process that is no more: a request on one may be lost unseen
         self.drop(uid)
-        self.hosts[uid] = UpstreamHost(uid, address, started)
+        self.hosts[uid] = UpstreamHost(uid, address, started, wanted=wanted)
 
     def drop(self, uid: str) -> None:
         """Forget an upstream host and close its idle connections."""
@@ -277,6 +277,10 @@
                 if isinstance(connection, Failure):
                     request.settle(connection)
                     return
+                if host.gone or not host.wanted:
+                    # guards rule 3: the drain or end was told while the connection was being made
+                    request.fail(Cause.NOT_SENT, "the upstream host is not in service any more")
+                    return
                 await self._exchange(request, connection)
                 self._learn_idle(connection, False)
         except BREAKS as problem:
@@ -286,7 +290,7 @@
             request.fail(Cause.MALFORMED, str(problem))
         except Exception as problem:
             # guards against one connection's surprise taking the scheduler down
-            log.exception("an upstream request failed in a way not foreseen")
+            log.exception("upstream.failed")
             self.counters["upstream.exceptions"] += 1
             request.fail(Cause.BROKEN, repr(problem))
         finally:
@@ -390,9 +394,9 @@
             if scope.cancelled_caught and isinstance(connection, Connection):
                 outcome = Outcome.TIMEOUT
         except (*BREAKS, h11.RemoteProtocolError, ValueError) as problem:
-            log.debug("probe: %s", problem)  # the outcome so far says it
+            log.debug("probe.failed", why=str(problem))  # the outcome so far says it
         except Exception:
-            log.exception("a probe failed in a way not foreseen")
+            log.exception("probe.failed")
             self.counters["upstream.exceptions"] += 1
         finally:
             with trio.CancelScope(shield=True):
--- a/molespur/net/wheel.py
+++ b/molespur/net/wheel.py
@@ -1,13 +1,14 @@
 """The one clock and the one timer wheel of a scheduler."""
 
-import logging
 import time
 from collections.abc import Callable
 from contextlib import contextmanager
 
 import trio
 
-log = logging.getLogger(__name__)
+from .. import logs
+
+log = logs.get(__name__)
 SLOTS = 1024  # with ticks of 4 ms one turn takes 4 s, so that most timers are looked at once or twice
 
 
@@ -99,7 +100,7 @@
             timer.call(*timer.args)
         except Exception:
             # guards against one timer's surprise stopping all the others
-            log.exception("a timer failed")
+            log.exception("wheel.failed")
 
     async def run(self) -> None:
         """Turn the wheel for good."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -32,6 +32,7 @@
 from molespur.interface import Started
 from molespur.net.cluster import Cluster
 from molespur.net.counters import Counters
+from molespur.net.discovery import Discovery
 from molespur.net.downstream import Downstream
 from molespur.net.host import Host
 from molespur.net.upstream import Upstream
@@ -98,8 +99,9 @@
         settings = self.config.settings
         self.host = Host(self.dispatcher, clock, self.wheel, self.counters, settings, 100)
         upstream = Upstream(self.config, self.wheel, clock, self.counters, nursery, 100, self.dial)
-        self.cluster = Cluster(
-            self.config, self.wheel, clock, self.counters, nursery, self.host, upstream, self.dial
+        self.cluster = Cluster(self.config.known, clock, self.host, upstream)
+        self.cluster.source = self.discovery_source = Discovery(
+            self.cluster, self.config, self.wheel, clock, self.counters, nursery, self.dial
         )
         self.host.connect(upstream, self.cluster)
         self.downstream = Downstream(self.host, self.wheel, self.counters, settings.classes, 3, 3, 70_000)
@@ -129,7 +131,7 @@
         while type(head := await peer.event()) is h11.Request:
             while type(await peer.event()) is h11.Data:
                 pass
-            if address == self.cluster.address:
+            if address == self.discovery_source.address:
                 self.watch = (peer, head.target.decode())
                 continue
             headers = dict(head.headers)
@@ -255,7 +257,7 @@
             self.nursery.start_soon(stop, self.downstream, self.host, listener)
         elif who == "move":
             self.watch = None
-            self.cluster.move(("127.0.0.1", int(words[0])))
+            self.discovery_source.move(("127.0.0.1", int(words[0])))
         elif who in ("break", "mute"):
             self.whole, self.dispatcher.handle = self.dispatcher.handle, getattr(self, f"{who}_once")
         elif who == "d":
