--- a/molespur/cli/options.py
+++ b/molespur/cli/options.py
@@ -8,7 +8,7 @@
 
 
 def with_settings(*parts: str) -> Callable:
-    """Give a command the flags of these parts; it is called with `settings`, the (Deployment, origins) read."""
+    """Give a command the flags of these parts; its `settings` are the (Deployment, origins) read."""
 
     def decorate(function):
         chosen = [key for key in deployment.all_keys() if key.part in parts]
--- a/molespur/config/deployment.py
+++ b/molespur/config/deployment.py
@@ -27,9 +27,9 @@
 class Log(_Part):
     """How the program logs."""
 
-    format: Annotated[
-        Literal["plain", "json", "console"], Meta(description="form of the log's lines")
-    ] = "plain"
+    format: Annotated[Literal["plain", "json", "console"], Meta(description="form of the log's lines")] = (
+        "plain"
+    )
     level: Annotated[
         Literal["debug", "info", "warning", "error"], Meta(description="the least that is logged")
     ] = "info"
@@ -69,20 +69,20 @@
     silence_ms: Annotated[
         Positive, Meta(description="a watch that says nothing for this long is opened again")
     ] = 15_000.0
-    backoff_ms: Annotated[
-        Positive, Meta(description="first wait after a failure; doubles, with jitter")
-    ] = 100.0
+    backoff_ms: Annotated[Positive, Meta(description="first wait after a failure; doubles, with jitter")] = (
+        100.0
+    )
     backoff_most_ms: Annotated[Positive, Meta(description="the longest wait after failures")] = 5_000.0
-    most_workers: Annotated[
-        Count, Meta(description="workers beyond this are passed over, and counted")
-    ] = 20_000
+    most_workers: Annotated[Count, Meta(description="workers beyond this are passed over, and counted")] = (
+        20_000
+    )
     record_most: Annotated[Count, Meta(description="bytes of a worker's record at most")] = 4_096
     snapshot: Annotated[
         str, Meta(description="file for the last list, loaded at start if newer; empty: none")
     ] = ""
-    snapshot_every_ms: Annotated[
-        Positive, Meta(description="the snapshot is written at most this often")
-    ] = 1_000.0
+    snapshot_every_ms: Annotated[Positive, Meta(description="the snapshot is written at most this often")] = (
+        1_000.0
+    )
 
 
 class Registration(_Part):
--- a/molespur/net/cluster.py
+++ b/molespur/net/cluster.py
@@ -1,8 +1,8 @@
 """The cluster: the upstream hosts that are listed, whatever source lists them.
 
 A *source* finds out about upstream hosts (the platform's discovery, a registry, a file) and tells the
-cluster.  It has `start()`, `watch()` (the module asks for changes) and `move(address)` (on a reload).  The rules on drains and listing are kept here and
-in the host, and so hold for each source.
+cluster.  It has `start()`, `watch()` (the module asks for changes) and `move(address)` (on a reload).  The
+rules on drains and listing are kept here and in the host, and so hold for each source.
 """
 
 from collections.abc import Sequence
@@ -45,7 +45,7 @@
         self.source: Source | None = None  # set before start
 
     def lifecycle(self, uid: str) -> Lifecycle | None:
-        """Where an upstream host is in its life; None if the list has never named it."""
+        """Where an upstream host is in its life; None if the list does not name it (any more)."""
         return self.lives.get(uid)
 
     def start(self) -> None:
@@ -62,7 +62,7 @@
         """Take a list or changes in, and tell the module."""
         if mode is not NewsMode.PARTIAL:
             for uid in self.lives.keys() - {p.entry.worker for p in placed}:
-                self.lives[uid] = Lifecycle.GONE
+                del self.lives[uid]
                 self.upstream.drop(uid)
         self.note(placed)
         self.tell(tuple(p.entry for p in placed), mode)
@@ -71,10 +71,12 @@
         """Hold to changes at once, before the module is told: nothing new goes to a worker not in service."""
         for one in placed:
             entry = one.entry
-            self.lives[entry.worker] = entry.lifecycle
             if entry.lifecycle is Lifecycle.GONE:
+                # nothing is kept of it: ever new names must not take ever more memory
+                self.lives.pop(entry.worker, None)
                 self.upstream.drop(entry.worker)
             else:
+                self.lives[entry.worker] = entry.lifecycle
                 wanted = entry.lifecycle is Lifecycle.IN_SERVICE
                 self.upstream.place(entry.worker, one.address, entry.born_ms, wanted)
 
--- a/molespur/registry/backoff.py
+++ b/molespur/registry/backoff.py
@@ -6,10 +6,10 @@
 
 @dataclass(slots=True)
 class Backoff:
-    """Waits that double from `first_ms` up to `most_ms`, each drawn from its upper two thirds.
+    """Waits that double from `first_ms` up to `most_ms`, drawn at random above a tenth of that.
 
     A lone failure after a good while waits little; the draw spreads the tries of many clients that lost the
-    same registry in the same moment ("decorrelated" by their own generators).
+    same registry in the same moment, each with a generator of its own.
     """
 
     first_ms: float
@@ -21,7 +21,7 @@
         """The wait before the next try."""
         ceiling = min(self.first_ms * 2 ** min(self.failures, 30), self.most_ms)
         self.failures += 1
-        return ceiling * (1 / 3 + 2 / 3 * self.rng.random())
+        return ceiling * (0.1 + 0.9 * self.rng.random())
 
     def ease(self) -> None:
         """All is well: the next failure starts from the first wait."""
--- a/molespur/registry/model.py
+++ b/molespur/registry/model.py
@@ -29,6 +29,8 @@
     BROKEN = "broken"  # refused, silent, reset, malformed: try another member
     COMPACTED = "compacted"  # the revision asked for is no more
     BEHIND = "behind"  # the member has not come to the revision asked for
+    MALFORMED = "malformed"  # an answer that made no sense: what it told is unknown
+    SILENT = "silent"  # an open watch has said nothing for too long
     NO_LEADER = "no_leader"
     TOKEN = "token"  # the token is not (or no longer) good
     DENIED = "denied"  # the credentials themselves are refused
@@ -60,7 +62,7 @@
     turn: int
     cluster: str
     revision: int
-    items: tuple[Item, ...]
+    items: tuple[Item, ...] = ()
     next_key: str | None = None
     proven: bool = True  # answered by, or in agreement with, the leader
 
@@ -89,7 +91,7 @@
 
     turn: int
     revision: int
-    items: tuple[Item, ...]
+    items: tuple[Item, ...] = ()
     proven: bool = True
 
 
@@ -162,6 +164,8 @@
 
 @dataclass(frozen=True, slots=True)
 class AddPage:
+    """Add the page's items, and those that came beside its event."""
+
     items: tuple[Item, ...]
 
 
@@ -196,6 +200,6 @@
     fields: dict = field(default_factory=dict)
 
 
-Action = (
-    Authenticate | ReadPage | OpenWatch | Wait | BeginRebuild | AddPage | FinishRebuild | Apply | Standing | Note
-)
+Exchange = Authenticate | ReadPage | OpenWatch | Wait
+"""What takes time.  The answer to an event holds at most one, as its last."""
+Action = Exchange | BeginRebuild | AddPage | FinishRebuild | Apply | Standing | Note
--- a/molespur/registry/session.py
+++ b/molespur/registry/session.py
@@ -1,11 +1,12 @@
-"""What to do next with a registry: full read, watch, resume, and what to do where that fails.  Pure.
+"""What to do next with a registry: full read, watch, resume, and where that fails.  Pure.
 
-Events in, actions out; no sockets, no clock but `now`, no randomness but the generator passed in.  Each request
-carries a *turn*; an answer under an older turn is passed over, so at most one exchange is ever in force.
+Events in, actions out; no sockets, no clock but `now`, no randomness but the generator passed in.  Each
+request carries a *turn*; an answer under an older turn is passed over, so at most one exchange is in force.
 
-It never goes backwards.  Within one cluster of members a full read at a lower revision than the view's is a member
-that lags: it is not taken, and another member (or, with Consul, the leader) is asked.  Another cluster id is taken
-for a restored or replaced registry only after a whole round in which no member answered with the known one.
+It never goes backwards.  Within one cluster of members a full read at a lower revision than the view's is a
+member that lags: it is not taken, and another member (or, with Consul, the leader) is asked.  Another cluster
+id is taken for a restored or replaced registry only after a whole round in which no member answered with the
+known one.
 """
 
 from collections.abc import Callable
@@ -16,6 +17,7 @@
 from .backoff import Backoff, Members
 from .model import Why
 
+STILL_MOST = 2  # times that a member may tell that nothing is new, before another is asked
 READS_AT_ONCE = 3  # full reads begun one after the other without a wait, where compaction cuts them short
 
 
@@ -47,13 +49,14 @@
         self._reading_at, self._reading_cluster = 0, ""  # of the full read under way; 0: none
         self._key: str | None = None  # where its next page begins
         self._cut = 0  # full reads cut short by compaction, since one was finished
-        self._foreign: set[int] = set()  # members that answered with another cluster id, since the known one spoke
+        self._foreign: set[int] = set()  # members of another cluster, since the known one spoke
         self._doubt = False  # the next read must be proven: an answer went backwards
-        self._asked_at = 0.0
+        self._asked_at, self._still = 0.0, 0
         self.out: list[m.Action] = []
         self._routes = {
-            m.Begin: self._begin, m.PageRead: self._page, m.WatchOpened: self._opened, m.Changed: self._changed,
-            m.Listed: self._listed, m.Granted: self._granted, m.Failed: self._failed, m.Due: self._due,
+            m.Begin: self._begin, m.PageRead: self._page, m.WatchOpened: self._opened,
+            m.Changed: self._changed, m.Listed: self._listed, m.Granted: self._granted,
+            m.Failed: self._failed, m.Due: self._due,
         }  # fmt: skip
 
     def handle(self, now: float, event: m.Event) -> list[m.Action]:
@@ -141,11 +144,16 @@
         if not self._knows(event.cluster):
             return
         same = event.cluster == self.cluster
+        if self._reading_at and event.cluster != self._reading_cluster:
+            # guards against a list put together from two registries
+            self._reread()
+            self._resume()
+            return
         if not self._reading_at:
-            if same and event.revision < self.revision and not (self._doubt and event.proven and self.rules.long_poll):
-                self._lagging(event.revision)
-                return
             if same and event.revision < self.revision:
+                if not (self.rules.long_poll and self._doubt and event.proven):
+                    self._lagging(event.revision)
+                    return
                 self._note("registry.restored", was=self.revision, now=event.revision)
             self._reading_at, self._reading_cluster = event.revision, event.cluster
             self.out.append(m.BeginRebuild())
@@ -160,6 +168,8 @@
         self._foreign.clear()
         self._note("registry.read", revision=self.revision, cluster=self.cluster)
         self.out.append(m.FinishRebuild(self.cluster, self.revision))
+        if self.rules.long_poll:
+            self._up()
         self._resume()
 
     def _lagging(self, revision: int) -> None:
@@ -192,6 +202,8 @@
             self._reread()
             self._resume()
             return
+        if not event.changes and self._standing_still(event.revision):
+            return
         # a member may say again what it has said; what is known is passed over, never applied twice
         new = tuple(c for c in event.changes if c.revision > self.revision)
         if len(new) < len(event.changes):
@@ -201,6 +213,25 @@
             if new:
                 self.out.append(m.Apply(event.revision, new))
 
+    def _standing_still(self, revision: int) -> bool:
+        """A member told that nothing is new.  One that is cut off from the others says so for good, so after
+        some of these another is asked for what follows our revision."""
+        if revision < self.revision:
+            self._note("registry.lagging", member=self.members.now, revision=revision, seen=self.revision)
+            self._retry_elsewhere()
+            return True
+        self._still = self._still + 1 if revision == self.revision else 0
+        if self._still < STILL_MOST or self.rules.members == 1:
+            return False
+        self._ask_next()
+        return True
+
+    def _ask_next(self) -> None:
+        """All may be well, but let the next member tell what follows our revision."""
+        self._still = 0
+        self.members.now = (self.members.now + 1) % self.members.count
+        self._resume()
+
     def _listed(self, event: m.Listed) -> None:
         """A blocking query's answer; see Consul's documentation on blocking queries for the index."""
         if event.revision <= 0 or event.revision < self.revision:
@@ -213,8 +244,11 @@
             return
         self._up()
         if event.revision > self.revision:
-            self.revision = event.revision
-            self.out += [m.BeginRebuild(), m.AddPage(event.items), m.FinishRebuild(self.cluster, event.revision)]
+            self.revision, self._still = event.revision, 0
+            self.out += [m.BeginRebuild(), m.AddPage(event.items)]
+            self.out.append(m.FinishRebuild(self.cluster, event.revision))
+        elif self._standing_still(event.revision):
+            return
         rest = self._asked_at + self.rules.pause_ms - self.now
         if rest > 0:
             self._wait(rest)
@@ -240,9 +274,11 @@
                 self._wait(self.backoff.next_ms())
             else:
                 self._resume()
-        elif why is Why.BEHIND:
-            self._retry_elsewhere()
+        elif why is Why.SILENT and self.fresh:
+            self._ask_next()
         else:
-            if self._reading_at and self.members.round_over:
+            if why is Why.MALFORMED:
+                self._reread()  # guards against a change that can't be read being asked for again and again
+            if why is not Why.BEHIND and self._reading_at and self.members.round_over:
                 self._reading_at, self._key = 0, None  # the revision that we read at may be long gone
             self._retry_elsewhere()
--- a/molespur/registry/view.py
+++ b/molespur/registry/view.py
@@ -1,12 +1,13 @@
 """The list as the registry last told it, on a persistent map.  Pure.
 
-A view is never changed: applying changes gives a new one, and whoever holds the old one keeps it.  It stands
-at a revision of one cluster of members.  What it shows (`workers`) follows from the stored keys alone, not from
-the order in which they came, so that all schedulers show the same: of two keys with one uid the one created
-first stands, and of two workers on one endpoint the one created last (the older's process must be gone).
+A view is never changed: applying changes gives a new one, and whoever holds the old one keeps it.  It
+stands at a revision of one cluster of members.  What it shows (`workers`) follows from the stored keys
+alone, not from the order in which they came, so that all schedulers show the same: of two keys with one uid
+the one created first stands, and of two workers on one endpoint the one created last (the older's process
+must be gone).
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
 
 from immutables import Map
@@ -14,6 +15,8 @@
 from .model import Change, Item
 from .records import Record, Unfit, parse
 
+EMPTY = Map()
+
 
 @dataclass(frozen=True, slots=True)
 class Entry:
@@ -50,10 +53,10 @@
 
     cluster: str = ""
     revision: int = 0
-    entries: Map = Map()  # key -> Entry
-    by_uid: Map = Map()  # uid -> tuple of keys
-    by_endpoint: Map = Map()  # endpoint -> tuple of keys
-    workers: Map = Map()  # uid -> Record, those shown
+    entries: Map = EMPTY  # key -> Entry
+    by_uid: Map = EMPTY  # uid -> tuple of keys
+    by_endpoint: Map = EMPTY  # endpoint -> tuple of keys
+    workers: Map = EMPTY  # uid -> Record, those shown
 
 
 class Edit:
@@ -64,6 +67,9 @@
         self._entries, self._uids = base.entries.mutate(), base.by_uid.mutate()
         self._places = base.by_endpoint.mutate()
         self._touched: dict[str, None] = {}  # uids to be looked at again
+        self._workers, self._settled = base.workers.mutate(), False
+        self._put: list[Record] = []
+        self._gone: list[str] = []
         self.troubles: list[Trouble] = []
 
     def put(self, item: Item) -> None:
@@ -98,9 +104,9 @@
             self._unlink(key, old)
 
     def keep_only(self, keys: Iterable[str]) -> None:
-        """All other keys are gone."""
+        """All other keys of the base view are gone."""
         keys = set(keys)
-        for key in [key for key in self._entries if key not in keys]:
+        for key in [key for key in self.base.entries if key not in keys]:
             self.drop(key)
 
     def _touch(self, record: Record) -> None:
@@ -146,29 +152,41 @@
         keys = self._uids[self._entries[key].record.uid]
         return min(keys, key=lambda k: (self._entries[k].item.created, k)) == key
 
-    def done(self, cluster: str, revision: int) -> tuple[View, Delta]:
-        """The new view, and how it differs from the old one."""
+    def settle(self, at_once: int = 256) -> Iterator[None]:
+        """Work out which workers show, now that all keys are in; comes back after every `at_once`."""
         # a uid that gives way or stands again changes who else may show on its endpoint
-        for uid in list(self._touched):
+        for n, uid in enumerate(list(self._touched), 1):
             for key in self._uids.get(uid, ()):
                 self._touch(self._entries[key].record)
-        workers, put, gone = self.base.workers.mutate(), [], []
-        for uid in self._touched:
+            if n % at_once == 0:
+                yield
+        for n, uid in enumerate(self._touched, 1):
             old, new = self.base.workers.get(uid), self._shown(uid)
             if new is None and old is not None:
-                del workers[uid]
-                gone.append(uid)
+                del self._workers[uid]
+                self._gone.append(uid)
             elif new is not None and new != old:
-                workers[uid] = new
-                put.append(new)
+                self._workers[uid] = new
+                self._put.append(new)
+            if n % at_once == 0:
+                yield
+        self._settled = True
+
+    def done(self, cluster: str, revision: int) -> tuple[View, Delta]:
+        """The new view, and how it differs from the old one."""
+        if not self._settled:
+            for _ in self.settle():
+                pass
         view = View(
             cluster, revision, self._entries.finish(), self._uids.finish(), self._places.finish(),
-            workers.finish(),
+            self._workers.finish(),
         )  # fmt: skip
-        return view, Delta(tuple(put), tuple(gone))
+        return view, Delta(tuple(self._put), tuple(self._gone))
 
 
-def apply(view: View, revision: int, changes: Iterable[Change], **bounds) -> tuple[View, Delta, list[Trouble]]:
+def apply(
+    view: View, revision: int, changes: Iterable[Change], **bounds
+) -> tuple[View, Delta, list[Trouble]]:
     """Changes in their order on top of a view."""
     edit = Edit(view, **bounds)
     for change in changes:
@@ -183,11 +201,9 @@
     view: View, cluster: str, revision: int, items: Iterable[Item], **bounds
 ) -> tuple[View, Delta, list[Trouble]]:
     """The view that a full read gives; workers that stayed are the same records as before."""
-    edit, keys = Edit(view, **bounds), set()
-    items = tuple(items)
+    edit, items = Edit(view, **bounds), tuple(items)
     edit.keep_only({item.key for item in items})
     for item in items:
-        keys.add(item.key)
         edit.put(item)
     return (*edit.done(cluster, revision), edit.troubles)
 
