--- a/molespur/registry/source.py
+++ b/molespur/registry/source.py
@@ -11,6 +11,7 @@
 from ..config.deployment import Deployment
 from ..interface import Lifecycle, WorkerEntry
 from ..net.cluster import Placed
+from ..net.upstream import dial_tcp
 from . import snapshot, static
 from .client import Client
 from .consul import Consul
@@ -79,7 +80,9 @@
 class RegistrySource:
     """A registry as the cluster's source."""
 
-    def __init__(self, given: Deployment, config, cluster, wheel, clock, counters, nursery):
+    def __init__(
+        self, given: Deployment, config, cluster, wheel, clock, counters, nursery, dial=dial_tcp
+    ):
         registry = given.registry
         self.cluster, self.wheel, self.clock, self.counters = cluster, wheel, clock, counters
         self.nursery, self.registry = nursery, registry
@@ -99,7 +102,7 @@
         self.client = Client(
             Session(rules, Random(config.seed)), protocol_of(given), members, wheel, clock, counters,
             self._told, self._standing, registry.dial_ms, registry.read_ms, registry.silence_ms,
-            registry.most_workers, registry.record_most,
+            registry.most_workers, registry.record_most, dial=dial,
         )  # fmt: skip
         self._saving = self._whole = False
 
--- /dev/null
+++ b/tests/cli/test_cli.py
@@ -0,0 +1,210 @@
+"""The command line as an operator uses it, against a stand-in registry on free ports."""
+
+import contextlib
+import json
+import os
+import subprocess
+import sys
+import threading
+from pathlib import Path
+
+import pytest
+import trio
+
+from molespur.config import ConfigError, deployment
+from molespur.standins.registry import Registry
+
+ROOT = Path(__file__).parents[2]
+
+
+def molespur(*words, **variables):
+    env = {k: v for k, v in os.environ.items() if not k.startswith(("LB_", "MOLESPUR_"))} | variables
+    command = [sys.executable, "-m", "molespur", *words]
+    done = subprocess.run(command, cwd=ROOT, env=env, capture_output=True, text=True, timeout=60)
+    return done.returncode, done.stdout, done.stderr
+
+
+@contextlib.contextmanager
+def a_registry(**options):
+    """A stand-in on a thread of its own; gives its address."""
+    up, places, control = threading.Event(), [], {}
+
+    async def main():
+        control["scope"], control["token"] = trio.CancelScope(), trio.lowlevel.current_trio_token()
+        with control["scope"]:
+            async with trio.open_nursery() as nursery:
+                places.extend(await nursery.start(Registry(**options).listen))
+                up.set()
+                await trio.sleep_forever()
+
+    thread = threading.Thread(target=trio.run, args=(main,))
+    thread.start()
+    try:
+        assert up.wait(20)
+        yield "{}:{}".format(*places[0])
+    finally:
+        control["token"].run_sync_soon(control["scope"].cancel)
+        thread.join(20)
+
+
+@pytest.mark.parametrize("kind", ["etcd", "consul"])
+def test_a_registry_by_hand(kind, tmp_path):
+    with a_registry() as place:
+        given = {"MOLESPUR_CLUSTER_SOURCE": kind, "MOLESPUR_REGISTRY_ENDPOINTS": f"127.0.0.1:1,{place}"}
+
+        def run(*words, code=0):
+            got, out, err = molespur("registry", *words, **given)
+            assert got == code, (words, out, err)
+            return out + err
+
+        for n in (1, 2, 3):
+            run("put", f"records-{n}", "--endpoint", f"127.0.0.1:{3000 + n}", "--az", "z")
+        run("drain", "records-2")
+        listed = json.loads(run("list", "--json"))
+        assert {w["uid"]: w.get("state", "active") for w in listed["workers"]} == {
+            "records-1": "active", "records-2": "leaving", "records-3": "active",
+        }  # fmt: skip
+        assert "records-2" in run("list") and "leaving" in run("list")
+        run("remove", "records-3")
+        assert "no worker 'records-3'" in run("remove", "records-3", code=1)
+        assert "no worker 'x'" in run("drain", "x", code=1)
+        exported = tmp_path / "workers.json"
+        run("export", str(exported))
+        assert [w["uid"] for w in json.loads(exported.read_text())["workers"]] == ["records-1", "records-2"]
+        run("remove", "records-1")
+        run("import", str(exported))
+        watched = run("watch", "--count", "2", "--json")
+        assert [json.loads(line)["event"] for line in watched.splitlines() if line[0] == "{"] == [
+            "put",
+            "put",
+        ]
+        run("check")
+        run("put", "records-9", "--endpoint", "127.0.0.1:3001")
+        assert "same_endpoint" in run("check", code=1)
+        assert "endpoint" in run("put", "bad", "--endpoint", "nowhere", code=2)
+        exported.write_text('{"workers":[{"uid":"a","endpoint":"x"}]}')
+        assert "a: endpoint" in run("import", str(exported), code=2)
+
+
+def test_no_registry_is_one_line_and_exit_1():
+    code, _, err = molespur("registry", "list", MOLESPUR_REGISTRY_ENDPOINTS="127.0.0.1:1")
+    assert (
+        code == 1
+        and err.startswith("molespur: registry: no member could answer: 127.0.0.1:1")
+        and err.count("\n") == 1
+    )
+
+
+def test_credentials():
+    with a_registry(user="op", password="secret") as place:
+        given = {"MOLESPUR_REGISTRY_ENDPOINTS": place, "MOLESPUR_REGISTRY_USER": "op"}
+        assert molespur("registry", "list", MOLESPUR_REGISTRY_PASSWORD="secret", **given)[0] == 0
+        code, _, err = molespur("registry", "list", MOLESPUR_REGISTRY_PASSWORD="wrong", **given)
+        assert code == 1 and "authentication failed" in err
+
+
+@pytest.mark.parametrize("words", [("--help",), ("serve", "--help"), ("registry", "--help"), ("--version",)])
+def test_help(words):
+    code, out, _ = molespur(*words)
+    assert code == 0 and "molespur" in out
+
+
+@pytest.mark.parametrize(
+    ("words", "variables", "named"),
+    [
+        (("serv",), {}, "No such command"),
+        (("config", "show", "--registry-pages", "3"), {}, "--registry-pages"),
+        (("config", "show", "--registry-page", "none"), {}, "registry.page"),
+        (("config", "show"), {"MOLESPUR_REGISTRY_PAGES": "3"}, "did you mean MOLESPUR_REGISTRY_PAGE?"),
+        (("config", "check"), {"LB_CONFIG": "/nowhere"}, "LB_CONFIG"),
+        (("serve", "--cluster-source", "file"), {}, "cluster.file"),
+    ],
+)
+def test_wrong_usage_exits_with_2_and_names_it(words, variables, named):
+    code, out, err = molespur(*words, **variables)
+    assert code == 2 and named in err and "Traceback" not in err and not out
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("[registry]\npaeg = 3", "registry.paeg: unknown key, did you mean registry.page?"),
+        ("[registri]\npage = 3", "registri: unknown table, did you mean registry?"),
+        ("[registry]\npage = 0", "registry.page"),
+        ('[registry]\npage = "3"', "registry.page"),
+        ("registry = 3", "registry: must be a table"),
+        ('[registry]\nendpoints = ["nowhere"]', "registry.endpoints"),
+        ('[registry]\nprefix = ""', "registry.prefix"),
+        ("[registry]\nbackoff_most_ms = 1", "registry.backoff_most_ms"),
+        ("nonsense", "not TOML"),
+    ],
+)
+def test_a_faulty_deployment_file_names_the_key(tmp_path, text, named):
+    path = tmp_path / "d.toml"
+    path.write_text(text)
+    with pytest.raises(ConfigError) as caught:
+        deployment.read(str(path), {})
+    assert named in str(caught.value) and "\n" not in str(caught.value)
+
+
+def test_flag_goes_before_environment_before_file_before_default(tmp_path):
+    path = tmp_path / "d.toml"
+    path.write_text('[registry]\npage = 5\nwait_ms = 7\nsilence_ms = 9\nendpoints = ["127.0.0.1:5"]\n')
+    environ = {
+        "MOLESPUR_DEPLOYMENT": str(path),
+        "MOLESPUR_REGISTRY_PAGE": "6",
+        "MOLESPUR_REGISTRY_WAIT_MS": "8",
+    }
+    given, origins = deployment.read(None, environ, {"registry.page": "4"})
+    registry = given.registry
+    assert (registry.page, registry.wait_ms, registry.silence_ms, registry.dial_ms) == (4, 8.0, 9.0, 1000.0)
+    source = {origin.key.name: origin.source for origin in origins}
+    assert [source[f"registry.{k}"] for k in ("page", "wait_ms", "silence_ms", "dial_ms")] == [
+        "flag", "environment", f"file {path}", "default",
+    ]  # fmt: skip
+
+
+def test_every_key_is_a_flag_and_a_variable_and_the_shipped_file_is_good():
+    names = {key.flag for key in deployment.all_keys()}
+    _, out, _ = molespur("config", "show", "--help")
+    assert len(names) >= 24 and all(flag in out for flag in names)
+    code, out, _ = molespur(
+        "config", "show", "--deployment", "deploy/molespur.toml", MOLESPUR_REGISTRY_PASSWORD="hush"
+    )
+    assert code == 0 and "hush" not in out and "(set)" in out and "file deploy/molespur.toml" in out
+
+
+def test_off_costs_nothing():
+    """Without arguments neither registry, command line nor stand-ins are imported, nor what they stand on."""
+    code = (
+        "import sys, molespur.__main__ as p\n"
+        "off = ('molespur.registry','molespur.cli','molespur.standins','molespur.config.deployment',"
+        "'click','structlog','immutables','blake3','rich')\n"
+        "print([n for n in sys.modules if n.startswith(off)])"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert done.stdout.strip() == "[]", done.stdout + done.stderr
+    on = code.replace("as p", "as p, molespur.registry.source")
+    done = subprocess.run([sys.executable, "-c", on], cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert "immutables" in done.stdout and "standins" not in done.stdout
+
+
+def test_logs_are_events_with_fields():
+    code = (
+        "from molespur import logs\n"
+        "logs.structured({!r}, 'info'); log = logs.get('m')\n"
+        "log.debug('off', x=1); log.info('a.b', key='k', n=2)"
+    )
+    lines = {}
+    for form in ("json", "console", "plain"):
+        run = [sys.executable, "-c", code.format(form)]
+        lines[form] = subprocess.run(run, cwd=ROOT, capture_output=True, text=True, timeout=60).stderr
+    told = json.loads(lines["json"])
+    assert (told["event"], told["key"], told["n"], told["level"], told["logger"]) == (
+        "a.b",
+        "k",
+        2,
+        "info",
+        "m",
+    )
+    assert all("a.b" in line and "off" not in line and "key" in line for line in lines.values())
