--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""One command a measurement; each writes its table and chart to docs/measurements/."""
