--- a/benchmarks/registry.py
+++ b/benchmarks/registry.py
@@ -1,8 +1,8 @@
 """`python -m benchmarks.registry`: what it costs, and how long it takes, to hear of a registry's changes.
 
 The stand-in registry runs in a process of its own; the client and the host that is told run in another, new
-for each cell.  Beside the watch the same changes are followed by reading the whole list every second, as a user
-would do otherwise.  Parts:
+for each cell.  Beside the watch the same changes are followed by reading the whole list every second, as a
+user would do otherwise.  Parts:
 
     follow     fleets x rates: from commit to told, CPU a change, bytes, memory; etcd's watch, Consul, polling
     recover    full read, and whole again after a compaction; the longest step of the event loop
@@ -384,9 +384,9 @@
     text = f"""# Following a registry
 
 By `python -m benchmarks.registry`; the stand-in registry in a process of its own, the client in another, on
-one machine.  *Told* is when the decision module would be handed the change (a host that decides nothing stands
-in for it, so that the figures are the registry's own; the module's cost is below).  *poll* reads the whole list
-every second.
+one machine.  *Told* is when the decision module would be handed the change (a host that decides nothing
+stands in for it, so that the figures are the registry's own; the module's cost is below).  *poll* reads the
+whole list every second.
 
 {table([{k: r[k] for k in columns} for r in rows])}
 
@@ -408,8 +408,8 @@
 ## A whole site, its registry away for 10 s
 
 100 jobs a second for 20 s on six workers, real processes; the registry refuses all connections from the 5th
-to the 15th second, and a drain committed in between is heard on return (`drain_heard_s`: the last job that this
-worker took, counted from the return).
+to the 15th second, and a drain committed in between is heard on return (`drain_heard_s`: the last job that
+this worker took, counted from the return).
 
 {table(away)}
 """
--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -148,9 +148,9 @@
         known = [w.slots for w in self.live if w.slots_known] or [DEFAULT_SLOTS]
         for group in kinds.values():
             alike = [w.slots for w in group if w.slots_known] or known
+            mean = sum(alike) / len(alike)
             for w in group:
-                if not w.slots_known:
-                    w.slots = sum(alike) / len(alike)
+                w.slots = w.slots if w.slots_known else mean
         fleet = sum(w.power for w in self.live) / max(sum(w.slots for w in self.live), 1.0)
         for group in kinds.values():
             speed = sum(w.power for w in group) / sum(w.slots for w in group)
--- a/molespur/registry/client.py
+++ b/molespur/registry/client.py
@@ -1,5 +1,6 @@
 """Carries out what the session says: exchanges with the members, edits of the view.  Holds no rule."""
 
+import itertools
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
@@ -82,7 +83,7 @@
     # -- The view --------------------------------------------------------------------------------
 
     async def _add(self, items) -> None:
-        for part in (items, *self._items):
+        for part in itertools.chain((items,), self._items):
             for item in part:
                 self._edit.put(item)
                 self._keys.add(item.key)
--- a/molespur/standins/registry.py
+++ b/molespur/standins/registry.py
@@ -294,6 +294,7 @@
             "kv/range": self._range, "kv/put": self._put, "kv/deleterange": self._delete, "kv/txn": self._txn,
             "kv/compaction": self._compaction, "lease/grant": self._grant, "lease/revoke": self._revoke,
             "kv/lease/revoke": self._revoke, "lease/timetolive": self._left,
+            "kv/lease/timetolive": self._left,
             "maintenance/status": self._status,
         }  # fmt: skip
         if what not in calls:
@@ -537,9 +538,10 @@
 
     def _consul_agent(self, rest: str, query: dict, body: bytes):
         if rest == "service/register":
-            given = msgspec.json.decode(body)
-            name, ident = given["Name"], given.get("ID") or given["Name"]
-            self.store.put(f"{SERVICES}{name}/{ident}", msgspec.json.encode(given | {"Status": "passing"}))
+            # Consul reads the names of fields whatever their case
+            given = {name.lower(): value for name, value in msgspec.json.decode(body).items()}
+            name, ident = given["name"], given.get("id") or given["name"]
+            self.store.put(f"{SERVICES}{name}/{ident}", msgspec.json.encode(given | {"status": "passing"}))
             return 200, [], b""
         what, _, ident = rest.removeprefix("service/").partition("/")
         found = [(k, s) for k, s in self.store.range(SERVICES, None)[0] if k.endswith(f"/{ident}")]
@@ -549,9 +551,9 @@
             key, stored = found[0]
             given = msgspec.json.decode(stored.value)
             if what == "status":
-                given["Status"] = query["is"]
+                given["status"] = query["is"]
             else:
-                given["Maintenance"] = query.get("enable") == "true"
+                given["maintenance"] = query.get("enable") == "true"
             self.store.put(key, msgspec.json.encode(given))
         else:
             return 404, [], b"unknown service"
@@ -563,15 +565,15 @@
         for key, stored in found:
             given = msgspec.json.decode(stored.value)
             ident = key.rsplit("/", 1)[-1]
-            checks = [{"CheckID": f"service:{ident}", "Status": given["Status"]}]
-            if given.get("Maintenance"):
+            checks = [{"CheckID": f"service:{ident}", "Status": given["status"]}]
+            if given.get("maintenance"):
                 checks.append({"CheckID": f"_service_maintenance:{ident}", "Status": "critical"})
             if "passing" in query and any(check["Status"] != "passing" for check in checks):
                 continue
             service = {
                 "ID": ident, "Service": name,
-                "Address": given.get("Address", ""), "Port": given.get("Port", 0),
-                "Meta": given.get("Meta") or {}, "Tags": given.get("Tags") or [],
+                "Address": given.get("address", ""), "Port": given.get("port", 0),
+                "Meta": given.get("meta") or {}, "Tags": given.get("tags") or [],
                 "CreateIndex": stored.create, "ModifyIndex": stored.mod,
             }  # fmt: skip
             answers.append(
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -1,18 +1,15 @@
 """The command line as an operator uses it, against a stand-in registry on free ports."""
 
-import contextlib
 import json
 import os
 import subprocess
 import sys
-import threading
 from pathlib import Path
 
 import pytest
-import trio
+from far_registry import a_registry
 
 from molespur.config import ConfigError, deployment
-from molespur.standins.registry import Registry
 
 ROOT = Path(__file__).parents[2]
 
@@ -24,29 +21,6 @@
     return done.returncode, done.stdout, done.stderr
 
 
-@contextlib.contextmanager
-def a_registry(**options):
-    """A stand-in on a thread of its own; gives its address."""
-    up, places, control = threading.Event(), [], {}
-
-    async def main():
-        control["scope"], control["token"] = trio.CancelScope(), trio.lowlevel.current_trio_token()
-        with control["scope"]:
-            async with trio.open_nursery() as nursery:
-                places.extend(await nursery.start(Registry(**options).listen))
-                up.set()
-                await trio.sleep_forever()
-
-    thread = threading.Thread(target=trio.run, args=(main,))
-    thread.start()
-    try:
-        assert up.wait(20)
-        yield "{}:{}".format(*places[0])
-    finally:
-        control["token"].run_sync_soon(control["scope"].cancel)
-        thread.join(20)
-
-
 @pytest.mark.parametrize("kind", ["etcd", "consul"])
 def test_a_registry_by_hand(kind, tmp_path):
     with a_registry() as place:
--- a/tests/registry/test_source.py
+++ b/tests/registry/test_source.py
@@ -1,16 +1,19 @@
 """A registry as the cluster's source: the rules hold as with discovery, in whole scenarios."""
 
 import itertools
+import os
 import time
 from random import Random
 
 import pytest
+import scenario
 import trio
 from rig import PREFIX, Rig, record
 from scenario import SETTINGS, play
-from trio.testing import MockClock
+from trio.testing import MockClock, memory_stream_pair
 
 from molespur import Dispatcher, config
+from molespur.config import deployment
 from molespur.interface import Lifecycle, Started
 from molespur.net.cluster import Cluster
 from molespur.net.counters import Counters
@@ -18,8 +21,9 @@
 from molespur.net.wheel import Clock, Wheel
 from molespur.registry.model import Item
 from molespur.registry.pace import Pace
-from molespur.registry.source import Teller
+from molespur.registry.source import FileSource, RegistrySource, Teller
 from molespur.registry.view import Edit, View, rebuilt
+from molespur.standins.registry import Registry
 
 BOTH = pytest.mark.parametrize("kind", ["etcd", "consul"])
 CASES = {
@@ -225,7 +229,7 @@
         monkeypatch.setattr(Edit, name, steps.counted(getattr(Edit, name)))
     monkeypatch.setattr(Cluster, "note", steps.counted(Cluster.note))
 
-    async def scenario(rig):
+    async def churned(rig):
         told, cluster, teller = told_to(rig.client.clock, Pace(), rig.wheel)
         rig.client.told = lambda _view, delta: teller.told(delta)
         rig.store.commit([(f"{PREFIX}w{n}", record(n), 0) for n in range(many)])
@@ -247,7 +251,7 @@
     async def main():
         async with trio.open_nursery() as nursery:
             rig = Rig(nursery, page=500)
-            await scenario(rig)
+            await churned(rig)
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=MockClock(autojump_threshold=0), instruments=[steps])
@@ -292,3 +296,94 @@
     pace = Pace(share=0.01, most_ms=50.0)
     pace.told(0.0, 1000.0)
     assert pace.wait_ms(0.0) == 50.0
+
+
+def a_source(nursery, kind, registry, **options):
+    """A registry's or a file's source, with a host that decides nothing."""
+    told, cluster, teller = told_to(Clock(), Pace())
+    nursery.start_soon(teller.wheel.run)
+    given = deployment.Deployment(
+        cluster=deployment.ClusterPart(source=kind, file=options.pop("file", "")),
+        registry=deployment.Registry(prefix=PREFIX, endpoints=["127.0.0.1:1"], **options),
+    )
+
+    async def dial(_address):
+        if registry.members[0].faults.refuse:
+            raise ConnectionRefusedError("refused")
+        ours, theirs = memory_stream_pair()
+        nursery.start_soon(registry.members[0].serve, theirs)
+        return ours
+
+    parts = (given, scenario.make_config(), cluster, teller.wheel, teller.clock, Counters(), nursery)
+    source = FileSource(*parts) if kind == "file" else RegistrySource(*parts, dial)
+    cluster.source = source
+    return told, cluster, source
+
+
+def test_a_start_without_the_registry_begins_with_the_snapshot(tmp_path):
+    path = str(tmp_path / "snapshot")
+
+    async def main():
+        registry = Registry()
+        for n in (1, 2):
+            registry.store.put(f"{PREFIX}w{n}", record(n))
+        async with trio.open_nursery() as nursery:
+            _, cluster, source = a_source(nursery, "etcd", registry, snapshot=path)
+            source.start()
+            with trio.fail_after(20):
+                while not os.path.exists(path):
+                    await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+        registry.members[0].faults.refuse = True
+        async with trio.open_nursery() as nursery:
+            _, cluster, source = a_source(nursery, "etcd", registry, snapshot=path)
+            source.start()
+            await trio.sleep(2)
+            assert set(cluster.lives) == {"w1", "w2"} and not source.fresh
+            # meanwhile one was removed: the full read finds it, and the other is not told again
+            registry.store.delete(f"{PREFIX}w1")
+            registry.members[0].faults.refuse = False
+            with trio.fail_after(20):
+                while set(cluster.lives) != {"w2"}:
+                    await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+        for content in (b"", b"molespur-registry-snapshot 1 00\n{}", os.urandom(100)):
+            (tmp_path / "snapshot").write_bytes(content)
+            async with trio.open_nursery() as nursery:
+                _, cluster, source = a_source(nursery, "etcd", registry, snapshot=path)
+                source.start()
+                assert source.counters["registry.snapshot_refused"] == 1
+                with trio.fail_after(20):
+                    while set(cluster.lives) != {"w2"}:
+                        await trio.sleep(0.05)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(rate=20))
+
+
+def test_a_static_file_is_read_again_on_reload_and_a_faulty_one_leaves_the_old(tmp_path):
+    path = tmp_path / "workers.json"
+
+    def write(*workers):
+        path.write_bytes(b'{"workers":[' + b",".join(record(n) for n in workers) + b"]}")
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            _, cluster, source = a_source(nursery, "file", None, file=str(path))
+            with pytest.raises(config.ConfigError, match=r"cluster\.file"):
+                source.start()
+            write(1, 2)
+            source.start()
+            await trio.sleep(1)
+            assert set(cluster.lives) == {"w1", "w2"}
+            write(2, 3)
+            source.move(("", 0))
+            await trio.sleep(1)
+            assert set(cluster.lives) == {"w2", "w3"}
+            path.write_text("{")
+            source.move(("", 0))
+            await trio.sleep(1)
+            assert set(cluster.lives) == {"w2", "w3"} and source.counters["cluster.errors"] == 1
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
