--- /dev/null
+++ b/molespur/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Who may connect: pure ledger, rates, identity and budget; off on the platform."""
