--- a/molespur/admission/ledger.py
+++ b/molespur/admission/ledger.py
@@ -7,8 +7,9 @@
   had its time to prove itself, and a newcomer behind the same address is given the same time;
 - the proven are never shed while an unproven stays that has no job under way.  Among them those without a job
   go, of the identity that holds most, the one idle longest; one with a job is never shed;
-- a share of the room is kept for the proven: of what they do not use of it, the unproven get none, and a
-  newcomer among them takes the place of another.  So a proven client is let in at once.
+- a share of the room is reserved for the proven.  While they do not use it, it is lent to the unproven, who
+  give it back at once: an unproven connection without a job can always be shed, and those with a job are held
+  to what is not reserved.  So a crowd that brings one valid job each can't keep the proven out.
 """
 
 from collections import OrderedDict
@@ -100,7 +101,7 @@
         self.networks: dict[str, Network] = {}  # those with unproven connections
         self.by_identity: dict[str, OrderedDict[int, None]] = {}  # those without a job, by idleness
         self.holds: dict[str, int] = {}  # connections of each identity
-        self.proven = 0
+        self.proven = self.busy_unproven = 0
         self.ended: dict[End, int] = dict.fromkeys(End, 0)
         self.refused = 0
         self._fullest: SortedSet = SortedSet()  # (unproven, network): the last is the fullest
@@ -125,9 +126,6 @@
                 self.refused += 1
                 return number, Refuse(self.rules.pause_ms + draw * self.rules.pause_spread_ms)
             shed = (victim,)
-        elif identity is None and self._lent_out():
-            # what is left is kept for the proven: a newcomer takes another unproven one's place
-            shed = (self._fullest_unproven(),)
         for victim in shed:
             unproven = self.entries[victim].identity is None
             self.close(victim, End.SHED_UNPROVEN if unproven else End.SHED_IDLE)
@@ -146,23 +144,29 @@
         if entry is None or entry.identity is not None:
             return
         self._unproven_drop(entry)
+        self.busy_unproven -= entry.jobs > 0
         entry.identity, entry.since = identity, now
         self.proven += 1
         self._identity_touch(identity, +1)
         if not entry.jobs:
             self._idle_add(entry)
 
-    def job(self, number: int, now: float) -> None:
-        """A job has begun on it: it is not shed until that is answered."""
+    def job(self, number: int) -> bool:
+        """A job has come on it.  If it may be taken, the connection is not shed until that is answered."""
         entry = self.entries.get(number)
         if entry is None:
-            return
+            return False
+        if entry.identity is None and not entry.jobs:
+            if self.busy_unproven >= self.rules.most - self.rules.reserve:
+                return False
+            self.busy_unproven += 1
         entry.jobs += 1
         if entry.jobs == 1:
             if entry.identity is None:
                 self._unproven_drop(entry)
             else:
                 self._idle_drop(entry)
+        return True
 
     def answered(self, number: int, now: float) -> bool:
         """A job of it has its final answer.  False if it is to be closed then: a cap was lowered."""
@@ -173,6 +177,7 @@
         if not entry.jobs:
             entry.since = now
             if entry.identity is None:
+                self.busy_unproven -= 1
                 self._unproven_add(entry)
             else:
                 self._idle_add(entry)
@@ -189,7 +194,9 @@
         self.ended[why] += 1
         source = self.sources[entry.address]
         if entry.identity is None:
-            if not entry.jobs:
+            if entry.jobs:
+                self.busy_unproven -= 1
+            else:
                 self._unproven_drop(entry)
         else:
             if not entry.jobs:
@@ -219,11 +226,6 @@
 
     # -- Who goes --------------------------------------------------------------------------------
 
-    def _lent_out(self) -> bool:
-        """Whether the unproven use all that is not kept free for the proven."""
-        kept_free = max(self.rules.reserve - self.proven, 0)
-        return bool(self._fullest) and len(self.entries) >= self.rules.most - kept_free
-
     def _fullest_unproven(self) -> int:
         network = self.networks[self._fullest[-1][1]]
         return next(iter(self.sources[network.addresses[-1][1]].unproven))
--- a/tests/admission/test_ledger.py
+++ b/tests/admission/test_ledger.py
@@ -72,8 +72,12 @@
     def job(self, n):
         number = self.pick(n)
         if number is not None:
-            self.ledger.job(number, self.now)
-            self.open[number][2] += 1
+            _, identity, jobs = self.open[number]
+            busy = sum(o[1] is None and o[2] > 0 for o in self.open.values())
+            room = self.ledger.rules.most - self.ledger.rules.reserve
+            taken = self.ledger.job(number)
+            assert taken is (identity is not None or jobs > 0 or busy < room)
+            self.open[number][2] += taken
 
     @rule(n=st.integers(0, 7))
     def answered(self, n):
@@ -109,6 +113,7 @@
         ledger = self.ledger
         assert set(ledger.entries) == set(self.open)
         busy = sum(o[2] > 0 for o in self.open.values())
+        assert ledger.busy_unproven == sum(o[1] is None and o[2] > 0 for o in self.open.values())
         assert len(self.open) <= max(ledger.rules.most, busy)
         assert ledger.proven == sum(o[1] is not None for o in self.open.values())
         assert sum(ledger.ended.values()) == len(self.ends) == len(set(self.ends))
@@ -171,7 +176,7 @@
                 lost += 1
                 del pending[number]
             elif now >= due:
-                ledger.job(number, now)
+                assert ledger.job(number)
                 ledger.prove(number, f"client-{number}", now)
                 ledger.answered(number, now)
                 ledger.close(number)
@@ -186,17 +191,27 @@
     ledger = Ledger(Rules(50, 10))
     for n in range(500):
         ledger.arrive(f"10.0.{n % 7}.{n % 200}", 0.0, 0.0)
-    assert len(ledger.entries) == 40  # what is reserved is kept free
-    for n in range(10):
+    assert len(ledger.entries) == 50  # the reserve is lent
+    for n in range(50):
         _, decision = ledger.arrive("192.0.2.1", 1.0, 0.0, f"crew-{n}")
-        assert decision == Admit()
-    _, decision = ledger.arrive("192.0.2.1", 1.0, 0.0, "crew-11")
-    assert isinstance(decision, Admit) and len(decision.shed) == 1
+        assert isinstance(decision, Admit) and len(decision.shed) == 1  # and given back at once
+    assert ledger.proven == 50
+
+
+def test_a_crowd_that_brings_one_valid_job_each_does_not_keep_the_proven_out():
+    ledger = Ledger(Rules(50, 10))
+    refused = sum(not ledger.job(ledger.arrive(f"10.0.0.{n % 3}", 0.0, 0.0)[0]) for n in range(500))
+    assert ledger.busy_unproven == 40 and refused == 460
+    for n in range(10):
+        number, decision = ledger.arrive("10.0.0.1", 1.0, 0.0)  # its token is read once it is in
+        assert isinstance(decision, Admit)
+        ledger.prove(number, f"crew-{n}", 1.0)
+        assert ledger.job(number)
 
 
 def test_those_refused_come_back_at_different_times():
     ledger, rng = Ledger(Rules(2, 0)), Random(1)
     for _ in range(2):
-        ledger.job(ledger.arrive("10.0.0.1", 0.0, 0.0)[0], 0.0)
+        ledger.job(ledger.arrive("10.0.0.1", 0.0, 0.0)[0])
     pauses = [ledger.arrive("10.0.0.1", 0.0, rng.random())[1].pause_ms for _ in range(100)]
     assert min(pauses) >= 1000 and max(pauses) <= 3000 and len(set(pauses)) == 100
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 import urllib.request
 from pathlib import Path
@@ -99,6 +100,9 @@
     )
     run = [sys.executable, "-m", "molespur"]
     program = subprocess.Popen(run, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
+    # guards against a test that waits for good for a line that never comes
+    late = threading.Timer(120, program.kill)
+    late.start()
 
     def read_to(word):
         while word not in (line := program.stderr.readline()):
@@ -118,6 +122,7 @@
         _, rest = program.communicate(timeout=60)
         assert program.returncode == 0 and "counters n" in rest
     finally:
+        late.cancel()
         program.kill()
 
 
