--- a/molespur/__main__.py
+++ b/molespur/__main__.py
@@ -70,7 +70,7 @@
         return running
     if keys := configuration.needs_restart(running, given):
         log.warning("reload.needs_restart", keys=", ".join(keys))
-    log.info("reload.done", discovery="{}:{}".format(*given.discovery))
+    log.info("reload.done", discovery="{}:{}".format(*given.discovery) if given.discovery[1] else None)
     source.move(given.discovery)
     return replace(running, discovery=given.discovery)
 
@@ -146,12 +146,17 @@
         logs.plain()
     else:
         logs.structured(deployment.log.format, deployment.log.level)
+    code = 0
     try:
         trio.run(serve, os.environ, Counters(), deployment)
-    except configuration.ConfigError as problem:
+    except* configuration.ConfigError as problems:
+        # a nursery that was open already has put it into a group
+        problem = problems
+        while isinstance(problem, BaseExceptionGroup):
+            problem = problem.exceptions[0]
         print(f"molespur: {problem}", file=sys.stderr)
-        return 2
-    return 0
+        code = 2
+    return code
 
 
 if __name__ == "__main__":
--- a/molespur/admission/pace.py
+++ b/molespur/admission/pace.py
@@ -1,9 +1,9 @@
 """How many connections are accepted at each tick.  Pure.
 
 A reconnect storm costs CPU that the streams under way need.  What tells whether there is too little is how
-late the ticks of the wheel come: AIMD on that lateness, as in congestion control.  While ticks are on time one
-more is accepted each tick; a late one halves the number.  It never falls under one, so that the backlog is
-drained.
+late the ticks of the wheel come: AIMD on that lateness, as in congestion control.  While ticks are on time,
+one more is accepted each tick; a late one halves the number.  It never falls under one, so that the backlog
+drains.
 """
 
 from dataclasses import dataclass
--- a/molespur/net/cluster.py
+++ b/molespur/net/cluster.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from ..config import parse_address, worker_entry
+from ..config import ConfigError, parse_address, worker_entry
 from ..interface import FleetNews, Lifecycle, NewsMode, WorkerEntry
 
 
@@ -50,7 +50,10 @@
 
     def start(self) -> None:
         """Begin with the list that this scheduler last held."""
-        placed = [Placed.from_target(target, self.clock.from_unix) for target in self.known.targets]
+        try:
+            placed = [Placed.from_target(target, self.clock.from_unix) for target in self.known.targets]
+        except ConfigError as problem:
+            raise ConfigError(f"LB_CONFIG: known: {problem}") from None
         self.take(placed, NewsMode.PERSISTED)
         self.source.start()
 
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -8,6 +8,7 @@
 
 import pytest
 from far_registry import a_registry
+from test_program import GOOD, free_address
 
 from molespur.config import ConfigError, deployment
 
@@ -99,6 +100,24 @@
     assert code == 2 and named in err and "Traceback" not in err and not out
 
 
+@pytest.mark.parametrize(
+    ("flags", "named"),
+    [
+        (("--cluster-source", "file", "--cluster-file", "/nowhere.json"), "cluster.file: /nowhere.json"),
+        (("--cluster-source", "etcd", "--registry-snapshot", "/nowhere/x"), "registry.snapshot: no such"),
+        (("--cluster-source", "discovery"), "known: endpoint"),
+    ],
+)
+def test_a_start_that_cannot_be_is_one_line_and_exit_2(tmp_path, flags, named):
+    """Also where it is found out only once connections are open."""
+    path = tmp_path / "config.json"
+    endpoint = "nowhere" if "discovery" in flags else "127.0.0.1:9"
+    known = {"rev": 1, "all": True, "targets": [{"uid": "w1", "endpoint": endpoint}]}
+    path.write_text(json.dumps(GOOD | {"listen": free_address(), "known": known}))
+    code, out, err = molespur("serve", *flags, LB_CONFIG=str(path))
+    assert code == 2 and named in err and err.count("\n") == 1 and not out
+
+
 @pytest.mark.parametrize(
     ("text", "named"),
     [
