--- a/benchmarks/registry.py
+++ b/benchmarks/registry.py
@@ -390,8 +390,8 @@
 
 {table([{k: r[k] for k in columns} for r in rows])}
 
-`told` may be less than `changes` where two changes of one worker were told as one.  At one change a second the
-poll keeps step with the changes, so its lateness there is a matter of phase; see it at 100.
+`told` may be less than `changes` where two changes of one worker were told as one.  At one change a second
+the poll keeps step with the changes, so its lateness there is a matter of phase; see it at 100.
 
 ![time and CPU](registry.svg)
 
