Keep a worker registered from the command line: molespur registry register

Need: workers that are not ours need a way to register without writing code, and registration.ttl_s was read by nothing.

Change: a sub-command that keeps a record under a lease beside the worker; SIGUSR1 drains, SIGTERM leaves.

Measured: listed, drained and gone as seen by registry list, with etcd and with Consul.

--- a/molespur/cli/registry.py
+++ b/molespur/cli/registry.py
@@ -1,6 +1,8 @@
 """`molespur registry`: look at and change a registry of workers, on either protocol."""
 
+import signal
 import sys
+import time
 from random import Random
 
 import click
@@ -15,7 +17,9 @@
 from ..registry import static
 from ..registry.admin import Admin, RegistryError
 from ..registry.client import Client
+from ..registry.lease import Registration
 from ..registry.records import Record, encode, parse
+from ..registry.registration import Registrar
 from ..registry.session import Rules, Session
 from .options import with_settings
 
@@ -92,22 +96,68 @@
     return run(settings, work) or int(bool(found))
 
 
+def with_record(function):
+    """Give a command the fields of a record."""
+    for option in (
+        click.option("--boot-ms", default=0.0, help="Unix time of its last start; 0: long ago"),
+        click.option("--capacity-hint", default=1.0),
+        click.option("--pod-group", default=0),
+        click.option("--model", default=""),
+        click.option("--az", default=""),
+        click.option("--endpoint", required=True, help="host:port"),
+        click.argument("uid"),
+    ):
+        function = option(function)
+    return function
+
+
+def checked(settings, fields: dict) -> Record:
+    """The fields as a record; wrong usage where they are none."""
+    record = parse(fields["uid"], msgspec.json.encode(fields), settings[0].registry.record_most)
+    if not isinstance(record, Record):
+        raise click.BadParameter(record.why)
+    return record
+
+
 @command.command("put")
-@click.argument("uid")
-@click.option("--endpoint", required=True, help="host:port")
-@click.option("--az", default="")
-@click.option("--model", default="")
-@click.option("--pod-group", default=0)
 @click.option("--state", type=click.Choice(["active", "leaving"]), default="active")
-@click.option("--capacity-hint", default=1.0)
-@click.option("--boot-ms", default=0.0, help="Unix time of its last start; 0: long ago")
+@with_record
 @with_settings("cluster", "registry")
 def put(settings, **fields) -> int:
-    """Put a worker's record, whatever stood there."""
-    checked = parse(fields["uid"], msgspec.json.encode(fields), settings[0].registry.record_most)
-    if not isinstance(checked, Record):
-        raise click.BadParameter(checked.why)
-    return run(settings, lambda admin: admin.put(checked))
+    """Put a worker's record, whatever stood there.  It stays until it is removed."""
+    record = checked(settings, fields)
+    return run(settings, lambda admin: admin.put(record))
+
+
+@command.command("register")
+@with_record
+@with_settings("cluster", "registry", "registration")
+def register(settings, **fields) -> int:
+    """Keep a worker registered under a lease, in the foreground beside it.
+
+    It has started now, unless --boot-ms says otherwise.  SIGUSR1 drains it, SIGTERM or SIGINT ends its
+    registration and exits with 0.  Each line tells whether schedulers can be counted on to see it.
+    """
+    fields["boot_ms"] = fields["boot_ms"] or time.time() * 1000
+    record, registration = checked(settings, fields), settings[0].registration
+
+    async def work(admin):
+        machine = Registration(registration.ttl_s, len(admin.members), Random())
+        registrar = Registrar(
+            machine, admin.protocol, admin.members, admin.key(record.uid), record, admin.wheel, Clock(),
+            Counters(), lambda listed: click.echo("listed" if listed else "lost"),
+        )  # fmt: skip
+        with trio.open_signal_receiver(signal.SIGUSR1, signal.SIGTERM, signal.SIGINT) as signals:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(registrar.run)
+                async for number in signals:
+                    if number == signal.SIGUSR1:
+                        registrar.drain()
+                    else:
+                        registrar.leave()
+                        break
+
+    return run(settings, work)
 
 
 @command.command("drain")
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -2,8 +2,10 @@
 
 import json
 import os
+import signal
 import subprocess
 import sys
+import threading
 from pathlib import Path
 
 import pytest
@@ -61,6 +63,34 @@
         assert "a: endpoint" in run("import", str(exported), code=2)
 
 
+@pytest.mark.parametrize("kind", ["etcd", "consul"])
+def test_a_worker_is_kept_registered_drained_and_leaves(kind):
+    with a_registry() as place:
+        given = {"MOLESPUR_CLUSTER_SOURCE": kind, "MOLESPUR_REGISTRY_ENDPOINTS": place}
+
+        def states():
+            _, out, _ = molespur("registry", "list", "--json", **given)
+            return {w["uid"]: w.get("state", "active") for w in json.loads(out)["workers"]}
+
+        words = ["registry", "register", "records-1", "--endpoint", "127.0.0.1:3001"]
+        command = [sys.executable, "-m", "molespur", *words, "--registration-ttl-s", "3"]
+        env = {**os.environ, **given, "PYTHONUNBUFFERED": "1"}
+        worker = subprocess.Popen(command, cwd=ROOT, env=env, stdout=subprocess.PIPE, text=True)
+        late = threading.Timer(60, worker.kill)
+        late.start()
+        try:
+            assert worker.stdout.readline() == "listed\n"
+            assert states() == {"records-1": "active"}
+            worker.send_signal(signal.SIGUSR1)
+            while states() != {"records-1": "leaving"}:
+                assert worker.poll() is None
+            worker.send_signal(signal.SIGTERM)
+            assert worker.wait(30) == 0 and states() == {}
+        finally:
+            late.cancel()
+            worker.kill()
+
+
 def test_no_registry_is_one_line_and_exit_1():
     code, _, err = molespur("registry", "list", MOLESPUR_REGISTRY_ENDPOINTS="127.0.0.1:1")
     assert (
