Let the lease machine use the session's events for failures and waits

Need: the same three records stood twice.

Change: lease.py takes Failed, Due and Wait from model.py.

Measured: 175 tests of registry and command line pass.

--- a/molespur/registry/lease.py
+++ b/molespur/registry/lease.py
@@ -10,12 +10,12 @@
 from random import Random
 
 from .backoff import Backoff, Members
-from .model import Fault
+from .model import Due, Failed, Wait
 
 MARGIN = 0.8  # of the time to live
 
 
-# -- Events --------------------------------------------------------------------------------------
+# -- Events; Failed and Due are the session's -----------------------------------------------------
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,19 +38,6 @@
     turn: int
 
 
-@dataclass(frozen=True, slots=True)
-class Failed:
-    """No usable answer."""
-
-    turn: int
-    fault: Fault
-
-
-@dataclass(frozen=True, slots=True)
-class Due:
-    turn: int
-
-
 @dataclass(frozen=True, slots=True)
 class Drain:
     """The worker wants nothing new."""
@@ -61,7 +48,7 @@
     """The worker ends."""
 
 
-# -- Actions -------------------------------------------------------------------------------------
+# -- Actions; Wait is the session's --------------------------------------------------------------
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,12 +79,6 @@
     lease: str
 
 
-@dataclass(frozen=True, slots=True)
-class Wait:
-    turn: int
-    delay_ms: float
-
-
 @dataclass(frozen=True, slots=True)
 class Listed:
     """Tell the worker whether schedulers can be counted on to see it."""
