--- a/tests/admission/test_rate.py
+++ b/tests/admission/test_rate.py
@@ -1,7 +1,6 @@
 """Arrival rates of very many sources: bounded memory, the sketch's error within its bound."""
 
 import math
-from random import Random
 
 import pytest
 import xxhash
@@ -37,7 +36,7 @@
 
 
 def test_100_000_addresses_in_a_minute_in_bounded_memory_and_within_the_stated_error():
-    rates, rng = Rates(Limit(1.0, 3), most=4096, width=65_536, key=7), Random(1)
+    rates = Rates(Limit(1.0, 3), most=4096, width=65_536, key=7)
     known, refused_known = address(1 << 23), 0
     harmed = 0
     for n in range(100_000):
@@ -50,7 +49,6 @@
     busy = 4096
     bound = (1 - math.exp(-busy / 65_536)) ** DEPTH
     assert harmed <= 3 * bound * 100_000 + 3 and refused_known == 0
-    assert rng
 
 
 def test_a_source_that_floods_is_held_to_its_rate_though_others_push_it_out_of_the_table():
@@ -87,4 +85,4 @@
 
     assert harmed(0) == 2  # the key is known: both of the rows that were aimed at are hit
     hits = sum(harmed(key) == 2 for key in range(1, 201))
-    assert hits < 140  # by chance alone 40 sources fill under half of 64 cells in each row
+    assert hits < 70  # by chance alone 40 sources fill a cell of 64 in both rows in 22 of 100 keys
--- a/tests/registry/test_source.py
+++ b/tests/registry/test_source.py
@@ -335,6 +335,13 @@
                     await trio.sleep(0.05)
             nursery.cancel_scope.cancel()
         registry.members[0].faults.refuse = True
+        async with trio.open_nursery() as nursery:
+            # what the platform told is newer: the snapshot is left alone
+            _, cluster, source = a_source(nursery, "etcd", registry, snapshot=path)
+            cluster.known = config.ClusterList(1000, True, [])
+            source.start()
+            assert not source.client.view.workers
+            nursery.cancel_scope.cancel()
         async with trio.open_nursery() as nursery:
             _, cluster, source = a_source(nursery, "etcd", registry, snapshot=path)
             source.start()
