Ask discovery again over a time that it can answer the whole fleet in

The restarted schedulers keep a list of which half is gone, and from 14 s on most upstream requests (1,134 of 1,185 in two seconds) meet a closed port.

Checked: a single call takes 135 ms (probe: askings spread over 10 s), so discovery carries about 7 a second; 40 schedulers that ask after 0.4 to 0.8 s ask for 40 and more. Calls wait in turn and give up after 2 s, and those given up are still worked off, so none is in time until the askings stop. Ruled out: discovery being down (calls are answered as soon as few come).

At fault: _ask asked again after 0.4 to 1 s, before a call that waits in turn can be answered, and so threw it away; the wait after a failure did not know how many ask. Now a failed call is what calls for the next one, after a random part of 200 ms for each dispatcher, and a call is only taken for lost when discovery lets none wait so long.

--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -51,7 +51,8 @@
 COLD_LOAD = 1.3  # a cold worker is sent this share of what it can do at least: more would only wait
 COLD_BURST = 0.5  # but no more than this share of what the rule allows
 COLD_LUMPS = 0.8  # the same for jobs larger than a dispatcher's share of the window
-ASK_MS = 400.0  # first wait before asking discovery again; doubles, with jitter
+ASK_EACH_MS = 200.0  # time that discovery is left for each dispatcher's asking, should all ask again
+ASK_HUNG_MS = 5500.0  # a call this old is lost: discovery lets none wait so long
 PROBE_SPEND = 0.003  # score points that probes may cost for each request
 PROBE_MS = (300.0, 2000.0)  # least time between probes of one worker, most between any two
 
@@ -71,7 +72,7 @@
         self.wait_coef, self.miss_coef, self.const = 1.0, 1.0, 0.0
         self.turn = sum(c.median for c in self.classes.values()) / len(self.classes)
         self.rho = [0.3, 0.0]  # usual load of a slot by others: on warm workers, and on cold ones
-        self.ask_wait, self.asks, self.subscribed = ASK_MS, 0, False
+        self.ask_wait, self.asks, self.subscribed = ASK_EACH_MS * settings.balancers, 0, False
         self.quota = {t.name: [t.quota_per_s / settings.balancers, 0.0, 0.0] for t in settings.tenants}
         # how often each key was asked for lately; needed kind -> (mean runs of headroom, worth of late jobs)
         self.heat, self.heat_all, self.margins = {}, 0.0, {}
@@ -102,25 +103,24 @@
             self._at(PROBE_MS[0] * self.rng.random(), self._probe_next)
 
     def _ask(self, turn):
-        """Subscribe, and again with growing, jittered waits while no answer comes."""
-        if self.subscribed or turn != self.asks:
-            return  # guards against askings that double at each error until they only cut each other off
-        self.out.append(io.Watch())
-        self.asks += 1
-        wait = max(self.ask_wait, self.s.must_ask_in_ms / 4) if self.ask_wait == ASK_MS else self.ask_wait
-        self._at(wait * (0.75 + 0.5 * self.rng.random()), self._ask, self.asks)
+        """Subscribe.  A call that fails is told, and only then made again."""
+        if not self.subscribed and turn == self.asks:  # guards against askings that double at each error
+            self.out.append(io.Watch())
+            self.asks += 1
+            self._at(ASK_HUNG_MS * (1 + 0.25 * self.rng.random()), self._ask, self.asks)
 
     def _news(self, event):
         now = self.now
         if event.mode is NewsMode.ERROR:
-            # guards against silent staleness: a broken subscription is asked for again, ever more slowly
+            # guards against a whole fleet that asks in step, or faster than discovery answers: its calls then
+            # all wait too long, and not one is answered until the askings stop
             self.subscribed = False
-            self.ask_wait = min(self.ask_wait * 2, max(self.s.must_ask_in_ms / 2, ASK_MS))
             self.asks += 1
-            self._at(self.ask_wait * (0.5 + self.rng.random()), self._ask, self.asks)
+            self._at(self.ask_wait * self.rng.random(), self._ask, self.asks)
+            self.ask_wait = max(min(self.ask_wait * 2, self.s.must_ask_in_ms / 2), self.ask_wait)
             return
         if event.mode is not NewsMode.PERSISTED and self.asks:
-            self.subscribed, self.ask_wait = True, ASK_MS
+            self.subscribed, self.ask_wait = True, ASK_EACH_MS * self.s.balancers
         if event.mode is not NewsMode.PARTIAL:
             named = {e.worker for e in event.entries}
             for worker in self.workers.values():
