Learn queues from own overdue jobs, count own jobs for the fleet's, ask all homes of a key

Checked: (1) reports show no free slots whether none or 90 wait, so a full worker is forecast like one with a job too many. (4) Homes are hashed over all workers, but a scheduler looked at its own 24 of 60 only, so 6 in 10 homes were unseen and 40 to 50% of the first sends of a key went to a worker that lacked it, at match 0.9. CPU ruled out: 2 ms to the first attempt in the median.

At fault: _wait (others' work only from reports, own silence only after 1.5 progress times), _try_send (subset without homes). Now a job that is overdue, or was when it ended, is a wait that the next would meet until a slot is reported free; an own job beyond the mean stands for those of the other dispatchers that choose for the same reasons; homes are always looked at.

--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -40,6 +40,8 @@
 RHO_GAIN = 0.05  # weight of one report in the usual load by others
 JOB_REST = 0.05  # mean runs a job waits after its second full answer; doubles with each further one
 FADE = 1.0  # mean run times after which a report of others' work counts half
+ALIKE = 1 / 6  # jobs of each other dispatcher that an own job beyond the mean stands for
+LAG_KEPT_MS = 2000.0  # time after which a wait that a job met there counts 1/e
 FAULTS = 3.0  # failures at which a worker is rested, each finished job halving their count
 MUTE, HEARD_MS = 2, 300.0  # probes in a row and time without a word after which a worker has fallen silent
 EJECT_MS = 2000.0  # first rest of a failing worker; doubles with each strike
@@ -52,7 +54,6 @@
 COLD_BURST = 0.5  # but no more than this share of what the rule allows
 COLD_LUMPS = 0.8  # the same for jobs larger than a dispatcher's share of the window
 ASK_EACH_MS = 200.0  # time that discovery is left for each dispatcher's asking, should all ask again
-ASK_HUNG_MS = 5500.0  # a call this old is lost: discovery lets none wait so long
 PROBE_SPEND = 0.003  # score points that probes may cost for each request
 PROBE_MS = (300.0, 2000.0)  # least time between probes of one worker, most between any two
 
@@ -72,8 +73,9 @@
         self.wait_coef, self.miss_coef, self.const = 1.0, 1.0, 0.0
         self.turn = sum(c.median for c in self.classes.values()) / len(self.classes)
         self.rho = [0.3, 0.0]  # usual load of a slot by others: on warm workers, and on cold ones
-        self.ask_wait, self.asks, self.subscribed = ASK_EACH_MS * settings.balancers, 0, False
-        self.quota = {t.name: [t.quota_per_s / settings.balancers, 0.0, 0.0] for t in settings.tenants}
+        self.ask_wait, self.asks = ASK_EACH_MS * settings.balancers, 0
+        shares = {t.name: t.quota_per_s / settings.balancers for t in settings.tenants if t.quota_per_s}
+        self.quota = {name: [rate, rate, 0.0] for name, rate in shares.items()}
         # how often each key was asked for lately; needed kind -> (mean runs of headroom, worth of late jobs)
         self.heat, self.heat_all, self.margins = {}, 0.0, {}
         self.arrivals, self.born, self.served_at, self.reported = 0, 0.0, 0.0, False
@@ -103,24 +105,20 @@
             self._at(PROBE_MS[0] * self.rng.random(), self._probe_next)
 
     def _ask(self, turn):
-        """Subscribe.  A call that fails is told, and only then made again."""
-        if not self.subscribed and turn == self.asks:  # guards against askings that double at each error
+        """Subscribe.  Each call is answered, and only its failure calls for the next."""
+        if turn == self.asks:  # guards against askings that double at each error
             self.out.append(io.Watch())
-            self.asks += 1
-            self._at(ASK_HUNG_MS * (1 + 0.25 * self.rng.random()), self._ask, self.asks)
 
     def _news(self, event):
-        now = self.now
         if event.mode is NewsMode.ERROR:
             # guards against a whole fleet that asks in step, or faster than discovery answers: its calls then
             # all wait too long, and not one is answered until the askings stop
-            self.subscribed = False
             self.asks += 1
             self._at(self.ask_wait * self.rng.random(), self._ask, self.asks)
             self.ask_wait = max(min(self.ask_wait * 2, self.s.must_ask_in_ms / 2), self.ask_wait)
             return
-        if event.mode is not NewsMode.PERSISTED and self.asks:
-            self.subscribed, self.ask_wait = True, ASK_EACH_MS * self.s.balancers
+        if event.mode is not NewsMode.PERSISTED:
+            self.ask_wait = ASK_EACH_MS * self.s.balancers
         if event.mode is not NewsMode.PARTIAL:
             named = {e.worker for e in event.entries}
             for worker in self.workers.values():
@@ -128,9 +126,9 @@
         for entry in event.entries:
             worker = self.workers.get(entry.worker)
             if worker is None:
-                worker = self.workers[entry.worker] = Worker(entry, now, self.rng.random())
+                worker = self.workers[entry.worker] = Worker(entry, self.now, self.rng.random())
             elif entry.born_ms > worker.born:
-                worker.forget(entry, now)
+                worker.forget(entry, self.now)
             worker.power = entry.power
             worker.list_ok = entry.lifecycle is Lifecycle.IN_SERVICE
         self.live = [w for w in self.workers.values() if w.list_ok]
@@ -183,11 +181,11 @@
         else:
             return
         w.others, w.seen = max(0.0, used - w.recent(self.now)), self.now
+        w.lag *= not free  # nobody waits where a slot is free
         cold, self.reported = self._warmth(w) < 1, True
         # guards against own few jobs times the number of dispatchers standing for all: mostly noise
         self.rho[cold] += RHO_GAIN * (min(w.others / w.slots, 2.0) - self.rho[cold])
-        errors, served = get("errors_per_s", 0.0), get("qps", 0.0)
-        if errors > 0.2 * (served + errors) and errors > 0.5:
+        if get("errors_per_s", 0.0) > max(0.25 * get("qps", 0.0), 0.5):
             self._strike(w)
 
     def _rest(self, w):
@@ -201,20 +199,6 @@
             w.eject_until = self.now + EJECT_MS * 2 ** (w.strikes - 1) * (0.8 + 0.4 * self.rng.random())
             w.probation = True
 
-    def _fault(self, w, count):
-        """Count failures; guards against resting workers for single breaks, as lossy networks have them."""
-        w.faults += count
-        if w.faults >= FAULTS:
-            self._strike(w)
-
-    def _mute(self, w):
-        """Rest a worker that has fallen silent, and take its jobs elsewhere while they can be in time."""
-        self._strike(w)
-        for job in [j for j in self.jobs.values() if j.open and j.out]:
-            attempt = job.attempts[-1]
-            if attempt.worker is w and attempt.outcome is None and attempt.sent >= w.heard - HEARD_MS:
-                self._cancel(attempt)
-
     # -- Forecast --------------------------------------------------------------------------------
 
     def _wait(self, w, ask):
@@ -224,27 +208,34 @@
         # a cold worker runs a few jobs as fast as a warm one, but has fewer slots to run them on
         warmth, slots = self._warmth(w), w.slots * self._warmth(w)
         usual = w.slots * self.rho[warmth < 1]
+        # guards against all dispatchers picking the same worker for the same reasons, such as a key's home:
+        # own jobs there beyond the mean are a sign of theirs, which no report has told yet
+        mean = (len(self.jobs) - len(self.held)) / max(len(self.live), 1)
+        usual += (self.s.balancers - 1) * ALIKE * max(w.own - mean, 0.0)
         over = w.own + usual + (w.others - usual) * known + ask - slots
         ignorance = 0.16 * usual * (1 - known) + 0.02
         wait = self.turn * w.slope / slots * 0.5 * (over + sqrt(over * over + 4 * ignorance))
-        silent = self.now - w.heard
-        if w.own > 0 and silent > (1.5 * self.s.progress_ms or 4 * self.turn):
-            wait += silent  # guards against cut-off workers, which look idle: unheard work is censored
-        return wait, over
+        # guards against cut-off, slow or flooded workers, which look idle or at most just full: work that is
+        # not heard of is censored, and a report tells nothing of a queue, but own jobs there are overdue
+        overdue = self.now - next(iter(w.out)).due if w.out else 0.0
+        lag = w.lag * exp((w.lag_at - self.now) / LAG_KEPT_MS)
+        return max(wait, lag, overdue), over
 
     def _match(self, w, key):
-        """How recently this key was sent there, from 1 (last) to 0 (not among those kept).
+        """How recently this key was sent there, from 1 (last) to 0 (not among those kept)."""
+        sent = 1 - list(reversed(w.keys)).index(key) / KEYS_KEPT if key in w.keys else 0.0
+        return max(sent, self._homes(key).get(w.id, 0.0))
 
-        Each key also has homes, by a hash that all dispatchers share: without a word between them they send
-        it to the same few workers, which then keep it.  The more it is asked for, the more homes it has.
+    def _homes(self, key):
+        """Homes of a key and their match: by a hash that all dispatchers share, they send it to the same few
+        workers without a word between them.  The more it is asked for, the more homes it has.
         """
         homes = self.homes.get(key)
         if homes is None:
             order = sorted(self.live, key=lambda v: crc32(f"{v.id}/{key}".encode()))
             many = 1 + int(HOT * len(order) * self.heat.get(key, 0.0) / max(self.heat_all, 20.0))
             homes = self.homes[key] = {v.id: HOME_MATCH[i == many] for i, v in enumerate(order[: many + 1])}
-        sent = 1 - list(reversed(w.keys)).index(key) / KEYS_KEPT if key in w.keys else 0.0
-        return max(sent, homes.get(w.id, 0.0))
+        return homes
 
     def _train(self, attempt, elapsed):
         """Keep a sample in its bucket: slot use in tenths by key match in quarters."""
@@ -393,9 +384,7 @@
     def _within_share(self, bucket):
         """Token bucket of a tenant's share at this dispatcher, one second deep."""
         rate, level, at = bucket
-        if not rate:
-            return True
-        level = min(level + (self.now - at) * rate / 1000, rate) if at else rate
+        level = min(level + (self.now - at) * rate / 1000, rate)
         bucket[1], bucket[2] = level - 1 if level >= 1 else level, self.now
         return level >= 1
 
@@ -407,6 +396,9 @@
         # guards against knowing nothing in a large fleet, where jobs spread over all of it would meet one
         # too seldom to know its load, pace or failing: each dispatcher keeps to its own lowest ranks
         few = pool[: self.subset]
+        if job.key is not None and len(pool) > len(few):
+            # guards against homes that most dispatchers never look at, so that a key is fetched everywhere
+            few += [w for w in pool[self.subset :] if w.id in self._homes(job.key)]
         choice = self._choose(job, few)
         if (choice is None or not choice[2]) and len(pool) > self.subset:
             # guards against a subset that is full or failing while others have room
@@ -501,12 +493,11 @@
 
     # -- Attempts --------------------------------------------------------------------------------
 
-    def _attempts_left(self, job):
-        return len(job.attempts) < self.s.max_attempts and job.deadline - self.now > ANSWER_MARGIN_MS
-
     def _may_send(self, job):
         """Whether the rules allow a further attempt of this job at all."""
-        if not job.open or job.out or not self._attempts_left(job):
+        if not job.open or job.out or len(job.attempts) >= self.s.max_attempts:
+            return False
+        if job.deadline - self.now <= ANSWER_MARGIN_MS:
             return False
         cls = job.state.cls
         if cls.effect is Effect.SAFE:
@@ -519,6 +510,8 @@
 
     def _send(self, job, w, sample):
         attempt = Attempt(job, w, sample, self.now)
+        attempt.due = self.now + job.run * w.slope + self.turn  # a missing key may take as long as a run
+        w.out[attempt] = None
         job.attempts.append(attempt)
         job.out += 1
         if w.own <= 0:
@@ -549,7 +542,6 @@
         w.heard = self.now
         if attempt.began is None:
             attempt.began = self.now if event.share is None else attempt.sent
-            w.running += attempt.ask
             # a start is a fresh report: it had room for this job, and none to spare if the job waited
             room = max(w.slots - w.own, 0.0)
             if w.others > room or w.seen < attempt.sent:
@@ -566,10 +558,9 @@
         outcome = attempt.outcome = event.outcome
         job, w, now = attempt.job, attempt.worker, self.now
         job.out -= 1
+        w.out.pop(attempt, None)
         if attempt.sent >= w.born:
             w.count(-attempt.ask, now)
-            if attempt.began is not None:
-                w.running = max(0.0, w.running - attempt.ask)
         self._learn(attempt, outcome, event.elapsed_ms, now)
         if event.report:
             self._report(w, event.report)
@@ -587,6 +578,7 @@
         w, job = attempt.worker, attempt.job
         if outcome is Outcome.OK:
             w.heard, w.faults = now, w.faults / 2
+            w.lag, w.lag_at = max(now - attempt.due, 0.0), now
             w.room += ROOM_REGAINED
             w.full_until, w.fulls = 0.0, max(w.fulls - 1, 0)  # one of its slots has just come free
             w.probation = w.probation and attempt.sent <= w.eject_until
@@ -615,7 +607,10 @@
             w.fulls = min(w.fulls + 1, 3)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.TIMEOUT):
             if outcome is not Outcome.TIMEOUT or w.heard <= attempt.sent:  # never heard of again
-                self._fault(w, FAULTS if outcome is Outcome.TIMEOUT else 1.0)
+                # guards against resting workers for single breaks, as lossy networks have them
+                w.faults += FAULTS if outcome is Outcome.TIMEOUT else 1.0
+                if w.faults >= FAULTS:
+                    self._strike(w)
             self._train(attempt, max(elapsed, sum(attempt.sample[1:4])))
 
     def _after_failure(self, job, attempt, outcome):
@@ -685,8 +680,12 @@
             self._report(w, event.report or {})
         elif event.outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT):
             w.others, w.seen, w.mute = max(w.others, w.slots - w.own + 1), self.now, w.mute + 1
-            if w.mute >= MUTE and self.now - w.heard > HEARD_MS:
-                self._mute(w)
+            if w.mute < MUTE or self.now - w.heard <= HEARD_MS:
+                return
+            self._strike(w)  # it has fallen silent: its jobs go elsewhere while they can be in time
+            for attempt in w.out:
+                if attempt.job.open and attempt.sent >= w.heard - HEARD_MS:
+                    self._cancel(attempt)
 
     def _at(self, delay, call, *args):
         self.serial += 1
--- a/molespur/records.py
+++ b/molespur/records.py
@@ -23,9 +23,11 @@
         """Start anew: a first sight, or the process has restarted."""
         self.zone, self.kind, self.cell, self.power = entry.zone, entry.kind, entry.cell, entry.power
         self.born, self.list_ok = entry.born_ms, True
-        self.own = self.running = self.own_avg = 0.0
+        self.own = self.own_avg = 0.0
         self.own_avg_at = self.heard = now
         self.others, self.seen = 0.0, -1e9
+        self.out = {}  # own attempts there -> None, oldest first
+        self.lag, self.lag_at = 0.0, now  # by how much the last that ended was overdue
         self.pace = 0.0  # log of observed over forecast run time
         self.full_until, self.fulls = 0.0, 0
         self.room = float("inf")  # slots over its own that it was seen to take, until it answers full
@@ -110,16 +112,12 @@
 
 
 def solve(rows, right):
-    """Solve a small symmetric positive system by elimination."""
-    size = len(right)
-    for i in range(size):
-        pivot = rows[i][i]
-        for j in range(i + 1, size):
-            factor = rows[j][i] / pivot
-            if factor:
-                for k in range(i, size):
-                    rows[j][k] -= factor * rows[i][k]
+    """Solve a small symmetric positive system by elimination, in place."""
+    for i, pivot in enumerate(rows):
+        for j, row in enumerate(rows):
+            if j != i and row[i]:
+                factor = row[i] / pivot[i]
                 right[j] -= factor * right[i]
-    for i in range(size - 1, -1, -1):
-        right[i] = (right[i] - sum(rows[i][k] * right[k] for k in range(i + 1, size))) / rows[i][i]
-    return right
+                for k in range(i, len(row)):
+                    row[k] -= factor * pivot[k]
+    return [value / row[i] for i, (value, row) in enumerate(zip(right, rows, strict=True))]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,10 +2,10 @@
 
 from collections import deque
 
-from helpers import entry, make, news
+from helpers import end, entry, make, news, of, submit
 
 from molespur import interface as io
-from molespur.interface import NewsMode
+from molespur.interface import NewsMode, Outcome
 
 MANY = 40
 
@@ -77,3 +77,51 @@
         now += 5.0
         calls += [now for a in d.handle(now, io.TimerFired("due")) if isinstance(a, io.Watch)]
     assert len(calls) == 1
+
+
+def test_own_jobs_that_are_overdue_tell_of_a_queue_that_no_report_shows():
+    """A full worker reports no free slots, whether none or a hundred wait."""
+    d = make(seed=3)
+    news(d, entry("long"), entry("short"))
+    for name in ("long", "short"):
+        d.workers[name].learn_slots(4)
+        d._report(d.workers[name], {"free_slots": 0.0, "util": 1.0})
+    job = submit(d, 1, now=2.0, work_hint_ms=100.0)
+    first = of(job, io.Send)[0].worker
+    other = ({"long", "short"} - {first}).pop()
+    waits = [d._wait(d.workers[first], 1)[0]]
+    for now in (500.0, 1000.0, 2000.0):
+        d.now = now
+        waits.append(d._wait(d.workers[first], 1)[0])
+    assert waits[3] > waits[2] > waits[1] and waits[3] > 1000
+    d.now = 2000.0
+    assert d._wait(d.workers[other], 1)[0] < waits[3] / 4
+    end(d, 1, Outcome.OK, now=2100.0, elapsed=2098.0)
+    assert d._wait(d.workers[first], 1)[0] > 1000  # the next would wait as long
+    d._report(d.workers[first], {"free_slots": 2.0, "util": 0.5})
+    assert d._wait(d.workers[first], 1)[0] < 400  # until a slot is seen free
+
+
+def test_own_jobs_beyond_the_mean_stand_for_those_of_like_dispatchers():
+    """Guards against a whole fleet piling up at one worker that each sends a few jobs to."""
+    more = {}
+    for balancers in (1, MANY):
+        d = make(balancers=balancers)
+        news(d, *(entry(f"w{n}") for n in range(10)))
+        for w in d.live:
+            w.learn_slots(8)
+        before = d._wait(d.live[0], 1)[1]
+        d.live[0].own += 2.0
+        more[balancers] = d._wait(d.live[0], 1)[1] - before
+    assert more[1] == 2.0 and more[MANY] > 8.0
+
+
+def test_a_key_goes_to_its_home_also_where_the_home_is_none_of_the_own_subset():
+    """Guards against a key that is fetched by as many workers as there are dispatchers with other subsets."""
+    chosen = set()
+    for seed in range(12):
+        d = make(seed=seed, balancers=MANY)
+        news(d, *(entry(f"w{n}") for n in range(60)))
+        d.heat, d.heat_all = {5: 0.1}, 100.0
+        chosen.update(s.worker for s in of(submit(d, 1, key=5, work_hint_ms=100.0), io.Send))
+    assert len(chosen) <= 3
