--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,7 @@
 
 from molespur import interface as io
 from molespur.interface import NewsMode, Outcome
+from molespur.records import Job
 
 MANY = 40
 
@@ -125,3 +126,27 @@
         d.heat, d.heat_all = {5: 0.1}, 100.0
         chosen.update(s.worker for s in of(submit(d, 1, key=5, work_hint_ms=100.0), io.Send))
     assert len(chosen) <= 3
+
+
+def test_a_fleet_uses_what_a_cold_worker_can_do_at_least_but_stays_far_from_the_rule():
+    """Each dispatcher's share is below one job here; all together neither starve it nor push it over."""
+    window, work = 3000.0, 300.0
+    fleet = [make(seed=n, balancers=MANY, cold_ms=20000.0, cold_window_ms=window) for n in range(MANY)]
+    sent = [[] for _ in fleet]
+    for number, d in enumerate(fleet):
+        news(d, entry("new", born=1.0), now=1.0)
+        d.workers["new"].learn_slots(8)
+        for now in range(5, 9000, 25):
+            d.now = float(now)
+            job = Job(io.Submitted(now, "safe", 5000.0, work_hint_ms=work), d.classes["safe"], d.now)
+            if d._cold_allows(d.workers["new"], job):
+                d.jobs[now] = job
+                d._send(job, d.workers["new"], ("k", work, 0.0, 0.0, 0.0, 1.0))
+                sent[number].append((d.now, d._work(job)))
+    d = fleet[0]
+    for end_at in (3000.0, 6000.0, 9000.0):
+        d.now = end_at - window / 2
+        able = d._warmth(d.workers["new"]) * 8 * window
+        total = sum(w for jobs in sent for at, w in jobs if end_at - window < at <= end_at)
+        assert total < 0.75 * d.s.cold_multiple * able
+        assert total > 0.5 * able
