Let own jobs and the last wait stand for the fleet's only where over eight schedulers are

At fault: _wait counted (balancers - 1) shares also where two schedulers see each other's jobs in every report, and _learn kept a last wait that so few schedulers have in their own jobs already. Both now begin over eight schedulers; for forty the share is as it was measured (32 / 5 for 39 / 6).

--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -40,7 +40,7 @@
 RHO_GAIN = 0.05  # weight of one report in the usual load by others
 JOB_REST = 0.05  # mean runs a job waits after its second full answer; doubles with each further one
 FADE = 1.0  # mean run times after which a report of others' work counts half
-ALIKE = 1 / 6  # jobs of each other dispatcher that an own job beyond the mean stands for
+ALIKE, FEW = 1 / 5, 8  # jobs that an own one beyond the mean stands for, for each dispatcher over a few
 LAG_KEPT_MS = 2000.0  # time after which a wait that a job met there counts 1/e
 FAULTS = 3.0  # failures at which a worker is rested, each finished job halving their count
 MUTE, HEARD_MS = 2, 300.0  # probes in a row and time without a word after which a worker has fallen silent
@@ -211,7 +211,7 @@
         # guards against all dispatchers picking the same worker for the same reasons, such as a key's home:
         # own jobs there beyond the mean are a sign of theirs, which no report has told yet
         mean = (len(self.jobs) - len(self.held)) / max(len(self.live), 1)
-        usual += (self.s.balancers - 1) * ALIKE * max(w.own - mean, 0.0)
+        usual += ALIKE * max(self.s.balancers - FEW, 0) * max(w.own - mean, 0.0)
         over = w.own + usual + (w.others - usual) * known + ask - slots
         ignorance = 0.16 * usual * (1 - known) + 0.02
         wait = self.turn * w.slope / slots * 0.5 * (over + sqrt(over * over + 4 * ignorance))
@@ -564,8 +564,7 @@
         self._learn(attempt, outcome, event.elapsed_ms, now)
         if event.report:
             self._report(w, event.report)
-        if event.answered:
-            job.open = False
+        job.open = job.open and not event.answered
         if job.open:
             self._after_failure(job, attempt, outcome)
         if not job.out and not job.open:
@@ -578,7 +577,8 @@
         w, job = attempt.worker, attempt.job
         if outcome is Outcome.OK:
             w.heard, w.faults = now, w.faults / 2
-            w.lag, w.lag_at = max(now - attempt.due, 0.0), now
+            # a few dispatchers see all that waits in their own jobs and reports
+            w.lag, w.lag_at = max(now - attempt.due, 0.0) * (self.s.balancers > FEW), now
             w.room += ROOM_REGAINED
             w.full_until, w.fulls = 0.0, max(w.fulls - 1, 0)  # one of its slots has just come free
             w.probation = w.probation and attempt.sent <= w.eject_until
