Take overdue jobs for a wait only after long silence where few schedulers are

At fault: _wait, where a job overdue by an error of its hint counted as a queue for two schedulers that see all that waits. Up to eight schedulers it now takes 1.5 progress times, as long as silence had to last before. Over eight schedulers nothing changes.

--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -215,9 +215,10 @@
         over = w.own + usual + (w.others - usual) * known + ask - slots
         ignorance = 0.16 * usual * (1 - known) + 0.02
         wait = self.turn * w.slope / slots * 0.5 * (over + sqrt(over * over + 4 * ignorance))
-        # guards against cut-off, slow or flooded workers, which look idle or at most just full: work that is
-        # not heard of is censored, and a report tells nothing of a queue, but own jobs there are overdue
+        # guards against cut-off, slow or flooded workers, which look idle or at most just full
         overdue = self.now - next(iter(w.out)).due if w.out else 0.0
+        few = self.s.balancers <= FEW  # who see all that waits in own jobs and reports, but for silence
+        overdue *= overdue > few * (1.5 * self.s.progress_ms or 4 * self.turn)
         lag = w.lag * exp((w.lag_at - self.now) / LAG_KEPT_MS)
         return max(wait, lag, overdue), over
 
@@ -577,7 +578,6 @@
         w, job = attempt.worker, attempt.job
         if outcome is Outcome.OK:
             w.heard, w.faults = now, w.faults / 2
-            # a few dispatchers see all that waits in their own jobs and reports
             w.lag, w.lag_at = max(now - attempt.due, 0.0) * (self.s.balancers > FEW), now
             w.room += ROOM_REGAINED
             w.full_until, w.fulls = 0.0, max(w.fulls - 1, 0)  # one of its slots has just come free
