--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,8 +2,10 @@
 
 from collections import deque
 
+import pytest
 from helpers import end, entry, make, news, of, submit
 
+from molespur import Dispatcher
 from molespur import interface as io
 from molespur.interface import NewsMode, Outcome
 from molespur.records import Job
@@ -50,11 +52,11 @@
         return told
 
 
-def test_a_fleet_that_loses_its_watches_at_once_gets_them_all_back():
-    fleet = [make(seed=n, subscribes=True, must_ask_in_ms=10000.0, balancers=MANY) for n in range(MANY)]
+@pytest.mark.parametrize("first", [io.Started(), io.FleetNews(NewsMode.ERROR)], ids=["started", "lost"])
+def test_a_fleet_that_starts_or_loses_its_watches_at_once_gets_them_all(first):
+    settings = make(subscribes=True, must_ask_in_ms=10000.0, balancers=MANY).s
+    fleet = [Dispatcher(settings, n) for n in range(MANY)]
     discovery, watching = Discovery(each_ms=150.0, patience_ms=2000.0, most=20), set()
-    for dispatcher in fleet:
-        news(dispatcher, entry("w"), now=0.0)
 
     def act(now, number, action):
         if isinstance(action, io.Watch):
@@ -65,7 +67,7 @@
         watching.update(number for number, event in told if event.mode is NewsMode.PARTIAL)
         return told
 
-    drive(fleet, 20000.0, io.FleetNews(NewsMode.ERROR), act, deliver)
+    drive(fleet, 20000.0, first, act, deliver)
     assert len(watching) == MANY
     assert discovery.calls < 2 * MANY
 
@@ -103,6 +105,21 @@
     assert d._wait(d.workers[first], 1)[0] < 400  # until a slot is seen free
 
 
+def test_few_dispatchers_take_an_overdue_job_for_a_wait_only_after_long_silence():
+    """Two see all that waits in own jobs and reports: one hint's error is no queue, a worker cut off is."""
+    d = make(seed=3, balancers=2, progress_ms=1000.0)
+    news(d, entry("w"))
+    w = d.workers["w"]
+    w.learn_slots(4)
+    submit(d, 1, now=2.0, work_hint_ms=100.0)
+    d.now = 1400.0
+    assert d._wait(w, 1)[0] < 200
+    d.now = 3000.0
+    assert d._wait(w, 1)[0] > 1500
+    end(d, 1, Outcome.OK, now=3000.0, elapsed=2998.0)
+    assert w.lag == 0.0
+
+
 def test_own_jobs_beyond_the_mean_stand_for_those_of_like_dispatchers():
     """Guards against a whole fleet piling up at one worker that each sends a few jobs to."""
     more = {}
