--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -72,6 +72,7 @@
         self.coef, self.buckets = {}, {}
         self.wait_coef, self.miss_coef, self.const = 1.0, 1.0, 0.0
         self.turn = sum(c.median for c in self.classes.values()) / len(self.classes)
+        self.many = max(settings.balancers - FEW, 0)  # dispatchers over a few
         self.rho = [0.3, 0.0]  # usual load of a slot by others: on warm workers, and on cold ones
         self.ask_wait, self.asks = ASK_EACH_MS * settings.balancers, 0
         shares = {t.name: t.quota_per_s / settings.balancers for t in settings.tenants if t.quota_per_s}
@@ -176,12 +177,12 @@
             elif util is not None and free >= 1 and util < 0.8:
                 w.learn_slots(round(free / (1 - util)))
             used = w.slots - min(free, get("free_memory", free)) + queue
+            w.lag *= used >= w.slots  # nobody waits where a slot and memory are free
         elif held is not None or util is not None:
             used = held if held is not None else util * w.slots + queue
         else:
             return
         w.others, w.seen = max(0.0, used - w.recent(self.now)), self.now
-        w.lag *= not free  # nobody waits where a slot is free
         cold, self.reported = self._warmth(w) < 1, True
         # guards against own few jobs times the number of dispatchers standing for all: mostly noise
         self.rho[cold] += RHO_GAIN * (min(w.others / w.slots, 2.0) - self.rho[cold])
@@ -211,14 +212,14 @@
         # guards against all dispatchers picking the same worker for the same reasons, such as a key's home:
         # own jobs there beyond the mean are a sign of theirs, which no report has told yet
         mean = (len(self.jobs) - len(self.held)) / max(len(self.live), 1)
-        usual += ALIKE * max(self.s.balancers - FEW, 0) * max(w.own - mean, 0.0)
+        usual += ALIKE * self.many * max(w.own - mean, 0.0)
         over = w.own + usual + (w.others - usual) * known + ask - slots
         ignorance = 0.16 * usual * (1 - known) + 0.02
         wait = self.turn * w.slope / slots * 0.5 * (over + sqrt(over * over + 4 * ignorance))
         # guards against cut-off, slow or flooded workers, which look idle or at most just full
-        overdue = self.now - next(iter(w.out)).due if w.out else 0.0
-        few = self.s.balancers <= FEW  # who see all that waits in own jobs and reports, but for silence
-        overdue *= overdue > few * (1.5 * self.s.progress_ms or 4 * self.turn)
+        overdue = self.now - next(iter(w.unended)).due if w.unended else 0.0
+        if not self.many and overdue < (1.5 * self.s.progress_ms or 4 * self.turn):
+            overdue = 0.0  # a few see all that waits in own jobs and reports, but for silence
         lag = w.lag * exp((w.lag_at - self.now) / LAG_KEPT_MS)
         return max(wait, lag, overdue), over
 
@@ -228,9 +229,7 @@
         return max(sent, self._homes(key).get(w.id, 0.0))
 
     def _homes(self, key):
-        """Homes of a key and their match: by a hash that all dispatchers share, they send it to the same few
-        workers without a word between them.  The more it is asked for, the more homes it has.
-        """
+        """Homes of a key, by a hash that all dispatchers share; the more it is asked for, the more homes."""
         homes = self.homes.get(key)
         if homes is None:
             order = sorted(self.live, key=lambda v: crc32(f"{v.id}/{key}".encode()))
@@ -510,9 +509,9 @@
         return cls.effect is Effect.KEYED and self.now - ran[0].sent < cls.key_ttl_ms - ANSWER_MARGIN_MS
 
     def _send(self, job, w, sample):
-        attempt = Attempt(job, w, sample, self.now)
-        attempt.due = self.now + job.run * w.slope + self.turn  # a missing key may take as long as a run
-        w.out[attempt] = None
+        due = self.now + job.run * w.slope + self.turn  # a missing key may take as long as a run
+        attempt = Attempt(job, w, sample, self.now, due)
+        w.unended[attempt] = None
         job.attempts.append(attempt)
         job.out += 1
         if w.own <= 0:
@@ -559,7 +558,7 @@
         outcome = attempt.outcome = event.outcome
         job, w, now = attempt.job, attempt.worker, self.now
         job.out -= 1
-        w.out.pop(attempt, None)
+        w.unended.pop(attempt, None)
         if attempt.sent >= w.born:
             w.count(-attempt.ask, now)
         self._learn(attempt, outcome, event.elapsed_ms, now)
@@ -578,7 +577,7 @@
         w, job = attempt.worker, attempt.job
         if outcome is Outcome.OK:
             w.heard, w.faults = now, w.faults / 2
-            w.lag, w.lag_at = max(now - attempt.due, 0.0) * (self.s.balancers > FEW), now
+            w.lag, w.lag_at = max(now - attempt.due, 0.0) if self.many else 0.0, now
             w.room += ROOM_REGAINED
             w.full_until, w.fulls = 0.0, max(w.fulls - 1, 0)  # one of its slots has just come free
             w.probation = w.probation and attempt.sent <= w.eject_until
@@ -682,8 +681,8 @@
             w.others, w.seen, w.mute = max(w.others, w.slots - w.own + 1), self.now, w.mute + 1
             if w.mute < MUTE or self.now - w.heard <= HEARD_MS:
                 return
-            self._strike(w)  # it has fallen silent: its jobs go elsewhere while they can be in time
-            for attempt in w.out:
+            self._strike(w)  # fallen silent: its jobs go elsewhere while they can be in time
+            for attempt in w.unended:
                 if attempt.job.open and attempt.sent >= w.heard - HEARD_MS:
                     self._cancel(attempt)
 
--- a/molespur/records.py
+++ b/molespur/records.py
@@ -26,7 +26,7 @@
         self.own = self.own_avg = 0.0
         self.own_avg_at = self.heard = now
         self.others, self.seen = 0.0, -1e9
-        self.out = {}  # own attempts there -> None, oldest first
+        self.unended = {}  # own attempts there -> None, oldest first
         self.lag, self.lag_at = 0.0, now  # by how much the last that ended was overdue
         self.pace = 0.0  # log of observed over forecast run time
         self.full_until, self.fulls = 0.0, 0
@@ -106,9 +106,10 @@
 class Attempt:
     """One attempt, with the terms of its forecast for training."""
 
-    def __init__(self, job, worker, sample, now):
+    def __init__(self, job, worker, sample, now, due):
         self.job, self.worker, self.sample, self.ask, self.cancelled = job, worker, sample, job.ask, False
         self.number, self.sent, self.began, self.outcome = len(job.attempts), now, None, None
+        self.due = due  # when it ends if it need not wait
 
 
 def solve(rows, right):
