Ask within the time unasked that counts as told, and rarer at each failure, at any size

At fault: ask_wait was 200 ms for each scheduler without an upper bound. The first wait is now within 0.8 of that time.

Tests for both, each fails without its line.

--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -53,7 +53,7 @@
 COLD_LOAD = 1.3  # a cold worker is sent this share of what it can do at least: more would only wait
 COLD_BURST = 0.5  # but no more than this share of what the rule allows
 COLD_LUMPS = 1.4  # share of what it can do at least, for jobs larger than a dispatcher's share of the window
-ASK_EACH_MS = 200.0  # time that discovery is left for each dispatcher's asking, should all ask again
+ASK_EACH_MS, ASK_WITHIN = 200.0, 0.8  # time for each dispatcher's asking; share of the longest time unasked
 PROBE_SPEND = 0.003  # score points that probes may cost for each request
 PROBE_MS = (300.0, 2000.0)  # least time between probes of one worker, most between any two
 
@@ -74,7 +74,8 @@
         self.turn = sum(c.median for c in self.classes.values()) / len(self.classes)
         self.many = max(settings.balancers - FEW, 0)  # dispatchers over a few
         self.rho = [0.3, 0.0]  # usual load of a slot by others: on warm workers, and on cold ones
-        self.ask_wait, self.asks = ASK_EACH_MS * settings.balancers, 0
+        self.ask_all, self.asks = ASK_EACH_MS * settings.balancers, 0
+        self.ask_first = self.ask_wait = min(self.ask_all, ASK_WITHIN * self.s.must_ask_in_ms or self.ask_all)
         shares = {t.name: t.quota_per_s / settings.balancers for t in settings.tenants if t.quota_per_s}
         self.quota = {name: [rate, rate, 0.0] for name, rate in shares.items()}
         # how often each key was asked for lately; needed kind -> (mean runs of headroom, worth of late jobs)
@@ -116,10 +117,10 @@
             # all wait too long, and not one is answered until the askings stop
             self.asks += 1
             self._at(self.ask_wait * self.rng.random(), self._ask, self.asks)
-            self.ask_wait = max(min(self.ask_wait * 2, self.s.must_ask_in_ms / 2), self.ask_wait)
+            self.ask_wait = min(self.ask_wait * 2, max(self.s.must_ask_in_ms / 2, 2 * self.ask_all))
             return
         if event.mode is not NewsMode.PERSISTED:
-            self.ask_wait = ASK_EACH_MS * self.s.balancers
+            self.ask_wait = self.ask_first
         if event.mode is not NewsMode.PARTIAL:
             named = {e.worker for e in event.entries}
             for worker in self.workers.values():
@@ -495,9 +496,8 @@
 
     def _may_send(self, job):
         """Whether the rules allow a further attempt of this job at all."""
-        if not job.open or job.out or len(job.attempts) >= self.s.max_attempts:
-            return False
-        if job.deadline - self.now <= ANSWER_MARGIN_MS:
+        late = job.deadline - self.now <= ANSWER_MARGIN_MS
+        if late or not job.open or job.out or len(job.attempts) >= self.s.max_attempts:
             return False
         cls = job.state.cls
         if cls.effect is Effect.SAFE:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -25,6 +25,24 @@
     assert len(discovery.asked) < 3 * MANY
 
 
+def test_a_very_large_fleet_asks_again_before_what_it_was_not_told_counts_as_told():
+    """Guards rule 3: without a watch, drains count as told some time after the last asking."""
+    settings = make(subscribes=True, must_ask_in_ms=10000.0, balancers=150).s
+    fleet = [Dispatcher(settings, n) for n in range(150)]
+    discovery = Discovery(each_ms=150.0, patience_ms=2000.0, most=20)
+    drive(fleet, discovery, 10000.0, [(who, io.FleetNews(NewsMode.ERROR)) for who in range(150)])
+    assert len(discovery.first) == 150 and max(discovery.first.values()) < 9000.0
+
+
+def test_askings_slow_down_until_discovery_carries_them():
+    """Guards against a fleet too large for its first waits: each failure must make the askings rarer."""
+    settings = make(subscribes=True, must_ask_in_ms=10000.0, balancers=150).s
+    fleet = [Dispatcher(settings, n) for n in range(150)]
+    discovery = Discovery(each_ms=150.0, patience_ms=2000.0, most=20)
+    drive(fleet, discovery, 90000.0, [(who, io.Started()) for who in range(150)])
+    assert len(discovery.watching) == 150
+
+
 def test_a_discovery_that_goes_down_is_not_asked_faster_than_before():
     """A stand-in's own check, too: the watches break, every call fails, and all are back afterwards."""
     settings = make(subscribes=True, must_ask_in_ms=10000.0, balancers=MANY).s
