Answer operators on a second address, and drain by one state machine

The process's states stood as flags in three places; molespur/lifecycle.py now gives the stance that everything asks. Figures are counted where they happen: the final answer written, the last request byte written.

--- a/molespur/config/platform.py
+++ b/molespur/config/platform.py
@@ -137,6 +137,7 @@
     name: str | None = None
     listen: str | None = None
     discovery: str | None = None
+    ops: str | None = None
     seed: str | int = 0
     limits: _MachineLimits | None = None
     known: ClusterList | None = None
@@ -258,6 +259,7 @@
     conn_idle_ms: float = 30_000.0
     max_open: int = 20_000
     has_reports: bool = False
+    ops: tuple[str, int] | None = None  # the operators' address; without it nothing listens for them
 
 
 def load(environ, running: Config | None = None, needs_discovery: bool = True) -> Config:
@@ -289,6 +291,7 @@
         raise ConfigError(f"LB_CONFIG: limits.sockets: must be at least 64, got {machine.sockets}")
     variable = environ.get("LB_DISCOVERY")
     discovery = given.discovery or variable if running else variable or given.discovery
+    ops = environ.get("LB_OPS") or given.ops
     defaults = Config.__dataclass_fields__
 
     def positive(value, field, key, part="settings"):
@@ -316,6 +319,7 @@
         conn_idle_ms=positive(limits.conn_idle, "conn_idle_ms", "limits.connIdle"),
         max_open=positive(limits.max_open, "max_open", "limits.maxOpen"),
         has_reports=bool(raw.report and raw.report.via != "silent"),
+        ops=parse_address(ops, "LB_OPS") if ops else None,
     )
 
 
--- a/molespur/interface.py
+++ b/molespur/interface.py
@@ -90,7 +90,18 @@
     def __post_init__(self):
         where = f"classes[{self.name}]."
         _number(self, where, 0, "aim_ms", "aim_stretch", "worth", "late_worth", "key_ttl_ms")
-        _need(self.deadline_ms > 0, where + "deadline_ms", self.deadline_ms, "above 0")
+        _need(0 < self.deadline_ms < float("inf"), where + "deadline_ms", self.deadline_ms, "above 0")
+
+    @property
+    def harmless(self) -> bool:
+        """A repeat does no harm, wherever it goes."""
+        return self.effect is Effect.SAFE or (self.effect is Effect.KEYED and self.group is Group.ALL)
+
+    def group_of(self, worker):
+        """What the workers that drop repeats of a job sent to this one share; None: nothing that limits."""
+        if self.effect is not Effect.KEYED or self.group is Group.ALL:
+            return None
+        return worker.zone if self.group is Group.ZONE else worker.cell
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,6 +160,11 @@
         share = self.cold_start_share
         _need(0 < share <= 1, "cold_start_share", share, "above 0 and at most 1")
 
+    @property
+    def pause_ms(self) -> float:
+        """When a client that is refused is told to come back; 0: it is not told."""
+        return self.max_pause_ms if self.advises_pause else 0.0
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
@@ -168,6 +184,13 @@
     """The dispatcher comes up, knowing nothing."""
 
 
+@dataclass(slots=True)
+class Retuned:
+    """Other settings hold from now on; open jobs keep the class and the attempts they were taken under."""
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class FleetNews:
     """Discovery's list or changes to it."""
@@ -295,6 +318,6 @@
     worker: str
 
 
-Event = Started | FleetNews | Submitted | StreamBegun | Progressed | AttemptEnded | ClientGone
+Event = Started | Retuned | FleetNews | Submitted | StreamBegun | Progressed | AttemptEnded | ClientGone
 Event |= TimerFired | ProbeEnded
 Action = Send | Cancel | Refuse | Fail | SetTimer | Watch | Probe
--- /dev/null
+++ b/molespur/lifecycle.py
@@ -0,0 +1,115 @@
+"""The one state machine of the process: starting, serving, draining, stopping, handing over.
+
+Pure.  It is told of what happens and gives the stance to take at a time; whoever says yes or no to anybody
+(`/up`, `readyz`, `evacuate`, SIGTERM, a replacement) asks it, and `net/service.py` carries a stance out.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+SETTLE_MS = 300.0  # of a drain: the front asks each 100 ms, and sends new clients for 200 ms more
+# After SIGTERM new clients arrive for 400 ms, but those that have a connection go on using it, and we may be
+# all that is there for them until another scheduler is back from its own restart.
+GRACE_MS = 2500.0
+LATE_CLIENTS_MS = 500.0  # the same where a drain has sent the clients away already
+EMPTY_MS = 100.0  # for the listener's queue to empty, once new clients go to the successor
+STOP_MS = 3400.0  # after SIGTERM all is answered: SIGKILL may come 3.7 s after it
+NEVER = float("inf")
+
+
+class Phase(Enum):
+    """Where the process is in its life."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+    STOPPING = "stopping"
+    HANDING_OVER = "handing over"
+
+
+class Told(Enum):
+    """What happens to it."""
+
+    READY = "ready"  # it listens and can serve
+    EVACUATE = "evacuate"
+    ACTIVATE = "activate"
+    STOP = "stop"  # SIGTERM
+    SUCCESSOR = "successor"  # another process serves at the same address
+    ALONE = "alone"  # that process is no more
+
+
+@dataclass(frozen=True, slots=True)
+class Stance:
+    """What holds at a time."""
+
+    phase: Phase
+    up: bool  # the answer to those who ask whether to send clients here
+    closing: bool  # connections close after each answer, and idle ones at once
+    accepting: bool  # the listener takes connections
+    ended: bool  # what is still open is answered now
+    until: float  # when this changes by itself
+
+
+class Process:
+    """The state: what it was told, and when."""
+
+    def __init__(self):
+        self.ready = False
+        self.drained: float | None = None  # since when it is to drain
+        self.stopped: float | None = None  # when it was told to stop
+        self.handed: float | None = None  # since when a successor serves
+
+    def tell(self, now: float, told: Told) -> str | None:
+        """Take in what happened; where it can't be done, say why."""
+        if told is Told.READY:
+            self.ready = True
+        elif told is Told.STOP:
+            self.stopped = now if self.stopped is None else self.stopped
+        elif told is Told.SUCCESSOR:
+            self.handed = now if self.handed is None else self.handed
+        elif told is Told.ALONE:
+            # a listener that was left can't be taken up again: then the stop goes on as it was
+            if self.stance(now).accepting:
+                self.handed = None
+        elif self.stopped is not None:
+            return "stopping"
+        elif told is Told.EVACUATE:
+            self.drained = now if self.drained is None else self.drained
+        else:
+            self.drained = None
+        return None
+
+    @property
+    def phase(self) -> Phase:
+        if self.handed is not None:
+            return Phase.HANDING_OVER
+        if self.stopped is not None:
+            return Phase.STOPPING
+        if self.drained is not None:
+            return Phase.DRAINING
+        return Phase.SERVING if self.ready else Phase.STARTING
+
+    def stance(self, now: float) -> Stance:
+        """What holds now."""
+        close = leave = end = NEVER
+        # in the successor's name nobody is told no: the address is its own too
+        up = self.ready and self.drained is None and (self.stopped is None or self.handed is not None)
+        if self.drained is not None:
+            close = self.drained + SETTLE_MS
+        if self.handed is not None:
+            close = min(close, self.handed)
+        if self.stopped is not None:
+            end = self.stopped + STOP_MS
+            if self.handed is not None:
+                leave = max(self.stopped, self.handed) + EMPTY_MS
+            elif self.drained is not None:
+                leave = self.stopped + LATE_CLIENTS_MS
+            else:
+                leave = self.stopped + GRACE_MS
+            leave = min(leave, end)
+            close = min(close, leave)
+        changes = [at for at in (close, leave, end) if at > now]
+        accepting = leave > now
+        return Stance(
+            self.phase, up and accepting, close <= now, accepting, end <= now, min(changes, default=NEVER)
+        )
--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -11,20 +11,18 @@
 from zlib import crc32
 
 from . import interface as io
-from .interface import NEVER_RAN, Effect, Group, Lifecycle, NewsMode, Outcome
+from .interface import Effect, Lifecycle, NewsMode, Outcome
 from .records import DEFAULT_SLOTS, KEYS_KEPT, Attempt, ClassState, Job, Worker, solve
 
 # -- Tunables ------------------------------------------------------------------------------------
 DRAW_SCALE = 0.14  # a worker whose forecast is this share longer than the best gets 1/e of its weight
 CROSSING = 15.0  # headroom that a zone crossing costs in the draw: times its price, times the allowed time
-SUBSET_PER_US = 1.0  # workers of the own subset, for each microsecond of CPU that a request may cost
-SUBSET = 24  # the same without such a limit: the fewer, the oftener each is heard of
+SUBSET = 24  # workers of the own subset where a request's CPU, at one for each microsecond, sets no limit
 EXPLORE = 0.01  # share of jobs drawn from the missing tier, so that recovered workers are found
 HOME_MATCH = 0.9, 0.5  # key match of a worker that is one of the key's homes, or would be the next
 HOT = 4.0  # further homes of a key for each fair share of one worker that it makes up of all jobs
 WARM_MATCH = 0.8  # key match above which a worker counts as warm for the key
 WARM_EXPLORE = 0.02  # share of jobs that pass over the warm filter, so that keys get second homes
-WARM_PENALTY = 1.0  # warm workers lose their claim if this many mean runs slower than the best
 BUCKET_CAP = 16  # samples kept of each bucket: a rare regime is remembered, a common one stays recent
 REFIT_MS, REFIT_JOBS = 2000.0, 30  # least time and jobs between refits, each as dear as thirty forecasts
 RECENCY = 0.95  # weight of a sample against the next newer one of its bucket
@@ -39,13 +37,11 @@
 ROOM_REGAINED = 0.02  # queue room a full worker is given back for each job it serves
 RHO_GAIN = 0.05  # weight of one report in the usual load by others
 JOB_REST = 0.05  # mean runs a job waits after its second full answer; doubles with each further one
-FADE = 1.0  # mean run times after which a report of others' work counts half
 ALIKE, FEW = 1 / 5, 8  # jobs that an own one beyond the mean stands for, for each dispatcher over a few
 LAG_KEPT_MS = 2000.0  # time after which a wait that a job met there counts 1/e
 FAULTS = 3.0  # failures at which a worker is rested, each finished job halving their count
 MUTE, HEARD_MS = 2, 300.0  # probes in a row and time without a word after which a worker has fallen silent
-EJECT_MS = 2000.0  # first rest of a failing worker; doubles with each strike
-MAX_STRIKES = 4
+EJECT_MS, MAX_STRIKES = 2000.0, 4  # first rest of a failing worker, which doubles up to so many strikes
 PANIC_SHARE = 0.5  # with fewer healthy workers than this share, ejection is ignored
 HELD_COST_MS = 1.0  # least time between goes through the held queue for each job in it
 HOLD_SHARE = 0.1  # held jobs are tried again after this share of a mean run, and when a slot of ours frees
@@ -62,22 +58,15 @@
     """Decides for one dispatcher; equal settings, seed and events give equal actions."""
 
     def __init__(self, settings, seed):
-        self.s, self.rng = settings, Random(seed)
-        lowest = min(c.priority for c in settings.classes)
-        self.classes = {c.name: ClassState(c, c.priority == lowest) for c in settings.classes}
+        self.rng, self.classes, self.quota = Random(seed), {}, {}
+        self._retuned(io.Retuned(settings))
         self.homes, self.workers, self.live, self.pools, self.jobs, self.held = {}, {}, [], {}, {}, []
-        limit = settings.cpu_per_request_us
-        self.subset = max(int(SUBSET_PER_US * limit), 2) if limit else SUBSET
         self.timers, self.armed, self.serial = [], float("inf"), 0
         self.coef, self.buckets = {}, {}
         self.wait_coef, self.miss_coef, self.const = 1.0, 1.0, 0.0
         self.turn = sum(c.median for c in self.classes.values()) / len(self.classes)
-        self.many = max(settings.balancers - FEW, 0)  # dispatchers over a few
         self.rho = [0.3, 0.0]  # usual load of a slot by others: on warm workers, and on cold ones
-        self.ask_all, self.asks = ASK_EACH_MS * settings.balancers, 0
-        self.ask_first = self.ask_wait = min(self.ask_all, ASK_WITHIN * self.s.must_ask_in_ms or self.ask_all)
-        shares = {t.name: t.quota_per_s / settings.balancers for t in settings.tenants if t.quota_per_s}
-        self.quota = {name: [rate, rate, 0.0] for name, rate in shares.items()}
+        self.asks, self.ask_wait = 0, self.ask_first
         # how often each key was asked for lately; needed kind -> (mean runs of headroom, worth of late jobs)
         self.heat, self.heat_all, self.margins = {}, 0.0, {}
         self.arrivals, self.born, self.served_at, self.reported = 0, 0.0, 0.0, False
@@ -85,8 +74,22 @@
             io.Submitted: self._submitted, io.AttemptEnded: self._ended, io.Progressed: self._progressed,
             io.TimerFired: self._fired, io.FleetNews: self._news, io.ClientGone: self._client_gone,
             io.ProbeEnded: self._probe_ended, io.StreamBegun: self._begun, io.Started: self._started,
+            io.Retuned: self._retuned,
         }  # fmt: skip
 
+    def _retuned(self, event):
+        """Go by these settings, and keep what was learnt of the classes and tenants that stay."""
+        s = self.s = event.settings
+        lowest, old = min(c.priority for c in s.classes), self.classes
+        low = {c: c.priority == lowest for c in s.classes}
+        self.classes = {c.name: old.get(c.name, ClassState(c, low[c])).under(c, low[c]) for c in s.classes}
+        self.subset = max(int(s.cpu_per_request_us), 2) if s.cpu_per_request_us else SUBSET
+        self.many = max(s.balancers - FEW, 0)  # dispatchers over a few
+        self.ask_all = ASK_EACH_MS * s.balancers
+        self.ask_first = min(self.ask_all, ASK_WITHIN * s.must_ask_in_ms or self.ask_all)
+        rates = {t.name: t.quota_per_s / s.balancers for t in s.tenants if t.quota_per_s}
+        self.quota = {name: [r, *self.quota.get(name, (0, r, 0.0))[1:]] for name, r in rates.items()}
+
     def handle(self, now, event):
         """Take one event at time now (ms) and return the actions it calls for, in order."""
         self.now, self.out = now, []
@@ -113,8 +116,7 @@
 
     def _news(self, event):
         if event.mode is NewsMode.ERROR:
-            # guards against a whole fleet that asks in step, or faster than discovery answers: its calls then
-            # all wait too long, and not one is answered until the askings stop
+            # guards against a fleet that asks in step, or so fast that discovery answers no call in time
             self.asks += 1
             self._at(self.ask_wait * self.rng.random(), self._ask, self.asks)
             self.ask_wait = min(self.ask_wait * 2, max(self.s.must_ask_in_ms / 2, 2 * self.ask_all))
@@ -201,17 +203,21 @@
             w.eject_until = self.now + EJECT_MS * 2 ** (w.strikes - 1) * (0.8 + 0.4 * self.rng.random())
             w.probation = True
 
+    def avoided(self, now):
+        """The listed workers that get nothing new now; none where too many would be."""
+        resting = {w.id for w in self.live if w.eject_until > now}
+        return resting if len(resting) <= (1 - PANIC_SHARE) * len(self.live) else set()
+
     # -- Forecast --------------------------------------------------------------------------------
 
     def _wait(self, w, ask):
         """Prior of the waiting time, and the slots by which the job would be over what the worker has."""
         age = self.now - w.seen
-        known = self.turn * FADE / (self.turn * FADE + age)
+        known = self.turn / (self.turn + age)  # a report counts half after a mean run
         # a cold worker runs a few jobs as fast as a warm one, but has fewer slots to run them on
         warmth, slots = self._warmth(w), w.slots * self._warmth(w)
         usual = w.slots * self.rho[warmth < 1]
-        # guards against all dispatchers picking the same worker for the same reasons, such as a key's home:
-        # own jobs there beyond the mean are a sign of theirs, which no report has told yet
+        # guards against all dispatchers picking one key's home: own jobs beyond the mean are a sign of theirs
         mean = (len(self.jobs) - len(self.held)) / max(len(self.live), 1)
         usual += ALIKE * self.many * max(w.own - mean, 0.0)
         over = w.own + usual + (w.others - usual) * known + ask - slots
@@ -283,11 +289,8 @@
 
     def _pool(self, job):
         """Workers the job may go to: of the kind it needs, and once it may have run, of its key's group."""
-        group, tied = job.state.cls.group, None
-        if job.attempts and job.state.cls.effect is Effect.KEYED and group is not Group.ALL:
-            ran = [a.worker for a in job.attempts if a.outcome not in NEVER_RAN]
-            if ran:
-                tied = ran[0].zone if group is Group.ZONE else ran[0].cell
+        ran = job.may_have_run()
+        tied = job.state.cls.group_of(ran[0].worker) if ran else None
         pool = self.pools.get((job.bound, tied))
         if pool is None:
             pool = [w for w in self.live if job.bound in (None, w.kind) and tied in (None, w.zone, w.cell)]
@@ -330,7 +333,8 @@
                 warm_best = time
         if not found:
             return None
-        claim = job.key is not None and warm_best is not None and warm_best <= best + WARM_PENALTY * self.turn
+        # warm workers lose their claim if a mean run slower than the best
+        claim = job.key is not None and warm_best is not None and warm_best <= best + self.turn
         if claim and self.rng.random() >= WARM_EXPLORE:
             found = [f for f in found if f[3] > WARM_MATCH]
         tier = [f for f in found if f[0] <= left]
@@ -365,19 +369,18 @@
         state = self.classes.get(event.job_class)
         if state is None:
             raise ValueError(f"job_class: unknown class {event.job_class!r}")
-        cls, now = state.cls, self.now
         self.arrivals += 1
-        job = Job(event, state, now)
+        job = Job(event, state, self.s.max_attempts, self.now)
         if job.hinted:
             state.learn(job.hint)
         state.offered += job.worth * (job.run if self.s.worth_by_work else 1.0)
         self.turn += 0.02 * (state.mean * job.ask - self.turn)
         if event.tenant in self.quota and not self._within_share(self.quota[event.tenant]):
-            job.sheddable, job.worth = True, cls.worth * self.s.over_share_worth
+            job.sheddable, job.worth = True, job.worth * self.s.over_share_worth
         self.jobs[job.id] = job
         self.heat[job.key] = self.heat.get(job.key, 0.0) + 1
         self.heat_all += 1
-        if job.deadline - now <= ANSWER_MARGIN_MS:
+        if job.deadline - self.now <= ANSWER_MARGIN_MS:
             self._give_up(job)
         elif not self._try_send(job):
             self._hold(job)
@@ -394,8 +397,7 @@
         if self.now < job.not_before or not self._may_send(job):
             return False
         pool = self._pool(job)
-        # guards against knowing nothing in a large fleet, where jobs spread over all of it would meet one
-        # too seldom to know its load, pace or failing: each dispatcher keeps to its own lowest ranks
+        # guards against meeting each worker too seldom to know it: a dispatcher keeps to its lowest ranks
         few = pool[: self.subset]
         if job.key is not None and len(pool) > len(few):
             # guards against homes that most dispatchers never look at, so that a key is fetched everywhere
@@ -472,14 +474,10 @@
 
     def _give_up(self, job):
         """Final answer: a refusal where no attempt can have run or repeats are harmless, else a failure."""
-        cls = job.state.cls
-        may_have_run = any(a.outcome not in NEVER_RAN for a in job.attempts)
-        harmless = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
-        if may_have_run and not harmless:
+        if job.may_have_run() and not job.state.cls.harmless:
             self.out.append(io.Fail(job.id))
         else:
-            pause = self.s.max_pause_ms if self.s.advises_pause else 0.0
-            self.out.append(io.Refuse(job.id, pause))
+            self.out.append(io.Refuse(job.id, self.s.pause_ms))
         job.state.in_time -= CLASS_GAIN * job.state.in_time
         self._close(job)
 
@@ -497,13 +495,10 @@
     def _may_send(self, job):
         """Whether the rules allow a further attempt of this job at all."""
         late = job.deadline - self.now <= ANSWER_MARGIN_MS
-        if late or not job.open or job.out or len(job.attempts) >= self.s.max_attempts:
+        if late or not job.open or job.out or len(job.attempts) >= job.most:
             return False
-        cls = job.state.cls
-        if cls.effect is Effect.SAFE:
-            return True
-        ran = [a for a in job.attempts if a.outcome not in NEVER_RAN]
-        if not ran:
+        cls, ran = job.state.cls, job.may_have_run()
+        if cls.effect is Effect.SAFE or not ran:
             return True
         # guards against a repeat that the workers have forgotten: the window runs from the first send
         return cls.effect is Effect.KEYED and self.now - ran[0].sent < cls.key_ttl_ms - ANSWER_MARGIN_MS
@@ -586,8 +581,7 @@
             ran = now - attempt.began if attempt.began is not None else elapsed
             longer = 0.0 if job.hinted else ran / w.base - job.run
             self._count(job, now - job.aim_at - job.state.cls.aim_stretch * longer, attempt.sample[2])
-            terms = attempt.sample[1:2] if attempt.began is not None else attempt.sample[1:4]
-            most = CLIP[job.hinted] * sum(terms)
+            most = CLIP[job.hinted] * sum(attempt.sample[1 : 4 if attempt.began is None else 2])
             self._train(attempt, elapsed - ran + min(ran, most))
             waited = 0.0 if attempt.began is not None else sum(attempt.sample[2:4])
             if job.hinted:
@@ -650,9 +644,8 @@
         work, limit = self._work(job), min(COLD_BURST * self.s.cold_multiple, COLD_LOAD) * able
         if work <= limit or self.turn <= limit:
             return sum(sent for _, sent in w.budget) + work <= limit
-        # guards against cold workers that get nothing where a share is smaller than a job: then one job at a
-        # time, as seldom as the share asks, the first after a random part of its gap lest all instances send
-        # theirs at once; the part is drawn once, lest a large job's wait lets a small one through
+        # guards against cold workers that get nothing where a share is below a job: then one at a time,
+        # the first after a part of its gap drawn once, lest a large job's wait lets a small one through
         gap = work * self.s.cold_window_ms / (COLD_LUMPS * able)
         if w.lump_from is None:
             w.lump_from, w.lump_part = self.now, self.rng.random()
--- a/molespur/net/cluster.py
+++ b/molespur/net/cluster.py
@@ -48,6 +48,12 @@
         """Where an upstream host is in its life; None if the list does not name it (any more)."""
         return self.lives.get(uid)
 
+    def known_and_skipped(self) -> tuple[int, int]:
+        """How many upstream hosts are listed, and how many of these get nothing now."""
+        avoided = self.host.dispatcher.avoided(self.clock.now())
+        skipped = [u for u, life in self.lives.items() if u in avoided or life is not Lifecycle.IN_SERVICE]
+        return len(self.lives), len(skipped)
+
     def start(self) -> None:
         """Begin with the list that this scheduler last held."""
         try:
--- a/molespur/net/downstream.py
+++ b/molespur/net/downstream.py
@@ -6,9 +6,10 @@
 import trio
 
 from .. import logs
+from .counters import BAD_GATEWAY, DROPPED, PASSED, end_of
 from .failure import Served
 from .host import Arrival, Failed, Refused
-from .intake import BODY_MOST, Rejection, check_framing, check_request
+from .intake import BODY_MOST, Rejection, check_framing, check_request, class_of
 from .upstream import BREAKS, is_quiet
 
 log = logs.get(__name__)
@@ -16,6 +17,7 @@
 FIRST_MS = 2_000.0  # for the first job to arrive whole, counted from connecting: until then nothing is proven
 READ_MS = 2_000.0  # for a later one to arrive whole once it has begun
 WRITE_MS = 2_000.0  # for a client to take its answer
+CLOSING_MS = 100.0  # an idle connection that goes is kept for this long, for a request that crosses its close
 KEEP_MS = 75_000.0  # an idle connection that has brought a job is kept for this long
 LINGER_MS = 1_000.0  # after an error, for the client to read it and stop sending
 LINGER_LEAST, LINGER_MOST = 1 << 20, 1 << 26  # bytes thrown away meanwhile: by any, and by LINGERERS at once
@@ -23,6 +25,7 @@
 KEPT_SHARE = 0.75  # of the connections that clients hold for jobs: where more are open, idle ones are closed
 OVERFLOW = 16  # connections beyond the bound that are taken only to be told so
 LOGGED = 50  # rejections logged one by one; guards the log and the CPU against floods of them
+ENDED = {Served: PASSED, Refused: DROPPED, Failed: BAD_GATEWAY}
 _starts_request = re.compile(rb"[A-Z]{1,16}( |$)").match
 
 
@@ -58,8 +61,9 @@
         self.fresh: dict[Link, None] = {}
         self.idle: dict[Link, None] = {}
         self.ids: set[str] = set()  # of the streams that are owed an answer
-        self.ready = False  # not before we can serve, and no more once told to stop
-        self.closing = False  # the grace time is over: connections are closed as soon as they are idle
+        # the stance that the process takes, set by Service
+        self.up = False  # the answer to those who ask whether to send clients here
+        self.closing = False  # connections are closed after each answer, and as soon as they are idle
         self._accepting, self._room, self._lingerers = trio.CancelScope(), trio.Event(), 0
 
     # -- Connections -----------------------------------------------------------------------------
@@ -84,13 +88,16 @@
         await self._room.wait()
 
     def stop_accepting(self) -> None:
-        """Take no connection from now on, and keep none."""
-        self.closing = True
+        """Take no connection from now on."""
         self._accepting.cancel()
 
-    async def leave(self) -> None:
-        """Take nothing new, and come back once all that was taken is answered."""
-        self.stop_accepting()
+    def close_idle(self) -> None:
+        """Close what stands idle; what has brought no job yet keeps its time for that."""
+        for link in self.idle:
+            link.waiting.cancel()
+
+    async def empty(self) -> None:
+        """Come back once no connection is left: all that was taken is answered."""
         for link in self.links:
             if link.waiting:
                 link.waiting.cancel()
@@ -161,7 +168,7 @@
             if request is None or link.scope.cancel_called:
                 return False
             if request.target == b"/up":
-                await self._respond(link, 200 if self.ready else 503, b"")
+                await self._respond(link, 200 if self.up else 503, b"")
                 return link.http.our_state is h11.DONE and link.http.their_state is h11.DONE
             arrival = check_request(request, body, self.classes)
             if arrival.payload.request_id in self.ids:
@@ -184,6 +191,8 @@
         if answer is None:
             return False
         await self._tell(link, answer)
+        # once, and only here: what a client that has left was to be told counts under nothing
+        self.counters[end_of(ENDED[type(answer)], arrival.job_class)] += 1
         return link.http.our_state is h11.DONE and link.http.their_state is h11.DONE
 
     # -- Reading ---------------------------------------------------------------------------------
@@ -210,7 +219,7 @@
         if not link.head:
             if link.proven:
                 self.idle[link] = None
-                limit_ms = READ_MS if self.closing else KEEP_MS
+                limit_ms = CLOSING_MS if self.closing else KEEP_MS
             # guards against the loss of a request that was read as its connection was being closed as idle:
             # only the wait is cancelled, and where it has read something that is served first
             with self.wheel.limit(limit_ms) as link.waiting:
@@ -241,7 +250,7 @@
                 raise Rejection(413, "the body is too large")
             if self.memory < 0:
                 # guards against being killed for memory by many bodies at once: this one never ran
-                raise Rejection(503, "too many bodies at once")
+                raise Rejection(503, "too many bodies at once", class_of(request))
         if type(event) is not h11.EndOfMessage:
             return None, None
         rest = link.http.trailing_data[0]
@@ -301,6 +310,8 @@
             log.info("in.rejected", status=problem.status, why=str(problem))
         if link.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             await self._respond(link, problem.status, f"{problem}\n".encode(), close=True)
+            if problem.job_class in self.classes:
+                self.counters[end_of(DROPPED, problem.job_class)] += 1
             await self._linger(link)
 
     async def _linger(self, link: Link) -> None:
--- a/molespur/net/host.py
+++ b/molespur/net/host.py
@@ -116,7 +116,7 @@
         self.counters["in.streams"] += 1
         if self.open >= self.max_streams:
             self.counters["in.turned_away"] += 1
-            answer(Refused(self.settings.max_pause_ms if self.settings.advises_pause else 0.0))
+            answer(Refused(self.settings.pause_ms))
             return None
         stream = Stream(self._next, self.clock.now() + arrival.time_left_ms, arrival.payload, answer)
         self._next += 1
--- a/molespur/net/intake.py
+++ b/molespur/net/intake.py
@@ -20,9 +20,9 @@
 class Rejection(Exception):
     """A request that can't be taken in, with its status."""
 
-    def __init__(self, status: int, why: str):
+    def __init__(self, status: int, why: str, job_class: str | None = None):
         super().__init__(why[:160])
-        self.status = status
+        self.status, self.job_class = status, job_class  # the class of a job that is refused here
 
 
 def check_framing(request: h11.Request, head: bytes) -> int:
@@ -40,6 +40,11 @@
     return length
 
 
+def class_of(request: h11.Request) -> str:
+    """The class that the path names."""
+    return request.target.decode("latin-1").lstrip("/").partition("?")[0].partition("/")[0]
+
+
 def check_request(request: h11.Request, body: bytes, classes: dict) -> Arrival:
     """A whole request in the host's terms."""
     headers = {}
@@ -49,7 +54,7 @@
         headers[name] = value.decode("latin-1").strip()
     if request.method != b"POST":
         raise Rejection(405, "jobs arrive by POST")
-    name = request.target.decode("latin-1").lstrip("/").partition("?")[0].partition("/")[0]
+    name = class_of(request)
     given = headers.get(b"x-priority-class", name)
     cls = classes.get(given)
     if cls is None:
--- /dev/null
+++ b/molespur/net/service.py
@@ -0,0 +1,55 @@
+"""Carries out the stance that the process's state machine gives; holds no rule of its own."""
+
+import trio
+
+from .. import logs
+from ..lifecycle import Process, Stance, Told
+
+log = logs.get(__name__)
+
+
+class Service:
+    """The process as a service: what it is told, and what follows for clients' connections and streams."""
+
+    def __init__(self, downstream, host, clock, wheel):
+        self.process = Process()
+        self.downstream, self.host, self.clock, self.wheel = downstream, host, clock, wheel
+        self.left = trio.Event()  # the listener is to be closed
+        self._timer = None
+        self._taken = self.stance()
+
+    def stance(self) -> Stance:
+        return self.process.stance(self.clock.now())
+
+    def tell(self, told: Told) -> str | None:
+        """Something has happened; the answer says why it can't be done, if so."""
+        why = self.process.tell(self.clock.now(), told)
+        self._take_stance()
+        return why
+
+    def _take_stance(self) -> None:
+        now, before = self.clock.now(), self._taken
+        stance = self._taken = self.process.stance(now)
+        if stance.phase is not before.phase:
+            log.info("service.phase", now=stance.phase.value, before=before.phase.value)
+        self.downstream.up = stance.up
+        self.downstream.closing = stance.closing
+        if stance.closing and not before.closing:
+            self.downstream.close_idle()
+        if before.accepting and not stance.accepting:
+            self.downstream.stop_accepting()
+            self.left.set()
+        if stance.ended and not before.ended:
+            self.host.end_all()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if stance.until != float("inf"):
+            self._timer = self.wheel.after(stance.until - now, self._take_stance)
+
+    async def gone(self, listener) -> None:
+        """Come back once the listener is left and all that was taken is answered."""
+        await self.left.wait()
+        # guards against connections that nobody will ever take: from now on they are refused
+        await listener.aclose()
+        await self.downstream.empty()
--- a/molespur/net/upstream.py
+++ b/molespur/net/upstream.py
@@ -11,6 +11,7 @@
 from .. import logs
 from ..config import report_from
 from ..interface import Outcome
+from .counters import TRIES
 from .failure import Cause, Failure, Served, Stage
 
 log = logs.get(__name__)
@@ -315,6 +316,7 @@
         # before that: this is the line between "never ran" and "may have run"
         await connection.stream.send_all(head + body + http.send(h11.EndOfMessage()))
         request.stage = Stage.SENT
+        self.counters[TRIES] += 1
         answer = await connection.next_event()
         while type(answer) is h11.InformationalResponse:
             answer = await connection.next_event()
--- a/molespur/net/wheel.py
+++ b/molespur/net/wheel.py
@@ -51,6 +51,7 @@
         self._slots: list[list[Timer]] = [[] for _ in range(SLOTS)]
         self._done = self._tick_now()
         self._sleeping = None
+        self.late_ms = 0.0  # by how much the loop came to a tick too late at most
 
     def _tick_now(self) -> int:
         # guards against a wake-up at a tick that rounding puts just before it: the wheel would spin on it
@@ -110,4 +111,6 @@
                 if tick is not None:
                     self._sleeping.deadline = tick * self.tick_ms / 1000
                 await trio.sleep_forever()
+            if tick is not None:
+                self.late_ms = max(self.late_ms, trio.current_time() * 1000 - tick * self.tick_ms)
             self._advance(self._tick_now())
--- /dev/null
+++ b/molespur/operations/calls.py
@@ -0,0 +1,34 @@
+"""The operators' calls: one line in, lines out.  Pure but for what it asks of its two seams."""
+
+from collections.abc import Callable
+
+from ..lifecycle import Stance, Told
+
+LINE_MOST = 256  # bytes of a call; the longest that makes sense has nine
+
+
+class Calls:
+    """Answers calls by asking the state machine and the figures."""
+
+    def __init__(
+        self,
+        tell: Callable[[Told], str | None],
+        stance: Callable[[], Stance],
+        figures: Callable[[], list[str]],
+    ):
+        self._tell, self._stance, self._figures = tell, stance, figures
+
+    def answer(self, line: bytes) -> list[str]:
+        """The lines of the answer to one call."""
+        call = line.strip()
+        if call == b"readyz":
+            stance = self._stance()
+            return ["ok" if stance.up else f"fail {stance.phase.value}"]
+        if call == b"telemetry":
+            return [*self._figures(), "eof"]
+        if call in (b"evacuate", b"activate"):
+            why = self._tell(Told(call.decode()))
+            return [f"fail {why}" if why else "ok"]
+        if len(line) > LINE_MOST:
+            return ["fail the call is too long"]
+        return ["fail unknown call; there are readyz, telemetry, evacuate and activate"]
--- a/molespur/records.py
+++ b/molespur/records.py
@@ -1,8 +1,11 @@
 """What a dispatcher remembers of workers, classes, jobs and attempts, and the arithmetic of its fit."""
 
 from collections import deque
+from copy import copy
 from math import log
 
+from .interface import NEVER_RAN
+
 DEFAULT_SLOTS = 4.0  # until a report tells better
 LAG_MS = 500.0  # a report tells of about this long ago; own sends since are added
 HINT_GAIN = 0.02  # weight of one finished job in what hints are held to tell
@@ -65,6 +68,12 @@
         self.in_time, self.offered = 1.0, 0.0  # share of its jobs in time lately; worth asked for so far
         self.spread, self.shared = 0.5, 0.25  # variance of hints' logs, and their covariance with run times'
 
+    def under(self, cls, sheddable):
+        """The same with all that was learnt, for other settings; jobs that are open keep the old."""
+        state = self if (cls, sheddable) == (self.cls, self.sheddable) else copy(self)
+        state.cls, state.sheddable = cls, sheddable
+        return state
+
     def expect(self, hint):
         """Run time of a job: its hint, shrunk towards the mean as far as hints have told nothing."""
         trust = min(max(self.shared / self.spread, 0.0), 1.0)
@@ -87,8 +96,8 @@
 class Job:
     """A request that is owed an answer, or whose attempts are still out."""
 
-    def __init__(self, event, state, now):
-        cls = state.cls
+    def __init__(self, event, state, most, now):
+        cls, self.most = state.cls, most  # attempts
         self.id, self.state, self.key, self.bound = event.request, state, event.key, cls.kind
         self.ask = max(event.slots, event.memory, 0.1)  # a worker has a unit of memory for each slot
         self.hint, self.hinted = event.work_hint_ms, event.work_hint_ms is not None
@@ -102,6 +111,9 @@
         self.attempts, self.out, self.open, self.tried = [], 0, True, ()
         self.sheddable, self.worth = state.sheddable, cls.worth
 
+    def may_have_run(self):
+        return [a for a in self.attempts if a.outcome not in NEVER_RAN]
+
 
 class Attempt:
     """One attempt, with the terms of its forecast for training."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -13,7 +13,8 @@
     X close [r1]            closes a connection;                wait 200       lets milliseconds pass
     count sent.ok 1         a counter's value;                  break module   the next event raises
     mute module             the next event is lost on it;   move discovery 9   it is on another port now
-    stop program            SIGTERM has come
+    program stop            SIGTERM has come;  program evacuate|activate|successor|alone  the process is told
+    program evacuate stopping   .. and says why not;  front up yes|no      the front asks
     within 5050             no more than these milliseconds have passed
 
 With `registry="etcd"` or `"consul"` the workers are listed by a stand-in registry (g), not by discovery:
@@ -35,15 +36,16 @@
 from trio.testing import MockClock, memory_stream_pair, wait_all_tasks_blocked
 
 from molespur import Dispatcher, config
-from molespur.__main__ import stop
 from molespur.config.deployment import ClusterPart, Deployment
 from molespur.config.deployment import Registry as RegistryPart
 from molespur.interface import Lifecycle, Started
+from molespur.lifecycle import Told
 from molespur.net.cluster import Cluster
 from molespur.net.counters import Counters
 from molespur.net.discovery import Discovery
 from molespur.net.downstream import Downstream
 from molespur.net.host import Host
+from molespur.net.service import Service
 from molespur.net.upstream import Upstream
 from molespur.net.wheel import Clock, Wheel
 from molespur.registry.source import RegistrySource
@@ -129,10 +131,11 @@
             )
         self.host.connect(upstream, self.cluster)
         self.downstream = Downstream(self.host, self.wheel, self.counters, settings.classes, 3, 3, 70_000)
-        self.downstream.ready = True
+        self.service = Service(self.downstream, self.host, clock, self.wheel)
         nursery.start_soon(self.wheel.run)
         self.host.deliver(Started())
         self.cluster.start()
+        self.service.tell(Told.READY)
         self.start = trio.current_time()
 
     async def dial(self, address):
@@ -293,6 +296,24 @@
             if verb == "away":
                 await member.drop_all()
 
+    async def program(self, verb, words):
+        """What the process is told, and what the front hears of it."""
+        if verb == "up":
+            ours, theirs = memory_stream_pair()
+            self.nursery.start_soon(self.downstream.serve, ours)
+            peer = Peer(theirs, h11.CLIENT)
+            asked = h11.Request(method="GET", target="/up", headers=[("Host", "x")])
+            await peer.stream.send_all(peer.http.send(asked) + peer.http.send(h11.EndOfMessage()))
+            head, _ = await peer.whole()
+            await peer.stream.aclose()
+            assert head.status_code == {"yes": 200, "no": 503}[words[0]], head
+            return
+        why = self.service.tell(Told(verb))
+        assert (why or "") == " ".join(words), why
+        if verb == "stop":
+            listener = types.SimpleNamespace(aclose=trio.lowlevel.checkpoint)
+            self.nursery.start_soon(self.service.gone, listener)
+
     async def until(self, condition):
         with trio.fail_after(10):
             while not condition():
@@ -306,9 +327,8 @@
             assert self.counters[verb] == int(words[0]), dict(self.counters)
         elif who == "within":
             assert (trio.current_time() - self.start) * 1000 <= int(verb)
-        elif who == "stop":
-            listener = types.SimpleNamespace(aclose=trio.lowlevel.checkpoint)
-            self.nursery.start_soon(stop, self.downstream, self.host, listener)
+        elif who in ("program", "front"):
+            await self.program(verb, words)
         elif who == "move":
             self.watch = None
             self.source.move(("127.0.0.1", int(words[0])))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -147,7 +147,7 @@
         d.workers["new"].learn_slots(8)
         for now in range(5, 9000, 25):
             d.now = float(now)
-            job = Job(io.Submitted(now, "safe", 5000.0, work_hint_ms=work), d.classes["safe"], d.now)
+            job = Job(io.Submitted(now, "safe", 5000.0, work_hint_ms=work), d.classes["safe"], 3, d.now)
             if d._cold_allows(d.workers["new"], job):
                 d.jobs[now] = job
                 d._send(job, d.workers["new"], ("k", work, 0.0, 0.0, 0.0, 1.0))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -15,7 +15,7 @@
 
 def d_job(d, n, cls="safe", **more):
     more.setdefault("work_hint_ms", 100.0)
-    return Job(io.Submitted(n, cls, 5000.0, **more), d.classes[cls], d.now)
+    return Job(io.Submitted(n, cls, 5000.0, **more), d.classes[cls], 3, d.now)
 
 
 def pace(d, **paces):
@@ -265,7 +265,7 @@
     news(d, entry("w"))
     first = d_job(d, 1)
     state = d.classes["safe"]
-    again = type(first)(io.Submitted(2, "safe", 4600.0, work_hint_ms=100.0), state, d.now)
+    again = type(first)(io.Submitted(2, "safe", 4600.0, work_hint_ms=100.0), state, 3, d.now)
     assert again.aim_at == pytest.approx(first.aim_at - 400)
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -127,6 +127,92 @@
         w1 expect closed r1
         count answered.client_gone 1
         count sent.cancelled 1""",
+    "a drain: no at once, all goes on until the front knows, then each answer closes and idle ones close": """
+        a send lookup r1
+        w1 send r1 done one
+        a expect 200 one
+        front up yes
+        program evacuate
+        front up no
+        a send lookup r2
+        w1 send r2 done two
+        a expect 200 two
+        b send lookup r3
+        wait 310
+        a expect closed
+        front up no
+        c send lookup r4
+        w1 send r4 done four
+        c expect 200 close four
+        c expect closed
+        w1 send r3 done three
+        b expect 200 close three
+        b expect closed""",
+    "the end of a drain: yes at once, and connections are kept again": """
+        program evacuate
+        wait 400
+        program activate
+        front up yes
+        a send lookup r1
+        w1 send r1 done one
+        a expect 200 one
+        wait 3000
+        a send lookup r2
+        w1 send r2 done two
+        a expect 200 two
+        count in.connections 2""",
+    "a connection that brings nothing is not held through a drain": """
+        program evacuate
+        a raw POST /lookup HTTP/1.1
+        wait 2100
+        a expect 408 close""",
+    "a stop amid a drain ends once all is answered": """
+        a send lookup r1
+        w1 expect r1
+        program evacuate
+        wait 1000
+        program stop
+        program evacuate stopping
+        w1 send r1 done one
+        a expect 200 close one
+        a expect closed
+        within 2000""",
+    "with a successor nobody is told no, and what is open is answered once": """
+        a send lookup r1
+        w1 expect r1
+        program successor
+        front up yes
+        program stop
+        front up yes
+        w1 send r1 done one
+        a expect 200 close one
+        a expect closed
+        count answered.served 1""",
+    "jobs count under their final answer, and attempts once written": """
+        w1 refuse
+        b send assessment r2
+        b expect 503
+        count dropped.assessment 1
+        count upstream_tries 0
+        w1 accept
+        a send lookup r1
+        w1 send r1 done one
+        a expect 200 one
+        count passed.lookup 1
+        b send assessment r3
+        w1 expect r3
+        count upstream_tries 2
+        w1 close r3
+        b expect 502
+        count bad_gateway.assessment 1
+        a send lookup r4
+        w1 expect r4
+        a close
+        w1 expect closed r4
+        count upstream_tries 3
+        count passed.lookup 1
+        count dropped.lookup 0
+        count bad_gateway.lookup 0""",
     "a silent worker costs no final answer": """
         a send assessment r1
         w1 expect r1
@@ -307,7 +393,7 @@
         e expect 200 zero
         a send lookup r1
         w1 expect r1
-        stop program
+        program stop
         b raw GET /up HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n
         b expect 503
         wait 1800
@@ -324,7 +410,7 @@
     "a stop answers what is still out before we are killed": """
         a send lookup r1
         w1 expect r1
-        stop program
+        program stop
         a expect 502
         a expect closed
         within 3450
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -163,7 +163,7 @@
                 for state in d.classes.values():
                     state.mean = hint  # sends count for at least their class's mean
                 d.now = now
-                job = Job(io.Submitted(n, "safe", 5000.0, work_hint_ms=hint), d.classes["safe"], now)
+                job = Job(io.Submitted(n, "safe", 5000.0, work_hint_ms=hint), d.classes["safe"], 3, now)
                 if d._cold_allows(d.workers["new"], job):
                     d._send(job, d.workers["new"], None)
                     sent += hint
