Take changed settings whole at SIGHUP, with the stricter rules while clients follow

A file is checked whole, also for keys that the one in force has; then one step swaps host, module, intake and upstream. Streams keep their class and attempts.

--- a/molespur/config/platform.py
+++ b/molespur/config/platform.py
@@ -3,7 +3,7 @@
 Whatever is wrong is told in one line that names the faulty key.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from typing import Literal
 
 import msgspec
@@ -19,6 +19,10 @@
 LIVES = {"active": Lifecycle.IN_SERVICE, "leaving": Lifecycle.DRAINING, "left": Lifecycle.GONE}
 
 
+# what a running program takes over at SIGHUP
+RELOADED = ("discovery", "settings", "dial_timeout_ms", "conn_idle_ms", "max_open", "has_reports", "raw")
+
+
 class ConfigError(Exception):
     """Configuration that can't be used; its text names the key at fault."""
 
@@ -184,7 +188,7 @@
         second_copies=limits.second_copies,
         advises_pause=limits.retry_after,
         max_pause_ms=limits.max_retry_after or 0.0,
-        max_attempts=limits.try_limit or 1,
+        max_attempts=1 if limits.try_limit is None else limits.try_limit,
         cpu_per_request_us=limits.cpu_us_per_request or 0.0,
         tells_start=family.tells_start,
         progress_ms=family.progress or 0.0,
@@ -259,6 +263,7 @@
     conn_idle_ms: float = 30_000.0
     max_open: int = 20_000
     has_reports: bool = False
+    raw: dict = field(default_factory=dict, repr=False)  # the file as it came
     ops: tuple[str, int] | None = None  # the operators' address; without it nothing listens for them
 
 
@@ -274,7 +279,8 @@
         raise ConfigError("LB_CONFIG: not set")
     try:
         with open(path, "rb") as file:
-            given = msgspec.json.decode(file.read(), type=_File)
+            whole = msgspec.json.decode(file.read())
+        given = msgspec.convert(whole, _File)
     except OSError as problem:
         raise ConfigError(f"LB_CONFIG: {path}: {problem.strerror}") from None
     except msgspec.ValidationError as problem:
@@ -319,12 +325,18 @@
         conn_idle_ms=positive(limits.conn_idle, "conn_idle_ms", "limits.connIdle"),
         max_open=positive(limits.max_open, "max_open", "limits.maxOpen"),
         has_reports=bool(raw.report and raw.report.via != "silent"),
+        raw=whole,
         ops=parse_address(ops, "LB_OPS") if ops else None,
     )
 
 
 def needs_restart(running: Config, given: Config) -> list[str]:
-    """The keys that differ but are read only at start: all but discovery, and seed and known, which go by."""
-    kept = ("discovery", "seed", "known")
-    keys = [key for key in Config.__dataclass_fields__ if key not in kept]
+    """The keys that differ but are read only at start; seed and known go by."""
+    passed = (*RELOADED, "seed", "known")
+    keys = [key for key in Config.__dataclass_fields__ if key not in passed]
     return [key for key in keys if getattr(running, key) != getattr(given, key)]
+
+
+def after_reload(running: Config, given: Config) -> Config:
+    """The configuration in force once a running program has taken another: what needs a restart stays."""
+    return replace(running, **{key: getattr(given, key) for key in RELOADED})
--- a/molespur/lifecycle.py
+++ b/molespur/lifecycle.py
@@ -11,9 +11,11 @@
 # After SIGTERM new clients arrive for 400 ms, but those that have a connection go on using it, and we may be
 # all that is there for them until another scheduler is back from its own restart.
 GRACE_MS = 2500.0
+LEAST_MS = 900.0  # between them and the end, for answers
 LATE_CLIENTS_MS = 500.0  # the same where a drain has sent the clients away already
 EMPTY_MS = 100.0  # for the listener's queue to empty, once new clients go to the successor
-STOP_MS = 3400.0  # after SIGTERM all is answered: SIGKILL may come 3.7 s after it
+KILL_MS, KILL_AFTER_MS = 3000.0, 700.0  # SIGKILL follows the longest deadline, or 3 s, by this
+SPARE_MS = 300.0  # before it: all is answered
 NEVER = float("inf")
 
 
@@ -55,6 +57,7 @@
 
     def __init__(self):
         self.ready = False
+        self.longest_ms = KILL_MS  # the longest deadline of a class
         self.drained: float | None = None  # since when it is to drain
         self.stopped: float | None = None  # when it was told to stop
         self.handed: float | None = None  # since when a successor serves
@@ -79,6 +82,11 @@
             self.drained = None
         return None
 
+    @property
+    def stop_ms(self) -> float:
+        """How long after SIGTERM all is answered."""
+        return min(self.longest_ms, KILL_MS) + KILL_AFTER_MS - SPARE_MS
+
     @property
     def phase(self) -> Phase:
         if self.handed is not None:
@@ -99,13 +107,13 @@
         if self.handed is not None:
             close = min(close, self.handed)
         if self.stopped is not None:
-            end = self.stopped + STOP_MS
+            end = self.stopped + self.stop_ms
             if self.handed is not None:
                 leave = max(self.stopped, self.handed) + EMPTY_MS
             elif self.drained is not None:
                 leave = self.stopped + LATE_CLIENTS_MS
             else:
-                leave = self.stopped + GRACE_MS
+                leave = self.stopped + max(min(GRACE_MS, self.stop_ms - LEAST_MS), LATE_CLIENTS_MS)
             leave = min(leave, end)
             close = min(close, leave)
         changes = [at for at in (close, leave, end) if at > now]
--- a/molespur/net/downstream.py
+++ b/molespur/net/downstream.py
@@ -50,9 +50,9 @@
     the usual clients theirs.
     """
 
-    def __init__(self, host, wheel, counters, classes, most: int, usual: int, memory: float):
+    def __init__(self, host, wheel, counters, most: int, usual: int, memory: float):
         self.host, self.wheel, self.counters = host, wheel, counters
-        self.classes, self.most = {c.name: c for c in classes}, most
+        self.most = most
         self.kept_most = KEPT_SHARE * usual  # usual: connections that clients hold at most for jobs
         self.memory = memory  # bytes that bodies may take together
         self.links: dict[Link, None] = {}
@@ -170,7 +170,7 @@
             if request.target == b"/up":
                 await self._respond(link, 200 if self.up else 503, b"")
                 return link.http.our_state is h11.DONE and link.http.their_state is h11.DONE
-            arrival = check_request(request, body, self.classes)
+            arrival = check_request(request, body, self.host.classes)
             if arrival.payload.request_id in self.ids:
                 # guards the stream that has this id: its answer must come from its own upstream requests
                 raise Rejection(409, "X-Request-ID is that of an open request")
@@ -310,7 +310,7 @@
             log.info("in.rejected", status=problem.status, why=str(problem))
         if link.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             await self._respond(link, problem.status, f"{problem}\n".encode(), close=True)
-            if problem.job_class in self.classes:
+            if problem.job_class in self.host.classes:
                 self.counters[end_of(DROPPED, problem.job_class)] += 1
             await self._linger(link)
 
--- a/molespur/net/host.py
+++ b/molespur/net/host.py
@@ -50,9 +50,12 @@
 class Stream:
     """One request of a client: owed exactly one final answer, tried by upstream requests."""
 
-    __slots__ = ("answer", "attempts", "backstop", "deadline", "number", "out", "over", "payload")
+    __slots__ = ("answer", "attempts", "backstop", "deadline", "most", "number", "out", "over", "payload")
 
-    def __init__(self, number: int, deadline: float, payload: Any, answer: Callable[[Answer], None]):
+    def __init__(
+        self, number: int, deadline: float, most: int, payload: Any, answer: Callable[[Answer], None]
+    ):
+        self.most = most  # upstream requests, by the settings under which it was taken
         self.number, self.deadline, self.payload, self.answer = number, deadline, payload, answer
         self.attempts = []  # upstream requests in the order of their Send; None where none was made
         self.out, self.over, self.backstop = 0, False, None
@@ -63,7 +66,8 @@
 
     def __init__(self, dispatcher, clock, wheel, counters, settings, max_streams):
         self.dispatcher, self.clock, self.wheel, self.counters = dispatcher, clock, wheel, counters
-        self.settings, self.max_streams = settings, max_streams
+        self.max_streams = max_streams
+        self._owns(settings)
         self.upstream = self.cluster = None  # set by connect
         self.streams: dict[int, Stream] = {}
         self.open = 0  # streams still owed an answer
@@ -78,6 +82,18 @@
         """Join the two sides that actions go out to."""
         self.upstream, self.cluster = upstream, cluster
 
+    def _owns(self, settings: io.Settings) -> None:
+        self.settings, self.classes = settings, {c.name: c for c in settings.classes}
+
+    def retune(self, settings: io.Settings) -> None:
+        """Other settings hold from now on, here, in the module and at the intake, which reads them here.
+
+        Streams that are open keep the class and the number of upstream requests they were taken under.
+        """
+        if settings != self.settings:
+            self._owns(settings)
+            self.deliver(io.Retuned(settings))
+
     # -- Events in -------------------------------------------------------------------------------
 
     def deliver(self, event: io.Event) -> None:
@@ -118,7 +134,8 @@
             self.counters["in.turned_away"] += 1
             answer(Refused(self.settings.pause_ms))
             return None
-        stream = Stream(self._next, self.clock.now() + arrival.time_left_ms, arrival.payload, answer)
+        deadline = self.clock.now() + arrival.time_left_ms
+        stream = Stream(self._next, deadline, self.settings.max_attempts, arrival.payload, answer)
         self._next += 1
         self.open += 1
         self.streams[stream.number] = stream
@@ -180,7 +197,7 @@
         self.counters["sent.requests"] += 1
         life = self.cluster.lifecycle(action.worker)
         why = None
-        if number >= self.settings.max_attempts:
+        if number >= stream.most:
             why = "too many upstream requests for one stream"
         elif left <= 0:
             why = "the client's time is up"
--- a/molespur/net/service.py
+++ b/molespur/net/service.py
@@ -17,10 +17,16 @@
         self.left = trio.Event()  # the listener is to be closed
         self._timer = None
         self._taken = self.stance()
+        self.retune(host.settings)
 
     def stance(self) -> Stance:
         return self.process.stance(self.clock.now())
 
+    def retune(self, settings) -> None:
+        """Other settings hold: a stop takes as long as the longest deadline asks."""
+        self.process.longest_ms = max(c.deadline_ms for c in settings.classes)
+        self._take_stance()
+
     def tell(self, told: Told) -> str | None:
         """Something has happened; the answer says why it can't be done, if so."""
         why = self.process.tell(self.clock.now(), told)
--- a/molespur/net/upstream.py
+++ b/molespur/net/upstream.py
@@ -147,9 +147,14 @@
         self.nursery, self.most, self.dial = nursery, most, dial
         self.hosts: dict[str, UpstreamHost] = {}
         self.count = 0  # connections open or being opened
-        self.usable_ms = self.most_idle_ms = IDLE_SHARE * config.conn_idle_ms
+        self.retune(config)
         wheel.after(config.conn_idle_ms / 10, self._sweep)
 
+    def retune(self, config) -> None:
+        """Go by this configuration from now on."""
+        self.config = config
+        self.usable_ms = self.most_idle_ms = IDLE_SHARE * config.conn_idle_ms
+
     # -- The hosts -------------------------------------------------------------------------------
 
     def place(self, uid: str, address: tuple[str, int], started: float, wanted: bool = True) -> None:
--- a/molespur/scheduler.py
+++ b/molespur/scheduler.py
@@ -30,7 +30,7 @@
         self.config, self.counters, self.nursery = config, counters, nursery
         self.clock, self.wheel = Clock(), Wheel(config.tick_ms)
         free = config.sockets - OWN_SOCKETS
-        clients = free // 2
+        clients = self.clients = free // 2
         dispatcher, settings = Dispatcher(config.settings, config.seed), config.settings
         self.host = Host(
             dispatcher, self.clock, self.wheel, counters, settings, min(config.max_open, clients)
@@ -48,11 +48,17 @@
         self.host.connect(self.upstream, self.cluster)
         usual = config.sockets // 3  # clients hold at most a third for jobs
         bodies = BODIES_SHARE * config.memory_mb * 2**20
-        self.downstream = Downstream(
-            self.host, self.wheel, counters, settings.classes, clients, usual, bodies
-        )
+        self.downstream = Downstream(self.host, self.wheel, counters, clients, usual, bodies)
         self.service = Service(self.downstream, self.host, self.clock, self.wheel)
-        self.reload = Reload(config, counters, source)
+        self.reload = Reload(config, self.swap, source, self.wheel, counters)
+
+    def swap(self, config, settings) -> None:
+        """Take another configuration over, in one step: no part ever sees some of it."""
+        self.config = config
+        self.host.retune(settings)
+        self.host.max_streams = min(config.max_open, self.clients)
+        self.upstream.retune(config)
+        self.service.retune(settings)
 
     async def run(self, listener) -> None:
         """Serve until told to stop, and then until all that was taken is answered."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -12,6 +12,7 @@
     d expect 0              discovery is watched from version 0;    d send {json} (or nothing: an empty line)
     X close [r1]            closes a connection;                wait 200       lets milliseconds pass
     count sent.ok 1         a counter's value;                  break module   the next event raises
+    retune NAME 1           the settings call lookup NAME from now on, and allow one attempt
     mute module             the next event is lost on it;   move discovery 9   it is on another port now
     program stop            SIGTERM has come;  program evacuate|activate|successor|alone  the process is told
     program evacuate stopping   .. and says why not;  front up yes|no      the front asks
@@ -130,7 +131,7 @@
                 self.cluster, self.config, self.wheel, clock, self.counters, nursery, self.dial
             )
         self.host.connect(upstream, self.cluster)
-        self.downstream = Downstream(self.host, self.wheel, self.counters, settings.classes, 3, 3, 70_000)
+        self.downstream = Downstream(self.host, self.wheel, self.counters, 3, 3, 70_000)
         self.service = Service(self.downstream, self.host, clock, self.wheel)
         nursery.start_soon(self.wheel.run)
         self.host.deliver(Started())
@@ -329,6 +330,11 @@
             assert (trio.current_time() - self.start) * 1000 <= int(verb)
         elif who in ("program", "front"):
             await self.program(verb, words)
+        elif who == "retune":
+            profiles = [p | {"name": verb} if p["name"] == "lookup" else p for p in SETTINGS["profiles"]]
+            limits = SETTINGS["limits"] | {"tryLimit": int(words[0])}
+            given = config.read_settings(SETTINGS | {"profiles": profiles, "limits": limits})[0]
+            self.host.retune(given)
         elif who == "move":
             self.watch = None
             self.source.move(("127.0.0.1", int(words[0])))
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -6,7 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from molespur.lifecycle import EMPTY_MS, GRACE_MS, LATE_CLIENTS_MS, SETTLE_MS, STOP_MS, Phase, Process, Told
+from molespur.lifecycle import EMPTY_MS, GRACE_MS, LATE_CLIENTS_MS, SETTLE_MS, Phase, Process, Told
+
+STOP_MS = Process().stop_ms
 
 
 def told(*steps):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -189,12 +189,6 @@
         a expect closed
         count answered.served 1""",
     "jobs count under their final answer, and attempts once written": """
-        w1 refuse
-        b send assessment r2
-        b expect 503
-        count dropped.assessment 1
-        count upstream_tries 0
-        w1 accept
         a send lookup r1
         w1 send r1 done one
         a expect 200 one
@@ -202,17 +196,25 @@
         b send assessment r3
         w1 expect r3
         count upstream_tries 2
+        count dropped.assessment 0
         w1 close r3
         b expect 502
         count bad_gateway.assessment 1
         a send lookup r4
         w1 expect r4
+        w1 send r4 running
         a close
         w1 expect closed r4
-        count upstream_tries 3
+        count upstream_tries 4
         count passed.lookup 1
         count dropped.lookup 0
-        count bad_gateway.lookup 0""",
+        count bad_gateway.lookup 0
+        w1 refuse
+        c send assessment r5
+        c expect 503
+        count dropped.assessment 1
+        count upstream_tries 4
+        count bad_gateway.assessment 1""",
     "a silent worker costs no final answer": """
         a send assessment r1
         w1 expect r1
