Replace a process by another beside it that has made room, and lead clients on without loss

Two processes at one address held up to twice the descriptors (308 of 384 in quiet hours), and the elder told the front no in its successor's name and failed what it had at the end. Each now holds a lock file in TMPDIR; the elder makes room and tells its list, and once the younger serves, a filter leads new connections to it.

--- a/molespur/__main__.py
+++ b/molespur/__main__.py
@@ -8,9 +8,8 @@
 
 from . import config as configuration
 from . import logs
-from .lifecycle import Told
 from .net.counters import Counters
-from .scheduler import Scheduler, open_scheduler
+from .scheduler import Scheduler
 
 log = logs.get("molespur")
 
@@ -27,16 +26,18 @@
             scheduler.reload()
         else:
             log.info("stop.told", signal=number)
-            scheduler.service.tell(Told.STOP)
+            scheduler.stop()
 
 
 async def serve(environ, counters: Counters, deployment=None) -> None:
     """Serve until told to stop, and then until all that was taken is answered."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
-            scheduler, listener = await open_scheduler(environ, counters, nursery, deployment)
+            registered = deployment is not None and deployment.cluster.source != "discovery"
+            config = configuration.load(environ, needs_discovery=not registered)
+            scheduler = Scheduler(config, counters, nursery, deployment if registered else None)
             nursery.start_soon(heed, signals, scheduler)
-            await scheduler.run(listener)
+            await scheduler.run()
             nursery.cancel_scope.cancel()
     print(scheduler.line(), file=sys.stderr, flush=True)
 
--- a/molespur/config/__init__.py
+++ b/molespur/config/__init__.py
@@ -13,6 +13,7 @@
     parse_address,
     read_settings,
     report_from,
+    target_of,
     worker_entry,
 )
 
@@ -26,5 +27,6 @@
     "parse_address",
     "read_settings",
     "report_from",
+    "target_of",
     "worker_entry",
 ]
--- a/molespur/config/platform.py
+++ b/molespur/config/platform.py
@@ -230,6 +230,15 @@
     )  # fmt: skip
 
 
+def target_of(entry: WorkerEntry, address: tuple[str, int]) -> dict:
+    """A worker's entry in discovery's form, as `worker_entry` reads it."""
+    state = next(name for name, life in LIVES.items() if life is entry.lifecycle)
+    return {
+        "uid": entry.worker, "endpoint": "{}:{}".format(*address), "az": entry.zone, "model": entry.kind,
+        "pod_group": entry.cell, "state": state, "capacity_hint": entry.power, "boot_ms": entry.born_ms,
+    }  # fmt: skip
+
+
 def report_from(stats: dict | None) -> dict[str, float] | None:
     """Name the values of a load report in the decision module's terms; what is no number is dropped."""
     if not stats:
--- a/molespur/lifecycle.py
+++ b/molespur/lifecycle.py
@@ -48,6 +48,7 @@
     up: bool  # the answer to those who ask whether to send clients here
     closing: bool  # connections close after each answer, and idle ones at once
     accepting: bool  # the listener takes connections
+    keeping: bool  # connections to upstream hosts are kept between requests
     ended: bool  # what is still open is answered now
     until: float  # when this changes by itself
 
@@ -119,5 +120,6 @@
         changes = [at for at in (close, leave, end) if at > now]
         accepting = leave > now
         return Stance(
-            self.phase, up and accepting, close <= now, accepting, end <= now, min(changes, default=NEVER)
-        )
+            self.phase, up and accepting, close <= now, accepting, self.handed is None, end <= now,
+            min(changes, default=NEVER),
+        )  # fmt: skip
--- a/molespur/net/cluster.py
+++ b/molespur/net/cluster.py
@@ -42,6 +42,7 @@
     def __init__(self, known, clock, host, upstream):
         self.known, self.clock, self.host, self.upstream = known, clock, host, upstream
         self.lives: dict[str, Lifecycle] = {}
+        self.placed: dict[str, Placed] = {}  # those that are listed, as they were told
         self.source: Source | None = None  # set before start
 
     def lifecycle(self, uid: str) -> Lifecycle | None:
@@ -71,7 +72,7 @@
         """Take a list or changes in, and tell the module."""
         if mode is not NewsMode.PARTIAL:
             for uid in self.lives.keys() - {p.entry.worker for p in placed}:
-                del self.lives[uid]
+                del self.lives[uid], self.placed[uid]
                 self.upstream.drop(uid)
         self.note(placed)
         self.tell(tuple(p.entry for p in placed), mode)
@@ -83,9 +84,10 @@
             if entry.lifecycle is Lifecycle.GONE:
                 # nothing is kept of it: ever new names must not take ever more memory
                 self.lives.pop(entry.worker, None)
+                self.placed.pop(entry.worker, None)
                 self.upstream.drop(entry.worker)
             else:
-                self.lives[entry.worker] = entry.lifecycle
+                self.lives[entry.worker], self.placed[entry.worker] = entry.lifecycle, one
                 wanted = entry.lifecycle is Lifecycle.IN_SERVICE
                 self.upstream.place(entry.worker, one.address, entry.born_ms, wanted)
 
--- a/molespur/net/downstream.py
+++ b/molespur/net/downstream.py
@@ -10,7 +10,7 @@
 from .failure import Served
 from .host import Arrival, Failed, Refused
 from .intake import BODY_MOST, Rejection, check_framing, check_request, class_of
-from .upstream import BREAKS, is_quiet
+from .upstream import BREAKS, has_come, is_quiet
 
 log = logs.get(__name__)
 AHEAD_MOST = 16 * 1024  # read while an answer is awaited; clients send one request at a time
@@ -23,6 +23,7 @@
 LINGER_LEAST, LINGER_MOST = 1 << 20, 1 << 26  # bytes thrown away meanwhile: by any, and by LINGERERS at once
 LINGERERS = 2
 KEPT_SHARE = 0.75  # of the connections that clients hold for jobs: where more are open, idle ones are closed
+REST_MS = 20.0  # for one connection out of the listener's queue
 OVERFLOW = 16  # connections beyond the bound that are taken only to be told so
 LOGGED = 50  # rejections logged one by one; guards the log and the CPU against floods of them
 ENDED = {Served: PASSED, Refused: DROPPED, Failed: BAD_GATEWAY}
@@ -52,9 +53,7 @@
 
     def __init__(self, host, wheel, counters, most: int, usual: int, memory: float):
         self.host, self.wheel, self.counters = host, wheel, counters
-        self.most = most
-        self.kept_most = KEPT_SHARE * usual  # usual: connections that clients hold at most for jobs
-        self.memory = memory  # bytes that bodies may take together
+        self.memory = self.granted = 0.0  # bytes that bodies may still take, and may take together
         self.links: dict[Link, None] = {}
         # each in the order in which they came there: the first is the first to go
         self.leaving: dict[Link, None] = {}
@@ -65,11 +64,21 @@
         self.up = False  # the answer to those who ask whether to send clients here
         self.closing = False  # connections are closed after each answer, and as soon as they are idle
         self._accepting, self._room, self._lingerers = trio.CancelScope(), trio.Event(), 0
+        self._nursery = None
+        self.resize(most, usual, memory)
+
+    def resize(self, most: int, usual: int, memory: float) -> None:
+        """Hold no more than this; usual are the connections that clients hold at most for jobs."""
+        self.most, self.kept_most = most, KEPT_SHARE * usual
+        self.memory, self.granted = self.memory + memory - self.granted, memory
+        for _ in range(len(self.links) - most):
+            self._make_room()
 
     # -- Connections -----------------------------------------------------------------------------
 
     async def listen(self, listener, nursery) -> None:
         """Take connections in until told to leave."""
+        self._nursery = nursery
         with self._accepting:
             while True:
                 while len(self.links) >= self.most + OVERFLOW:
@@ -91,6 +100,12 @@
         """Take no connection from now on."""
         self._accepting.cancel()
 
+    async def take_rest(self, listener) -> None:
+        """Take in what stands in the listener's queue, which its close would reset."""
+        while self._nursery and len(self.links) < self.most + OVERFLOW and has_come(listener.socket):
+            with self.wheel.limit(REST_MS):
+                self._nursery.start_soon(self.serve, await listener.accept())
+
     def close_idle(self) -> None:
         """Close what stands idle; what has brought no job yet keeps its time for that."""
         for link in self.idle:
--- a/molespur/net/service.py
+++ b/molespur/net/service.py
@@ -42,6 +42,8 @@
         self.downstream.closing = stance.closing
         if stance.closing and not before.closing:
             self.downstream.close_idle()
+        if stance.keeping is not before.keeping:
+            self.host.upstream.keep(stance.keeping)
         if before.accepting and not stance.accepting:
             self.downstream.stop_accepting()
             self.left.set()
@@ -56,6 +58,7 @@
     async def gone(self, listener) -> None:
         """Come back once the listener is left and all that was taken is answered."""
         await self.left.wait()
+        await self.downstream.take_rest(listener)
         # guards against connections that nobody will ever take: from now on they are refused
         await listener.aclose()
         await self.downstream.empty()
--- a/molespur/net/upstream.py
+++ b/molespur/net/upstream.py
@@ -68,11 +68,14 @@
 
 def is_quiet(stream) -> bool:
     """Whether the other side of an idle connection has neither closed it nor sent anything."""
-    if not isinstance(stream, trio.SocketStream):
-        return True
+    return not (isinstance(stream, trio.SocketStream) and has_come(stream.socket))
+
+
+def has_come(sock) -> bool:
+    """Whether there is something to read on a socket, or to take from one that listens."""
     poll = select.poll()
-    poll.register(stream.socket.fileno(), select.POLLIN)
-    return not poll.poll(0)
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
 
 
 class Connection:
@@ -147,6 +150,7 @@
         self.nursery, self.most, self.dial = nursery, most, dial
         self.hosts: dict[str, UpstreamHost] = {}
         self.count = 0  # connections open or being opened
+        self.keeping = True  # connections are kept between requests
         self.retune(config)
         wheel.after(config.conn_idle_ms / 10, self._sweep)
 
@@ -155,6 +159,19 @@
         self.config = config
         self.usable_ms = self.most_idle_ms = IDLE_SHARE * config.conn_idle_ms
 
+    def resize(self, most: int) -> None:
+        """Hold no more connections than this, as soon as requests let go of them."""
+        self.most = most
+        over = self.count - most
+        for host in self.hosts.values():
+            over -= self._close_idle(host, max(len(host.idle) - max(over, 0), 0))
+
+    def keep(self, keeping: bool) -> None:
+        """Keep connections between requests, or let go of all that stand idle."""
+        self.keeping = keeping
+        for host in self.hosts.values() if not keeping else ():
+            self._close_idle(host, 0)
+
     # -- The hosts -------------------------------------------------------------------------------
 
     def place(self, uid: str, address: tuple[str, int], started: float, wanted: bool = True) -> None:
@@ -174,11 +191,12 @@
             host.gone = True
             self._close_idle(host, 0)
 
-    def _close_idle(self, host: UpstreamHost, keep: int) -> None:
-        """Close all idle connections but the latest used."""
+    def _close_idle(self, host: UpstreamHost, keep: int) -> int:
+        """Close all idle connections but the latest used; tell how many."""
         old, host.idle[:] = host.idle[: len(host.idle) - keep], host.idle[len(host.idle) - keep :]
         for connection in old:
             self._close_soon(connection)
+        return len(old)
 
     def _close_soon(self, connection: Connection) -> None:
         self.nursery.start_soon(self._close, connection)
@@ -257,7 +275,7 @@
         if not isinstance(connection, Connection):
             return
         http, host = connection.http, connection.host
-        if http.our_state is h11.DONE and http.their_state is h11.DONE and not host.gone:
+        if http.our_state is h11.DONE and http.their_state is h11.DONE and self.keeping and not host.gone:
             http.start_next_cycle()
             connection.idle_since = self.clock.now()
             host.idle.append(connection)
--- a/molespur/scheduler.py
+++ b/molespur/scheduler.py
@@ -1,10 +1,16 @@
 """One scheduler, put together from its parts."""
 
+import os
+
+import msgspec
+
 from . import config as configuration
+from . import logs
+from .config import ClusterList
 from .interface import Started
 from .lifecycle import Told
 from .logic import Dispatcher
-from .net.cluster import Cluster
+from .net.cluster import Cluster, Placed
 from .net.counters import Counters
 from .net.discovery import Discovery
 from .net.downstream import Downstream
@@ -15,6 +21,7 @@
 from .net.upstream import Upstream
 from .net.wheel import Clock, Wheel
 
+log = logs.get(__name__)
 OWN_SOCKETS = 48  # descriptors for standard streams, the poller, the watch, the listeners, and some to spare
 BODIES_SHARE = 0.1  # of the memory granted; the program takes 20 to 26 MB without them
 
@@ -29,53 +36,88 @@
     def __init__(self, config, counters: Counters, nursery, registered=None):
         self.config, self.counters, self.nursery = config, counters, nursery
         self.clock, self.wheel = Clock(), Wheel(config.tick_ms)
-        free = config.sockets - OWN_SOCKETS
-        clients = self.clients = free // 2
+        self.sockets = config.sockets  # descriptors for this process; fewer while another lives beside it
+        most_clients, most_upstream, usual, bodies = self._parts()
         dispatcher, settings = Dispatcher(config.settings, config.seed), config.settings
-        self.host = Host(
-            dispatcher, self.clock, self.wheel, counters, settings, min(config.max_open, clients)
-        )
-        self.upstream = Upstream(config, self.wheel, self.clock, counters, nursery, free - clients)
+        most_streams = min(config.max_open, most_clients)
+        self.host = Host(dispatcher, self.clock, self.wheel, counters, settings, most_streams)
+        self.upstream = Upstream(config, self.wheel, self.clock, counters, nursery, most_upstream)
         self.cluster = Cluster(config.known, self.clock, self.host, self.upstream)
         beside = (self.wheel, self.clock, counters, nursery)
         if registered is not None:
             from .registry.source import open_source
 
-            source = open_source(registered, config, self.cluster, *beside)
+            self.source = open_source(registered, config, self.cluster, *beside)
         else:
-            source = Discovery(self.cluster, config, *beside)
-        self.cluster.source = source
+            self.source = Discovery(self.cluster, config, *beside)
+        self.cluster.source = self.source
         self.host.connect(self.upstream, self.cluster)
-        usual = config.sockets // 3  # clients hold at most a third for jobs
-        bodies = BODIES_SHARE * config.memory_mb * 2**20
-        self.downstream = Downstream(self.host, self.wheel, counters, clients, usual, bodies)
+        self.downstream = Downstream(self.host, self.wheel, counters, most_clients, usual, bodies)
         self.service = Service(self.downstream, self.host, self.clock, self.wheel)
-        self.reload = Reload(config, self.swap, source, self.wheel, counters)
+        self.reload = Reload(config, self.swap, self.source, self.wheel, counters)
+        self.succession = None
+
+    # -- What it may hold ------------------------------------------------------------------------
+
+    def _parts(self) -> tuple[int, int, int, float]:
+        """Clients' connections, workers', those of clients with jobs, and bytes of bodies."""
+        free = self.sockets - OWN_SOCKETS
+        share = self.sockets / self.config.sockets
+        bodies = BODIES_SHARE * self.config.memory_mb * 2**20 * share
+        return free // 2, free - free // 2, self.sockets // 3, bodies  # clients hold a third for jobs at most
+
+    def resize(self, sockets: int) -> None:
+        """Hold no more descriptors than this, and of the memory for bodies the same share."""
+        if sockets == self.sockets:
+            return
+        self.sockets = sockets
+        most_clients, most_upstream, usual, bodies = self._parts()
+        self.host.max_streams = min(self.config.max_open, most_clients)
+        self.upstream.resize(most_upstream)
+        self.downstream.resize(most_clients, usual, bodies)
 
     def swap(self, config, settings) -> None:
         """Take another configuration over, in one step: no part ever sees some of it."""
         self.config = config
         self.host.retune(settings)
-        self.host.max_streams = min(config.max_open, self.clients)
+        self.host.max_streams = min(config.max_open, self._parts()[0])
         self.upstream.retune(config)
         self.service.retune(settings)
 
-    async def run(self, listener) -> None:
-        """Serve until told to stop, and then until all that was taken is answered."""
+    # -- Its life --------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Serve until told to stop, and then until all that was taken is answered.  Raises ConfigError."""
         self.nursery.start_soon(self.wheel.run)
         if self.config.ops:
             await self._open_operations()
+            await self._find_elder()
+        listener = await open_listener(self.config.listen, "LB_LISTEN", shared=self.config.ops is not None)
         self.host.deliver(Started())
         self.cluster.start()
         self.nursery.start_soon(self.downstream.listen, listener, self.nursery)
+        if self.succession is not None:
+            self.succession.serving(self.service, listener.socket, self.listed)
         self.service.tell(Told.READY)
-        await self.service.gone(listener)
+        try:
+            await self.service.gone(listener)
+        finally:
+            if self.succession is not None:
+                self.succession.close()
+
+    def stop(self) -> None:
+        """SIGTERM has come."""
+        if self.succession is not None:
+            self.succession.look()  # who is there decides how to leave
+        self.service.tell(Told.STOP)
 
     def line(self) -> str:
         """All counts as one line for the log."""
         self.counters["loop.late_ms"] = round(self.wheel.late_ms)
         return self.counters.line(self.config.name)
 
+    # -- Operators, and other processes ----------------------------------------------------------
+
     async def _open_operations(self) -> None:
         """Listen for operators.  Without their address nothing of this is imported."""
         from .operations.calls import Calls
@@ -94,10 +136,41 @@
         gauges = Gauges(self.host.open, *self.cluster.known_and_skipped())
         return figures(self.counters, (c.name for c in self.host.settings.classes), gauges)
 
-
-async def open_scheduler(environ, counters: Counters, nursery, deployment=None):
-    """A scheduler as configured, and the listener that it will serve.  Raises ConfigError."""
-    registered = deployment is not None and deployment.cluster.source != "discovery"
-    config = configuration.load(environ, needs_discovery=not registered)
-    listener = await open_listener(config.listen, "LB_LISTEN", shared=config.ops is not None)
-    return Scheduler(config, counters, nursery, deployment if registered else None), listener
+    async def _find_elder(self) -> None:
+        """Where another process serves this address, wait until it has made room, and go by its list."""
+        if not (directory := os.environ.get("TMPDIR")):
+            return
+        from .replacement.succession import Succession
+
+        self.succession = Succession(directory, self.config, self.wheel, self.resize)
+        elder = await self.succession.wait_for_room()
+        if elder is not None and isinstance(self.source, Discovery):
+            self._go_by(elder)
+
+    def _go_by(self, elder) -> None:
+        """Take the elder's list and its discovery, unless they make no sense."""
+        file = self.config.raw.get("discovery")
+        if file and file == elder.discovery:
+            # guards against LB_DISCOVERY, which is as old as the elder, masking what it has read since
+            self.source.address = configuration.parse_address(file, "LB_CONFIG: discovery")
+        if elder.targets is None or elder.rev < self.config.known.rev:
+            return
+        told = {"rev": elder.rev, "all": True, "targets": elder.targets}
+        try:
+            known = msgspec.convert(told, ClusterList)
+            for target in known.targets:
+                Placed.from_target(target, self.clock.from_unix)
+        except (msgspec.ValidationError, configuration.ConfigError) as problem:
+            log.warning("replacement.list_refused", why=str(problem))
+            return
+        self.cluster.known, self.source.rev = known, known.rev
+
+    def listed(self) -> dict:
+        """The list that is held, with its version and where it comes from, for a successor."""
+        targets = [configuration.target_of(one.entry, one.address) for one in self.cluster.placed.values()]
+        address = getattr(self.source, "address", None)
+        return {
+            "rev": getattr(self.source, "rev", 0),
+            "targets": targets,
+            "discovery": "{}:{}".format(*address) if address else "",
+        }
