--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -3,15 +3,18 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import threading
+import time
 from pathlib import Path
 
 import pytest
 from far_registry import a_registry
-from test_program import GOOD, free_address
+from test_program import GOOD, free_address, running
 
+from molespur.cli.ops import changes
 from molespur.config import ConfigError, deployment
 
 ROOT = Path(__file__).parents[2]
@@ -231,3 +234,39 @@
         "m",
     )
     assert all("a.b" in line and "off" not in line and "key" in line for line in lines.values())
+
+
+def test_operators_calls(tmp_path):
+    """Each call of the on-call page, as it is typed there."""
+    at = free_address()
+    with running(tmp_path, free_address(), LB_OPS=at) as (_, _, read_to):
+
+        def ops(*words, code=0):
+            got, out, err = molespur("ops", *words, LB_OPS=at)
+            assert got == code, (words, out, err)
+            return out
+
+        assert ops("readyz") == "ok\n"
+        figures = ops("telemetry").splitlines()
+        assert "app.passed.lookup=0" in figures and "app.loads=0" in figures and figures[-1] == "eof"
+        assert ops("evacuate") == "ok\n"
+        assert ops("readyz", code=1) == "fail draining\n"
+        assert ops("activate") == "ok\n"
+        shown = ops("telemetry", "--every", "0.1", "--times", "2").splitlines()
+        assert shown[-1] == "-- after 0.1 s"
+        assert molespur("ops", "readyz", "--every", "1", LB_OPS=at)[0] == 2
+        read_to("draining")
+    assert molespur("ops", "readyz", "--at", at)[0] == 1
+    assert molespur("ops", "readyz", "--at", "nowhere")[0] == 2
+
+
+def test_a_silent_operators_address_is_an_error_in_time():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        at = "{}:{}".format(*server.getsockname())
+        start = time.monotonic()
+        code, out, err = molespur("ops", "telemetry", "--at", at, "--wait", "0.3")
+        assert code == 1 and not out and at in err and time.monotonic() - start < 20
+
+
+def test_changes_of_figures():
+    assert changes(["a=1", "b=2", "eof"], ["a=1", "b=5", "c=4", "eof"]) == ["b=5 (+3)", "c=4 (+4)"]
