--- a/molespur/net/host.py
+++ b/molespur/net/host.py
@@ -240,6 +240,10 @@
         self.cluster.watch()
 
     def _probe(self, action: io.Probe) -> None:
+        if not self.upstream.keeping:
+            # a process that hands over sends nothing new: each probe would cost a connection of its own
+            self.counters["probes.spared"] += 1
+            return
         self.counters["sent.probes"] += 1
         started = self.clock.now()
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -459,5 +459,12 @@
     assert [result.outcome for result in seen] == [Outcome.TIMEOUT]
 
 
+def test_a_process_that_hands_over_probes_no_more():
+    """Guards against connections that are opened for a probe each, since none is kept then."""
+    before = "w1 expect /metrics/load\nwait 1000\ncount upstream.dialled 1\nprogram successor\n"
+    after = "wait 2000\ncount upstream.dialled 1\nprogram alone\nwait 1000\ncount upstream.dialled 2"
+    play(before + after, probing=True)
+
+
 def test_probes_share_one_kept_connection():
     play("w1 expect /metrics/load\nwait 1000\ncount probes.timeout 0\ncount upstream.dialled 1", probing=True)
