--- a/molespur/lifecycle.py
+++ b/molespur/lifecycle.py
@@ -61,6 +61,7 @@
         self.longest_ms = KILL_MS  # the longest deadline of a class
         self.drained: float | None = None  # since when it is to drain
         self.stopped: float | None = None  # when it was told to stop
+        self._stop_ms = 0.0  # and how long that takes
         self.handed: float | None = None  # since when a successor serves
 
     def tell(self, now: float, told: Told) -> str | None:
@@ -68,7 +69,9 @@
         if told is Told.READY:
             self.ready = True
         elif told is Told.STOP:
-            self.stopped = now if self.stopped is None else self.stopped
+            if self.stopped is None:
+                # what the platform counts from: settings that change after it change nothing in it
+                self.stopped, self._stop_ms = now, self.stop_ms
         elif told is Told.SUCCESSOR:
             self.handed = now if self.handed is None else self.handed
         elif told is Told.ALONE:
@@ -85,7 +88,7 @@
 
     @property
     def stop_ms(self) -> float:
-        """How long after SIGTERM all is answered."""
+        """How long after SIGTERM, if it came now, all is answered."""
         return min(self.longest_ms, KILL_MS) + KILL_AFTER_MS - SPARE_MS
 
     @property
@@ -108,13 +111,13 @@
         if self.handed is not None:
             close = min(close, self.handed)
         if self.stopped is not None:
-            end = self.stopped + self.stop_ms
+            end = self.stopped + self._stop_ms
             if self.handed is not None:
                 leave = max(self.stopped, self.handed) + EMPTY_MS
             elif self.drained is not None:
                 leave = self.stopped + LATE_CLIENTS_MS
             else:
-                leave = self.stopped + max(min(GRACE_MS, self.stop_ms - LEAST_MS), LATE_CLIENTS_MS)
+                leave = self.stopped + max(min(GRACE_MS, self._stop_ms - LEAST_MS), LATE_CLIENTS_MS)
             leave = min(leave, end)
             close = min(close, leave)
         changes = [at for at in (close, leave, end) if at > now]
--- a/tests/operations/test_processes.py
+++ b/tests/operations/test_processes.py
@@ -110,3 +110,17 @@
     assert max(took) < 1.0, max(took)
     for sock in silent:
         sock.close()
+
+
+def test_signals_amid_a_stop_change_nothing(site):
+    """SIGHUP, a second SIGTERM and calls while stopping: it ends in order, and on time."""
+    program = site.start()
+    crowd = Crowd(site, 4)
+    program.send_signal(signal.SIGTERM)
+    until(lambda: not site.up())
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP):
+        program.send_signal(number)
+    assert call(program.ops, "evacuate") == call(program.ops, "activate") == "fail stopping\n"
+    assert call(program.ops, "readyz") == "fail stopping\n"
+    crowd.stop()
+    assert program.wait(10) == 0
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -81,6 +81,25 @@
     assert process.tell(30, Told.STOP) is None
 
 
+def test_the_longest_deadline_moves_the_stop_but_not_one_that_has_begun():
+    process = told(READY)
+    assert process.stop_ms == 3400.0
+    process.longest_ms = 9000.0
+    assert process.stop_ms == 3400.0  # counted as 3 s where it is longer
+    process.longest_ms = 1000.0
+    process.tell(10, Told.STOP)
+    process.longest_ms = 9000.0
+    assert not process.stance(10 + 1399).ended and process.stance(10 + 1400).ended
+    assert process.stance(10 + 499).accepting and not process.stance(10 + 501).accepting
+
+
+def test_settings_that_change_in_a_drain_change_nothing_in_it():
+    process = told(READY, (10, Told.EVACUATE))
+    before = process.stance(500)
+    process.longest_ms = 1000.0
+    assert process.stance(500) == before
+
+
 def test_in_each_order_a_stop_ends_and_what_was_left_stays_left():
     for order in itertools.product(Told, repeat=4):
         process = told(*((100 * i, what) for i, what in enumerate(order)))
