Let no reset connection and no look at others keep a process from its orderly end

Found by reading: accept() out of the listener's queue can raise OSError, and SIGTERM looks into TMPDIR before it is told.

--- a/molespur/net/downstream.py
+++ b/molespur/net/downstream.py
@@ -103,8 +103,13 @@
     async def take_rest(self, listener) -> None:
         """Take in what stands in the listener's queue, which its close would reset."""
         while self._nursery and len(self.links) < self.most + OVERFLOW and has_come(listener.socket):
-            with self.wheel.limit(REST_MS):
-                self._nursery.start_soon(self.serve, await listener.accept())
+            try:
+                with self.wheel.limit(REST_MS):
+                    self._nursery.start_soon(self.serve, await listener.accept())
+            except OSError as problem:
+                # guards the orderly end against a connection that was reset before it was taken
+                log.warning("in.accept_failed", why=str(problem))
+                return
 
     def close_idle(self) -> None:
         """Close what stands idle; what has brought no job yet keeps its time for that."""
--- a/molespur/replacement/succession.py
+++ b/molespur/replacement/succession.py
@@ -70,8 +70,8 @@
             self._tell()
 
     def _look_again(self) -> None:
+        self.wheel.after(LOOK_MS, self._look_again)  # first, whatever the look may meet
         self.look()
-        self.wheel.after(LOOK_MS, self._look_again)
 
     def _hand_over(self, seen: View) -> None:
         now = (seen.others, seen.succeeded)
--- a/molespur/scheduler.py
+++ b/molespur/scheduler.py
@@ -110,8 +110,12 @@
 
     def stop(self) -> None:
         """SIGTERM has come."""
-        if self.succession is not None:
-            self.succession.look()  # who is there decides how to leave
+        try:
+            if self.succession is not None:
+                self.succession.look()  # who is there decides how to leave
+        except Exception:
+            # guards against a stop that is passed over for what stands in a directory
+            log.exception("replacement.failed")
         self.service.tell(Told.STOP)
 
     def line(self) -> str:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,7 +1,9 @@
 """What the scheduler does on its connections, and each failure that it guards against."""
 
 import gc
+import socket
 from collections import Counter
+from types import SimpleNamespace
 
 import pytest
 import trio
@@ -9,8 +11,10 @@
 from trio.testing import MockClock
 
 from molespur.interface import Outcome
+from molespur.lifecycle import Told
 from molespur.net.failure import Cause, Stage
 from molespur.net.upstream import UpstreamRequest
+from molespur.scheduler import Scheduler
 
 LIST = '{"rev":%d,"all":%s,"targets":[{"uid":"w2","endpoint":"127.0.0.1:3002","az":"z","state":"%s"}]}'
 END = r"\r\n\r\n"
@@ -506,3 +510,31 @@
         gc.set_debug(0)
         gc.garbage.clear()
         gc.enable()
+
+
+def test_a_connection_that_is_reset_in_the_queue_does_not_stop_the_orderly_end():
+    async def main():
+        async with trio.open_nursery() as nursery:
+            world = World(nursery, {})
+            ours, theirs = socket.socketpair()
+
+            async def accept():
+                raise ConnectionAbortedError("reset")
+
+            with ours, theirs:
+                theirs.send(b"x")  # something stands in the queue
+                world.downstream._nursery = nursery
+                await world.downstream.take_rest(SimpleNamespace(socket=ours, accept=accept))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def test_a_stop_is_told_whatever_the_look_at_others_meets():
+    def look():
+        raise RuntimeError("broken by the test")
+
+    told = []
+    parts = {"succession": SimpleNamespace(look=look), "service": SimpleNamespace(tell=told.append)}
+    Scheduler.stop(SimpleNamespace(**parts))
+    assert told == [Told.STOP]
