Write a process's record only when there is news in it, so that the loop waits for no disk

At fault: Succession._tell, which replaced a file in TMPDIR each 100 ms; on a disk each replacement is written out. Ruled out: full collections (freed without cycles), CPU (0.2 of a core), descriptors.

--- a/molespur/replacement/succession.py
+++ b/molespur/replacement/succession.py
@@ -13,6 +13,7 @@
 
 log = logs.get(__name__)
 LOOK_MS = 100.0
+USED_STEP = 64  # descriptors held are told in steps, rounded up
 ROOM_S = 1.5  # for an elder to make room; one that does not is taken as hung
 
 
@@ -31,6 +32,7 @@
         self.rendezvous, self.wheel, self.resize = Rendezvous(directory, config.listen), wheel, resize
         self.granted, self.record = config.sockets, Record(time.monotonic_ns())
         self._seen: tuple[int, bool] | None = None
+        self._told: tuple[bool, bool, int] | None = None
         self.service = self.socket = self._listed = None  # set by serving
 
     async def wait_for_room(self) -> Record | None:
@@ -89,7 +91,16 @@
         self.resize(sockets_for(self.granted, others))
 
     def _tell(self) -> None:
-        self.record.used = descriptors_held()
+        """Put the record where others read it, if there is news in it.
+
+        Guards against a loop that waits for a disk: where TMPDIR is on one, a file that is replaced is written
+        out each time; ten times a second that took 60 ms each.
+        """
+        used = -(-descriptors_held() // USED_STEP) * USED_STEP
+        news = (self.record.serving, self.record.room, used)
+        if news == self._told:
+            return
+        self._told, self.record.used = news, used
         self.record.targets = None
         if self.record.room:
             for name, value in self._listed().items():
--- a/tests/replacement/test_replacement.py
+++ b/tests/replacement/test_replacement.py
@@ -10,6 +10,7 @@
 import threading
 import time
 from pathlib import Path
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -20,6 +21,7 @@
 
 from molespur.replacement.files import Rendezvous
 from molespur.replacement.steer import steer
+from molespur.replacement.succession import Succession
 from molespur.replacement.view import LEAST_SOCKETS, Record, parse, sockets_for, view
 
 ADDRESS = ("127.0.0.1", 9)
@@ -143,6 +145,31 @@
         sock.close()
 
 
+def test_a_record_is_written_only_when_there_is_news_in_it(tmp_path):
+    """Guards against a loop that waits for the disk under TMPDIR ten times a second."""
+    resized, told, phases = [], [], []
+    wheel = SimpleNamespace(after=lambda *_: None)
+    config = SimpleNamespace(listen=ADDRESS, sockets=384)
+    mine = Succession(str(tmp_path), config, wheel, resized.append)
+    assert mine.rendezvous.open()
+    whole = mine.rendezvous.tell
+    mine.rendezvous.tell = lambda record: (told.append(record.room), whole(record))
+    listed = {"rev": 3, "targets": [target("w1")], "discovery": "127.0.0.1:2"}
+    mine.serving(SimpleNamespace(tell=phases.append), None, lambda: listed)
+    for _ in range(20):
+        mine.look()
+    assert told == [False]
+    lock = other(tmp_path, 1, Record(mine.record.started + 1))
+    for _ in range(20):
+        mine.look()
+    assert told == [False, True] and resized[-1] == 192 and mine.record.targets == listed["targets"]
+    lock.close()
+    for _ in range(20):
+        mine.look()
+    assert resized[-1] == 384 and not phases
+    mine.close()
+
+
 # -- Real processes ------------------------------------------------------------------------------
 
 
