--- a/molespur/replacement/succession.py
+++ b/molespur/replacement/succession.py
@@ -93,8 +93,8 @@
     def _tell(self) -> None:
         """Put the record where others read it, if there is news in it.
 
-        Guards against a loop that waits for a disk: where TMPDIR is on one, a file that is replaced is written
-        out each time; ten times a second that took 60 ms each.
+        Guards against a loop that waits for a disk: where TMPDIR is on one, each file that is replaced is
+        written out; ten times a second that took 60 ms each.
         """
         used = -(-descriptors_held() // USED_STEP) * USED_STEP
         news = (self.record.serving, self.record.room, used)
