Refuse requests in pieces late in a drain, and take back room made for one that died

A request begun before a drain could be whole 2.3 s after the first no, and so be a young job when none may be held; it now has 0.8 s. An elder's word that it had made room, and its list, stood for the next younger after the first had died. Descriptors were told in steps of 64 also within a part, which left a successor too few.

--- a/molespur/net/downstream.py
+++ b/molespur/net/downstream.py
@@ -10,6 +10,7 @@
 from .failure import Served
 from .host import Arrival, Failed, Refused
 from .intake import BODY_MOST, Rejection, check_framing, check_request, class_of
+from .listening import next_connection
 from .upstream import BREAKS, has_come, is_quiet
 
 log = logs.get(__name__)
@@ -18,6 +19,7 @@
 READ_MS = 2_000.0  # for a later one to arrive whole once it has begun
 WRITE_MS = 2_000.0  # for a client to take its answer
 CLOSING_MS = 100.0  # an idle connection that goes is kept for this long, for a request that crosses its close
+CUT_MS = 800.0  # for a request to be whole once connections close: a later one would be too young at the end
 KEEP_MS = 75_000.0  # an idle connection that has brought a job is kept for this long
 LINGER_MS = 1_000.0  # after an error, for the client to read it and stop sending
 LINGER_LEAST, LINGER_MOST = 1 << 20, 1 << 26  # bytes thrown away meanwhile: by any, and by LINGERERS at once
@@ -36,6 +38,7 @@
     def __init__(self, stream, now: float):
         self.stream, self.http = stream, h11.Connection(h11.SERVER)
         self.scope = trio.CancelScope()  # all that is done on it
+        self.reading: trio.CancelScope | None = None  # the rest of a request that has begun
         self.waiting: trio.CancelScope | None = None  # between requests; to cancel it closes the connection
         self.head = b""  # what has come of a request until its head is whole
         self.since = now  # when it was opened, or last told something without having brought a job
@@ -83,14 +86,7 @@
             while True:
                 while len(self.links) >= self.most + OVERFLOW:
                     await self._a_link_less()
-                try:
-                    stream = await listener.accept()
-                except OSError as problem:
-                    # guards against a loop that dies of one connection that was reset before it was taken
-                    log.warning("in.accept_failed", why=str(problem))
-                    await trio.sleep(0.01)
-                    continue
-                nursery.start_soon(self.serve, stream)
+                nursery.start_soon(self.serve, await next_connection(listener, "in.accept_failed"))
 
     async def _a_link_less(self) -> None:
         self._room = trio.Event()
@@ -115,6 +111,12 @@
         """Close what stands idle; what has brought no job yet keeps its time for that."""
         for link in self.idle:
             link.waiting.cancel()
+        self.wheel.after(CUT_MS, self._cut, [link.reading for link in self.links if link.reading])
+
+    def _cut(self, readings) -> None:
+        """Wait no longer for requests that had begun when connections began to close, if they still do."""
+        for reading in readings if self.closing else ():
+            reading.cancel()
 
     async def empty(self) -> None:
         """Come back once no connection is left: all that was taken is answered."""
@@ -254,8 +256,15 @@
                     return None, None
                 await self._receive(link)
         limit_ms = READ_MS if link.proven else FIRST_MS - (self.host.clock.now() - link.since)
-        with self.wheel.limit(limit_ms):
-            return await self._read_rest(link)
+        if self.closing:
+            limit_ms = min(limit_ms, CUT_MS)
+        with self.wheel.limit(limit_ms) as link.reading:
+            try:
+                return await self._read_rest(link)
+            finally:
+                link.reading = None
+        if self.closing:
+            raise Rejection(503, "the request did not arrive whole before the end")
         raise Rejection(408, "the request did not arrive whole in time")
 
     async def _read_rest(self, link: Link):
--- a/molespur/net/listening.py
+++ b/molespur/net/listening.py
@@ -1,23 +1,29 @@
 """The sockets that the program listens on."""
 
+import contextlib
 import errno
 
 import trio
 
+from .. import logs
 from ..config import ConfigError
 
+log = logs.get(__name__)
 BACKLOG = 1024
 BIND_S = 5.0  # the address may still be held by the process before us
 
 
-def _bind(address: tuple[str, int], shared: bool) -> trio.SocketListener:
-    sock = trio.socket.socket()
+async def _bind(address: tuple[str, int], shared: bool) -> trio.SocketListener:
+    found = await trio.socket.getaddrinfo(*address, type=trio.socket.SOCK_STREAM)
+    family, *_, place = found[0]
+    sock = trio.socket.socket(family)
     try:
         sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
         if shared:
-            sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEPORT, 1)
-        # numeric addresses only: nothing is looked up
-        sock._sock.bind(address)
+            # a platform without it serves all the same, but is not replaced beside itself
+            with contextlib.suppress(OSError):
+                sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEPORT, 1)
+        await sock.bind(place)
         sock.listen(BACKLOG)
     except BaseException:
         sock.close()
@@ -25,6 +31,19 @@
     return trio.SocketListener(sock)
 
 
+async def next_connection(listener, event: str):
+    """The next connection; one that was reset before it was taken is logged and passed over.
+
+    Guards against a loop that dies of it.
+    """
+    while True:
+        try:
+            return await listener.accept()
+        except OSError as problem:
+            log.warning(event, why=str(problem))
+            await trio.sleep(0.01)
+
+
 async def open_listener(address: tuple[str, int], key: str, shared: bool = False) -> trio.SocketListener:
     """Listen on this address only, waiting a little for it to come free.
 
@@ -33,7 +52,7 @@
     until = trio.current_time() + BIND_S
     while True:
         try:
-            return _bind(address, shared)
+            return await _bind(address, shared)
         except OSError as problem:
             if problem.errno != errno.EADDRINUSE or trio.current_time() > until:
                 raise ConfigError(f"{key}: {address}: {problem}") from None
--- a/molespur/operations/listener.py
+++ b/molespur/operations/listener.py
@@ -3,6 +3,7 @@
 import trio
 
 from .. import logs
+from ..net.listening import next_connection
 from ..net.upstream import BREAKS
 from .calls import LINE_MOST, Calls
 
@@ -22,14 +23,7 @@
     async def listen(self, listener, nursery) -> None:
         """Serve for good."""
         while True:
-            try:
-                stream = await listener.accept()
-            except OSError as problem:
-                # guards against a loop that dies of one connection that was reset before it was taken
-                log.warning("ops.accept_failed", why=str(problem))
-                await trio.sleep(0.01)
-                continue
-            nursery.start_soon(self.serve, stream)
+            nursery.start_soon(self.serve, await next_connection(listener, "ops.accept_failed"))
 
     async def serve(self, stream) -> None:
         """One call."""
--- a/molespur/replacement/succession.py
+++ b/molespur/replacement/succession.py
@@ -9,11 +9,10 @@
 from ..lifecycle import Told
 from .files import Rendezvous
 from .steer import steer
-from .view import Record, View, sockets_for, view
+from .view import Record, View, sockets_for, used_to_tell, view
 
 log = logs.get(__name__)
 LOOK_MS = 100.0
-USED_STEP = 64  # descriptors held are told in steps, rounded up
 ROOM_S = 1.5  # for an elder to make room; one that does not is taken as hung
 
 
@@ -67,9 +66,10 @@
         seen = view(self.record, others)
         self._resize(others)
         self._hand_over(seen)
-        if others:
+        # guards a next younger against the word, and the list, that were meant for one that has died
+        if others or self.record.room:
             self.record.room = seen.younger is not None
-            self._tell()
+            self._tell(len(others))
 
     def _look_again(self) -> None:
         self.wheel.after(LOOK_MS, self._look_again)  # first, whatever the look may meet
@@ -90,13 +90,13 @@
     def _resize(self, others: list[Record]) -> None:
         self.resize(sockets_for(self.granted, others))
 
-    def _tell(self) -> None:
+    def _tell(self, others: int = 0) -> None:
         """Put the record where others read it, if there is news in it.
 
         Guards against a loop that waits for a disk: where TMPDIR is on one, each file that is replaced is
         written out; ten times a second that took 60 ms each.
         """
-        used = -(-descriptors_held() // USED_STEP) * USED_STEP
+        used = used_to_tell(self.granted, descriptors_held(), others)
         news = (self.record.serving, self.record.room, used)
         if news == self._told:
             return
--- a/molespur/replacement/view.py
+++ b/molespur/replacement/view.py
@@ -5,6 +5,7 @@
 import msgspec
 
 TEXT_MOST = 1 << 20  # bytes of a record: a list of thousands of workers takes some hundred kilobytes
+USED_STEP = 16  # descriptors beyond a part are told in steps, rounded up
 LEAST_SOCKETS = 64  # what a process gets however much the other one holds
 
 
@@ -14,7 +15,7 @@
     started: int  # of the machine's monotonic clock: the later one is to replace the earlier
     serving: bool = False
     room: bool = False  # it has made room for a younger one
-    used: int = 0  # descriptors that it holds
+    used: int = 0  # descriptors that it holds, where that is more than its part
     # once it has made room: the list that it holds, its version, and where it comes from
     targets: list[dict] | None = None
     rev: int = 0
@@ -63,6 +64,12 @@
     return max(min(part, left), LEAST_SOCKETS) if others else granted
 
 
+def used_to_tell(granted: int, held: int, others: int) -> int:
+    """What a process tells of the descriptors it holds: only what goes beyond its part, in steps, is news."""
+    part = granted // (others + 1)
+    return 0 if held <= part else min(-(-held // USED_STEP) * USED_STEP, granted)
+
+
 def parse(text: bytes) -> Record | None:
     """A record as read, or None where it is none."""
     try:
