Keep a view of the fleet by SWIM with Lifeguard, pure, and play it in virtual time

Ruled out: a thread or a clock inside the machine (the view must play from one seed, and the house's rule is events in, actions out); incarnations from 0 alone (a restarted member would be taken for its ghost until it heard of it: they start from the Unix time in milliseconds now). The change: fleet/model.py (members, news, messages bounded in size, tuning), wire.py (msgpack, reasons for what is dropped), swim.py (probes in shuffled round robin, indirect probes with nacks, suspicion shrinking with confirmations, local health, buddy system, push-pull that also seeks the failed, tombstones that age out), standins/virtual_fleet.py (a network of delay, loss and cuts).

--- /dev/null
+++ b/molespur/fleet/wire.py
@@ -0,0 +1,82 @@
+"""Messages between schedulers as bytes: msgpack by msgspec, checked and bounded.  Pure.
+
+A datagram is a `Packet` (version, cluster, body); a push-pull state over TCP is an `Exchange` behind a
+4-byte length.  Whatever can't be taken is told by a reason, which the seam counts; nothing raises.
+"""
+
+import struct
+
+import msgspec
+
+from .model import VERSION, Exchange, Message, News, Packet
+
+LENGTH = struct.Struct("!I")
+REASONS = ("oversized", "malformed", "version", "cluster")
+
+_encoder = msgspec.msgpack.Encoder()
+_packet = msgspec.msgpack.Decoder(Packet)
+_message = msgspec.msgpack.Decoder(Message)
+_exchange = msgspec.msgpack.Decoder(Exchange)
+
+
+class _Head(msgspec.Struct, array_like=True):
+    """What any version of a packet or exchange begins with."""
+
+    version: int
+
+
+_head = msgspec.msgpack.Decoder(_Head)
+
+
+def encode(cluster: str, message: Message) -> bytes:
+    """One datagram."""
+    return _encoder.encode(Packet(VERSION, cluster, msgspec.Raw(_encoder.encode(message))))
+
+
+def news_size(news: News) -> int:
+    """Bytes that one piece of news adds to a datagram."""
+    return len(_encoder.encode(news))
+
+
+def _version_of(data: bytes) -> int | None:
+    try:
+        return _head.decode(data).version
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return None
+
+
+def decode(data: bytes, cluster: str, most: int) -> tuple[Message | None, str]:
+    """The message of a datagram and "", or None and the reason why not."""
+    if len(data) > most:
+        return None, "oversized"
+    try:
+        packet = _packet.decode(data)
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return None, "malformed" if _version_of(data) in (None, VERSION) else "version"
+    if packet.version != VERSION:
+        return None, "version"
+    if packet.cluster != cluster:
+        return None, "cluster"
+    try:
+        return _message.decode(packet.body), ""
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return None, "malformed"
+
+
+def encode_exchange(cluster: str, src: str, join: bool, members: list[News]) -> bytes:
+    """A push-pull state with its length in front."""
+    body = _encoder.encode(Exchange(VERSION, cluster, src, join, members))
+    return LENGTH.pack(len(body)) + body
+
+
+def decode_exchange(body: bytes, cluster: str) -> tuple[Exchange | None, str]:
+    """A push-pull state (without its length) and "", or None and the reason why not."""
+    try:
+        exchange = _exchange.decode(body)
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return None, "malformed" if _version_of(body) in (None, VERSION) else "version"
+    if exchange.version != VERSION:
+        return None, "version"
+    if exchange.cluster != cluster:
+        return None, "cluster"
+    return exchange, ""
