--- a/molespur/fleet/swim.py
+++ b/molespur/fleet/swim.py
@@ -626,7 +626,7 @@
         self._out.append(Send(address, wire.encode(self.cluster, message)))
 
     def _news(self, first: News | None = None) -> list[News]:
-        """News for one datagram, the least sent first, within its bytes; each goes a bounded number of times."""
+        """News for a datagram: least sent first, within its bytes; each goes a bounded number of times."""
         budget = self.tuning.datagram_most - HEADROOM
         chosen = []
         if first is not None:
