Carry the fleet view over UDP and TCP, with a fault line and real processes to try it

Ruled out: a queue and a task for sends (a send the kernel can't take at once is better dropped and counted), and reading datagrams only in their own task: after a member was held, its timers could judge before the acks that waited for it were read; each tick now reads first. The change: fleet/gossip.py (one seam in the trio loop), fleet/seeds.py, [fleet] in the deployment file checked whole, off where settings.limits.peerMessages is false, the call fleet members and molespur fleet members, standins/faultline.py (loss, delay, dup, reorder, one-way cuts, partitions by command) and standins/members.py (SIGKILL, SIGSTOP, SIGCONT, restart with the same id).

--- a/molespur/__main__.py
+++ b/molespur/__main__.py
@@ -24,6 +24,7 @@
             print(scheduler.line(), file=sys.stderr, flush=True)
         elif number == signal.SIGHUP:
             scheduler.reload()
+            scheduler.reseed()
         else:
             log.info("stop.told", signal=number)
             scheduler.stop()
@@ -35,7 +36,8 @@
         async with trio.open_nursery() as nursery:
             registered = deployment is not None and deployment.cluster.source != "discovery"
             config = configuration.load(environ, needs_discovery=not registered)
-            scheduler = Scheduler(config, counters, nursery, deployment if registered else None)
+            fleet = deployment.fleet if deployment is not None and deployment.fleet.enabled else None
+            scheduler = Scheduler(config, counters, nursery, deployment if registered else None, fleet)
             nursery.start_soon(heed, signals, scheduler)
             await scheduler.run()
             nursery.cancel_scope.cancel()
--- a/molespur/cli/__init__.py
+++ b/molespur/cli/__init__.py
@@ -14,7 +14,7 @@
 class _Lazy(click.Group):
     """Imports a sub-command only when it is called: `serve` must not pay for the others."""
 
-    names = ("serve", "demo", "registry", "clients", "config", "ops", "standin")
+    names = ("serve", "demo", "registry", "clients", "config", "ops", "fleet", "standin")
 
     def list_commands(self, ctx):
         return list(self.names)
--- a/molespur/cli/standin.py
+++ b/molespur/cli/standin.py
@@ -40,3 +40,40 @@
         trio.run(main)
     except KeyboardInterrupt:
         raise click.Abort from None
+
+
+@command.command("faultline")
+@click.option("--members", type=click.IntRange(1, 250), required=True)
+@click.option("--front", required=True, metavar="A.B.C", help="members are reached at A.B.C.(i+1)")
+@click.option("--back", required=True, metavar="A.B.C", help="members listen at A.B.C.(i+1)")
+@click.option("--port", default=7946, show_default=True, help="the members' gossip port")
+@click.option("--control", default="127.0.0.1:0", show_default=True, metavar="HOST:PORT")
+@click.option("--seed", default=1, show_default=True, help="for the fate of each datagram")
+def faultline(members: int, front: str, back: str, port: int, control: str, seed: int) -> None:
+    """Stand between members of a fleet and drop, delay, duplicate, reorder, cut and partition.
+
+    Commands come a line each at the control address: loss P, delay MS [JITTER], dup P, reorder P,
+    cut A B, uncut A B, partition 0,1 2,3, heal, clear, counts.
+    """
+    from ..standins.faultline import FaultLine
+
+    host, _, number = control.rpartition(":")
+    if not (host and number.isdecimal() and int(number) < 65536):
+        raise click.BadParameter(f"must be host:port, got {control!r}", param_hint="--control")
+    line = FaultLine(members, front, back, port, seed)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            try:
+                place = await nursery.start(line.serve, (host, int(number)))
+            except* OSError as problem:
+                raise click.ClickException(f"can't listen: {problem.exceptions[0]}") from None
+            click.echo("control at {}:{}".format(*place[:2]), nl=True)
+            import sys
+
+            sys.stdout.flush()
+
+    try:
+        trio.run(main)
+    except KeyboardInterrupt:
+        raise click.Abort from None
--- a/molespur/config/deployment.py
+++ b/molespur/config/deployment.py
@@ -91,6 +91,47 @@
     ttl_s: Annotated[Count, Meta(description="a lease's time to live, whole seconds")] = 10
 
 
+class Fleet(_Part):
+    """The schedulers among themselves: membership by SWIM with Lifeguard (docs/operate/fleet_view.md)."""
+
+    enabled: Annotated[bool, Meta(description="keep a view of the fleet with the other schedulers")] = False
+    id: Annotated[str, Meta(description="this member's stable id; empty: the scheduler's name")] = ""
+    bind: Annotated[str, Meta(description="host:port for UDP and TCP, numeric IPv4")] = "127.0.0.1:7946"
+    advertise: Annotated[str, Meta(description="host:port that others reach us at; empty: bind")] = ""
+    cluster: Annotated[str, Meta(description="the fleet's name; others' messages are dropped")] = "molespur"
+    seeds: Annotated[list[str], Meta(description="members to join by, host:port; a flag: commas")] = (
+        msgspec.field(default_factory=list)
+    )
+    seeds_file: Annotated[str, Meta(description="JSON list of seeds, host:port; read on SIGHUP")] = ""
+    period_ms: Annotated[Positive, Meta(description="one probe a period")] = 1_000.0
+    probe_timeout_ms: Annotated[Positive, Meta(description="for a direct ack; below period_ms")] = 500.0
+    indirect: Annotated[Count, Meta(description="members asked to probe for us when no ack comes")] = 3
+    suspicion_mult: Annotated[Positive, Meta(description="least suspicion: this x log10(n) x period")] = 4.0
+    suspicion_max_mult: Annotated[Positive, Meta(description="longest suspicion: this x the least")] = 6.0
+    retransmit_mult: Annotated[Count, Meta(description="news goes out this x log10(n + 1) times")] = 4
+    gossip_ms: Annotated[Positive, Meta(description="news is sent to a few members this often")] = 200.0
+    gossip_nodes: Annotated[Count, Meta(description="members that news is sent to each gossip_ms")] = 3
+    push_pull_ms: Annotated[Positive, Meta(description="views are swapped this often, more beyond 32")] = (
+        15_000.0
+    )
+    tombstone_ms: Annotated[Positive, Meta(description="failed and left members are kept so long")] = 60_000.0
+    most_members: Annotated[Count, Meta(description="members held at most; tombstones go first")] = 1_024
+    datagram_most: Annotated[Count, Meta(description="bytes of a datagram; larger ones are dropped")] = 1_400
+    tick_ms: Annotated[Positive, Meta(description="the view's timers are looked at this often")] = 50.0
+
+    def tuning(self):
+        """The pure machine's tuning."""
+        from ..fleet.model import Tuning
+
+        return Tuning(
+            period_ms=self.period_ms, probe_timeout_ms=self.probe_timeout_ms, indirect=self.indirect,
+            suspicion_mult=self.suspicion_mult, suspicion_max_mult=self.suspicion_max_mult,
+            retransmit_mult=self.retransmit_mult, gossip_ms=self.gossip_ms, gossip_nodes=self.gossip_nodes,
+            push_pull_ms=self.push_pull_ms, tombstone_ms=self.tombstone_ms, most_members=self.most_members,
+            datagram_most=self.datagram_most, lag_ms=max(5 * self.tick_ms, self.probe_timeout_ms / 2),
+        )  # fmt: skip
+
+
 class Deployment(_Part):
     """The whole file."""
 
@@ -98,6 +139,7 @@
     cluster: ClusterPart = ClusterPart()
     registry: Registry = Registry()
     registration: Registration = Registration()
+    fleet: Fleet = Fleet()
 
 
 @dataclass(frozen=True, slots=True)
@@ -228,3 +270,29 @@
         raise ConfigError("registry.prefix: must not be empty")
     if deployment.registry.backoff_most_ms < deployment.registry.backoff_ms:
         raise ConfigError("registry.backoff_most_ms: must be at least registry.backoff_ms")
+    _check_fleet(deployment.fleet)
+
+
+def _check_fleet(fleet: Fleet) -> None:
+    for key in ("bind", "advertise"):
+        if getattr(fleet, key) or key == "bind":
+            _ipv4(getattr(fleet, key), f"fleet.{key}")
+    for seed in fleet.seeds:
+        _ipv4(seed, "fleet.seeds")
+    if fleet.probe_timeout_ms >= fleet.period_ms:
+        raise ConfigError("fleet.probe_timeout_ms: must be below fleet.period_ms")
+    if fleet.suspicion_max_mult < 1:
+        raise ConfigError("fleet.suspicion_max_mult: must be at least 1")
+    if not 1 <= len(fleet.cluster) <= 64 or len(fleet.id) > 64:
+        raise ConfigError("fleet.cluster: must be 1 to 64 characters, and fleet.id at most 64")
+    if fleet.datagram_most < 512 or fleet.datagram_most > 65_000:
+        raise ConfigError("fleet.datagram_most: must be 512 to 65000")
+
+
+def _ipv4(text: str, key: str) -> tuple[str, int]:
+    """host:port with a numeric IPv4 host: the fleet's sockets are IPv4 alone, and there is no DNS."""
+    host, port = parse_address(text, key)
+    parts = host.split(".")
+    if len(parts) != 4 or not all(p.isdecimal() and int(p) < 256 for p in parts):
+        raise ConfigError(f"{key}: must be a numeric IPv4 address, got {text!r}")
+    return host, port
--- a/molespur/config/platform.py
+++ b/molespur/config/platform.py
@@ -55,6 +55,7 @@
     dial_timeout: float | None = None
     max_open: int | None = None
     max_retry_after: float | None = None
+    peer_messages: bool | None = None
     probing: bool = False
     retry_after: bool = False
     second_copies: bool = False
@@ -274,6 +275,7 @@
     has_reports: bool = False
     raw: dict = field(default_factory=dict, repr=False)  # the file as it came
     ops: tuple[str, int] | None = None  # the operators' address; without it nothing listens for them
+    peers_allowed: bool = True  # settings.limits.peerMessages is not false: schedulers may talk to each other
 
 
 def load(environ, running: Config | None = None, needs_discovery: bool = True) -> Config:
@@ -336,6 +338,7 @@
         has_reports=bool(raw.report and raw.report.via != "silent"),
         raw=whole,
         ops=parse_address(ops, "LB_OPS") if ops else None,
+        peers_allowed=limits.peer_messages is not False,
     )
 
 
--- a/molespur/operations/calls.py
+++ b/molespur/operations/calls.py
@@ -15,8 +15,9 @@
         tell: Callable[[Told], str | None],
         stance: Callable[[], Stance],
         figures: Callable[[], list[str]],
+        fleet: Callable[[], list[str] | None] = lambda: None,
     ):
-        self._tell, self._stance, self._figures = tell, stance, figures
+        self._tell, self._stance, self._figures, self._fleet = tell, stance, figures, fleet
 
     def answer(self, line: bytes) -> list[str]:
         """The lines of the answer to one call."""
@@ -29,6 +30,9 @@
         if call in (b"evacuate", b"activate"):
             why = self._tell(Told(call.decode()))
             return [f"fail {why}" if why else "ok"]
+        if call == b"fleet members":
+            members = self._fleet()
+            return ["fail the fleet view is off"] if members is None else [*members, "eof"]
         if len(line) > LINE_MOST:
             return ["fail the call is too long"]
-        return ["fail unknown call; there are readyz, telemetry, evacuate and activate"]
+        return ["fail unknown call; there are readyz, telemetry, evacuate, activate and fleet members"]
--- a/molespur/registry/source.py
+++ b/molespur/registry/source.py
@@ -83,9 +83,7 @@
 class RegistrySource:
     """A registry as the cluster's source."""
 
-    def __init__(
-        self, given: Deployment, config, cluster, wheel, clock, counters, nursery, dial=dial_tcp
-    ):
+    def __init__(self, given: Deployment, config, cluster, wheel, clock, counters, nursery, dial=dial_tcp):
         registry = given.registry
         self.cluster, self.wheel, self.clock, self.counters = cluster, wheel, clock, counters
         self.nursery, self.registry = nursery, registry
--- a/molespur/registry/writes.py
+++ b/molespur/registry/writes.py
@@ -130,4 +130,3 @@
 def writes_of(protocol: Etcd | Consul) -> EtcdWrites | ConsulWrites:
     """The writes that go with a protocol."""
     return EtcdWrites(protocol) if isinstance(protocol, Etcd) else ConsulWrites(protocol)
-
--- a/molespur/scheduler.py
+++ b/molespur/scheduler.py
@@ -34,8 +34,9 @@
     of that is imported.
     """
 
-    def __init__(self, config, counters: Counters, nursery, registered=None):
+    def __init__(self, config, counters: Counters, nursery, registered=None, fleet=None):
         self.config, self.counters, self.nursery = config, counters, nursery
+        self.fleet_part, self.fleet = fleet, None  # the deployment's [fleet], and its link once open
         self.clock, self.wheel = Clock(), Wheel(config.tick_ms)
         self.sockets = config.sockets  # descriptors for this process; fewer while another lives beside it
         most_clients, most_upstream, usual, bodies = self._parts()
@@ -96,6 +97,8 @@
             await self._open_operations()
             await self._find_elder()
         listener = await open_listener(self.config.listen, "LB_LISTEN", shared=self.config.ops is not None)
+        if self.fleet_part is not None:
+            await self._open_fleet()
         self.host.deliver(Started())
         self.cluster.start()
         self.nursery.start_soon(self.downstream.listen, listener, self.nursery)
@@ -116,11 +119,15 @@
         except Exception:
             # guards against a stop that is passed over for what stands in a directory
             log.exception("replacement.failed")
+        if self.fleet is not None:
+            self.fleet.leave()
         self.service.tell(Told.STOP)
 
     def line(self) -> str:
         """All counts as one line for the log."""
         self.counters["loop.late_ms"] = round(self.wheel.late_ms)
+        if self.fleet is not None:
+            self.fleet.publish()
         return self.counters.line(self.config.name)
 
     # -- Operators, and other processes ----------------------------------------------------------
@@ -130,9 +137,8 @@
         from .operations.calls import Calls
         from .operations.listener import Operations
 
-        operations = Operations(
-            Calls(self.service.tell, self.service.stance, self.figures), self.wheel, self.counters
-        )
+        calls = Calls(self.service.tell, self.service.stance, self.figures, self.fleet_members)
+        operations = Operations(calls, self.wheel, self.counters)
         listener = await open_listener(self.config.ops, "LB_OPS")
         self.nursery.start_soon(operations.listen, listener, self.nursery)
 
@@ -140,9 +146,53 @@
         """The figures as of now."""
         from .operations.figures import Gauges, figures
 
+        if self.fleet is not None:
+            self.fleet.publish()
         gauges = Gauges(self.host.open, *self.cluster.known_and_skipped())
         return figures(self.counters, (c.name for c in self.host.settings.classes), gauges)
 
+    # -- The fleet of schedulers -----------------------------------------------------------------
+
+    async def _open_fleet(self) -> None:
+        """Join the other schedulers.  Without `[fleet]` nothing of this is imported.  Raises ConfigError."""
+        part = self.fleet_part
+        if not self.config.peers_allowed:
+            log.warning("fleet.off", why="settings.limits.peerMessages is false")
+            return
+        import random
+
+        from .fleet.gossip import Link
+        from .fleet.seeds import read_seeds
+        from .fleet.swim import Membership
+
+        bind = configuration.parse_address(part.bind, "fleet.bind")
+        advertise = configuration.parse_address(part.advertise or part.bind, "fleet.advertise")
+        rng = random.Random(self.config.seed ^ 0x5F1EE7)
+        membership = Membership(part.id or self.config.name, advertise, part.tuning(), rng, part.cluster)
+        link = Link(membership, bind, part.tick_ms, self.wheel, self.clock, self.counters)
+        try:
+            await link.open()
+        except OSError as problem:
+            raise configuration.ConfigError(f"fleet.bind: {part.bind}: {problem}") from None
+        seeds = read_seeds(part.seeds, part.seeds_file)
+        self.fleet = link
+        await self.nursery.start(link.run, seeds)
+
+    def reseed(self) -> None:
+        """SIGHUP: read the seeds' file again; one that can't be read leaves the seeds as they were."""
+        if self.fleet is None or not self.fleet_part.seeds_file:
+            return
+        from .fleet.seeds import read_seeds
+
+        try:
+            self.fleet.reseed(read_seeds(self.fleet_part.seeds, self.fleet_part.seeds_file))
+        except configuration.ConfigError as problem:
+            log.error("fleet.seeds_refused", why=str(problem), then="the seeds stay as they were")
+
+    def fleet_members(self) -> list[str] | None:
+        """The fleet view as lines, or None where it is off."""
+        return None if self.fleet is None else self.fleet.members()
+
     async def _find_elder(self) -> None:
         """Where another process serves this address, wait until it has made room, and go by its list."""
         if not (directory := os.environ.get("TMPDIR")):
