--- a/molespur/fleet/gossip.py
+++ b/molespur/fleet/gossip.py
@@ -167,6 +167,7 @@
         while True:
             await trio.lowlevel.wait_readable(self._udp)
             self._drain()
+            self._do(self.membership.handle(self.clock.now(), Tick()))  # answers go out now, not at the tick
             await trio.sleep(0)  # others' turn between two full reads
 
     def _drain(self) -> None:
--- a/molespur/fleet/swim.py
+++ b/molespur/fleet/swim.py
@@ -58,7 +58,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Tick:
-    """Time has passed; timers are looked at on every call in any case."""
+    """Time has passed: look at the timers.  Other events never judge by time, so that a seam that reads
+    all that has come before it ticks never times out what was already there."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -264,7 +265,8 @@
             self._seeds = tuple(s for s in event.seeds if s != self.address)
         elif isinstance(event, Leave):
             self._leave(now)
-        if self.started:
+        if self.started and isinstance(event, (Tick, Start)):
+            # only a tick judges by time: the seam reads all that has come before it ticks
             self._timers(now)
         return self._out
 
