--- a/molespur/fleet/gossip.py
+++ b/molespur/fleet/gossip.py
@@ -58,6 +58,7 @@
         self._answers = trio.CapacityLimiter(ANSWERS_AT_ONCE)
         self._nursery = None
         self._published = 0.0
+        self._rate = (0.0, 0)  # when, and bytes sent by then, for the rate of bytes
 
     async def open(self) -> None:
         """Take the address: a datagram socket and a listener on the same port."""
@@ -116,6 +117,13 @@
         for state, count in self.membership.by_state().items():
             self.counters["fleet.members." + state] = count
         self.counters["fleet.health"] = self.membership.health
+        now, sent = self.clock.now(), self.counters["fleet.bytes_sent"]
+        if now - self._rate[0] >= PUBLISH_MS:
+            if self._rate[0]:
+                self.counters["fleet.bytes_sent_per_s"] = round(
+                    (sent - self._rate[1]) * 1000 / (now - self._rate[0])
+                )
+            self._rate = (now, sent)
 
     # -- Time ----------------------------------------------------------------------------------
 
--- a/molespur/operations/calls.py
+++ b/molespur/operations/calls.py
@@ -15,7 +15,7 @@
         tell: Callable[[Told], str | None],
         stance: Callable[[], Stance],
         figures: Callable[[], list[str]],
-        fleet: Callable[[], list[str] | None] = lambda: None,
+        fleet: Callable[[str], list[str] | None] = lambda what: None,
     ):
         self._tell, self._stance, self._figures, self._fleet = tell, stance, figures, fleet
 
@@ -30,9 +30,9 @@
         if call in (b"evacuate", b"activate"):
             why = self._tell(Told(call.decode()))
             return [f"fail {why}" if why else "ok"]
-        if call == b"fleet members":
-            members = self._fleet()
-            return ["fail the fleet view is off"] if members is None else [*members, "eof"]
+        if call in (b"fleet members", b"fleet counters"):
+            lines = self._fleet(call.decode().split()[1])
+            return ["fail the fleet view is off"] if lines is None else [*lines, "eof"]
         if len(line) > LINE_MOST:
             return ["fail the call is too long"]
-        return ["fail unknown call; there are readyz, telemetry, evacuate, activate and fleet members"]
+        return ["fail unknown call; there are readyz, telemetry, evacuate, activate, fleet members|counters"]
--- a/molespur/scheduler.py
+++ b/molespur/scheduler.py
@@ -137,7 +137,7 @@
         from .operations.calls import Calls
         from .operations.listener import Operations
 
-        calls = Calls(self.service.tell, self.service.stance, self.figures, self.fleet_members)
+        calls = Calls(self.service.tell, self.service.stance, self.figures, self.fleet_lines)
         operations = Operations(calls, self.wheel, self.counters)
         listener = await open_listener(self.config.ops, "LB_OPS")
         self.nursery.start_soon(operations.listen, listener, self.nursery)
@@ -189,9 +189,14 @@
         except configuration.ConfigError as problem:
             log.error("fleet.seeds_refused", why=str(problem), then="the seeds stay as they were")
 
-    def fleet_members(self) -> list[str] | None:
-        """The fleet view as lines, or None where it is off."""
-        return None if self.fleet is None else self.fleet.members()
+    def fleet_lines(self, what: str) -> list[str] | None:
+        """The fleet view (`members`) or its counters (`counters`) as lines; None where it is off."""
+        if self.fleet is None:
+            return None
+        if what == "members":
+            return self.fleet.members()
+        self.fleet.publish()
+        return [f"{k}={v}" for k, v in sorted(self.counters.items()) if k.startswith("fleet.")]
 
     async def _find_elder(self) -> None:
         """Where another process serves this address, wait until it has made room, and go by its list."""
--- a/molespur/standins/members.py
+++ b/molespur/standins/members.py
@@ -61,10 +61,12 @@
         faultline: bool = False,
         seeds: tuple[int, ...] = (0, 1),
         python: str = sys.executable,
+        settings: dict | None = None,
     ):
         self.directory, self.n, self.python = Path(directory), n, python
         self.net = net if net is not None else random.randint(20, 250)
         self.fleet, self.faultline, self.seeds = dict(FAST if fleet is None else fleet), faultline, seeds
+        self.settings = SETTINGS if settings is None else settings  # the platform's, in LB_CONFIG
         self.programs: dict[int, subprocess.Popen] = {}
         self.line: subprocess.Popen | None = None
         self.control: tuple[str, int] | None = None
@@ -121,7 +123,7 @@
             "listen": f"{self.host(i)}:{LISTEN_PORT}",
             "discovery": f"{self.host(i)}:{DISCOVERY_PORT}",
             "seed": f"{i + 1:x}",
-            "settings": SETTINGS | {"balancers": self.n},
+            "settings": self.settings | {"balancers": self.n},
             "known": {"rev": 1, "all": True, "targets": []},
             "limits": {"memory_mb": 192, "sockets": 256},
         }
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -205,7 +205,7 @@
     code = (
         "import sys, molespur.__main__ as p\n"
         "off = ('molespur.registry','molespur.cli','molespur.standins','molespur.config.deployment',"
-        "'click','structlog','immutables','blake3','rich')\n"
+        "'click','structlog','immutables','blake3','rich','molespur.fleet')\n"
         "print([n for n in sys.modules if n.startswith(off)])"
     )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=60)
