Let schedulers find each other through records that each keeps in the registry

Ruled out: the fleet reading the registry itself (a package imports no other's I/O); a watch of the prefix (the view keeps itself once joined: seeds matter only at the start). The change: registry/peers.py reads the records under fleet.registry_prefix once at start and keeps this member's own under a lease (the worker's registration machine); the scheduler joins both to the seeds and leaves the record at SIGTERM. Members takes more tables of the deployment.

--- a/molespur/__main__.py
+++ b/molespur/__main__.py
@@ -36,7 +36,7 @@
         async with trio.open_nursery() as nursery:
             registered = deployment is not None and deployment.cluster.source != "discovery"
             config = configuration.load(environ, needs_discovery=not registered)
-            fleet = deployment.fleet if deployment is not None and deployment.fleet.enabled else None
+            fleet = deployment if deployment is not None and deployment.fleet.enabled else None
             scheduler = Scheduler(config, counters, nursery, deployment if registered else None, fleet)
             nursery.start_soon(heed, signals, scheduler)
             await scheduler.run()
--- a/molespur/config/deployment.py
+++ b/molespur/config/deployment.py
@@ -103,6 +103,8 @@
         msgspec.field(default_factory=list)
     )
     seeds_file: Annotated[str, Meta(description="JSON list of seeds, host:port; read on SIGHUP")] = ""
+    seeds_from_registry: Annotated[bool, Meta(description="find others in [registry], be found")] = False
+    registry_prefix: Annotated[str, Meta(description="keys of schedulers' records")] = "molespur/schedulers/"
     period_ms: Annotated[Positive, Meta(description="one probe a period")] = 1_000.0
     probe_timeout_ms: Annotated[Positive, Meta(description="for a direct ack; below period_ms")] = 500.0
     indirect: Annotated[Count, Meta(description="members asked to probe for us when no ack comes")] = 3
@@ -285,6 +287,8 @@
         raise ConfigError("fleet.suspicion_max_mult: must be at least 1")
     if not 1 <= len(fleet.cluster) <= 64 or len(fleet.id) > 64:
         raise ConfigError("fleet.cluster: must be 1 to 64 characters, and fleet.id at most 64")
+    if fleet.seeds_from_registry and not fleet.registry_prefix.strip("/"):
+        raise ConfigError("fleet.registry_prefix: must not be empty")
     if fleet.datagram_most < 512 or fleet.datagram_most > 65_000:
         raise ConfigError("fleet.datagram_most: must be 512 to 65000")
 
--- a/molespur/scheduler.py
+++ b/molespur/scheduler.py
@@ -36,7 +36,9 @@
 
     def __init__(self, config, counters: Counters, nursery, registered=None, fleet=None):
         self.config, self.counters, self.nursery = config, counters, nursery
-        self.fleet_part, self.fleet = fleet, None  # the deployment's [fleet], and its link once open
+        self.fleet_given, self.fleet = fleet, None  # a deployment with [fleet] on, and the link once open
+        self.fleet_part = fleet.fleet if fleet is not None else None
+        self.fleet_record = None  # this member's record in the registry, where the others are found there
         self.clock, self.wheel = Clock(), Wheel(config.tick_ms)
         self.sockets = config.sockets  # descriptors for this process; fewer while another lives beside it
         most_clients, most_upstream, usual, bodies = self._parts()
@@ -121,6 +123,8 @@
             log.exception("replacement.failed")
         if self.fleet is not None:
             self.fleet.leave()
+        if self.fleet_record is not None:
+            self.fleet_record.leave()
         self.service.tell(Told.STOP)
 
     def line(self) -> str:
@@ -175,9 +179,23 @@
         except OSError as problem:
             raise configuration.ConfigError(f"fleet.bind: {part.bind}: {problem}") from None
         seeds = read_seeds(part.seeds, part.seeds_file)
+        if part.seeds_from_registry:
+            seeds = await self._seeds_from_registry(membership.me, advertise, seeds)
         self.fleet = link
         await self.nursery.start(link.run, seeds)
 
+    async def _seeds_from_registry(self, member: str, advertise, seeds: tuple) -> tuple:
+        """Add the others' records to the seeds, and keep one's own there."""
+        from .registry.peers import keep_own, read_peers
+
+        given, prefix = self.fleet_given, self.fleet_part.registry_prefix
+        found, why = await read_peers(given, prefix, self.wheel)
+        if why:
+            log.warning("fleet.registry_unread", why=why, then="the other seeds stand")
+        self.fleet_record = keep_own(given, prefix, member, advertise, self.wheel, self.clock, self.counters)
+        self.nursery.start_soon(self.fleet_record.run)
+        return tuple(dict.fromkeys((*seeds, *(a for a in found if a != advertise))))
+
     def reseed(self) -> None:
         """SIGHUP: read the seeds' file again; one that can't be read leaves the seeds as they were."""
         if self.fleet is None or not self.fleet_part.seeds_file:
--- a/molespur/standins/members.py
+++ b/molespur/standins/members.py
@@ -62,11 +62,13 @@
         seeds: tuple[int, ...] = (0, 1),
         python: str = sys.executable,
         settings: dict | None = None,
+        tables: dict | None = None,
     ):
         self.directory, self.n, self.python = Path(directory), n, python
         self.net = net if net is not None else random.randint(20, 250)
         self.fleet, self.faultline, self.seeds = dict(FAST if fleet is None else fleet), faultline, seeds
         self.settings = SETTINGS if settings is None else settings  # the platform's, in LB_CONFIG
+        self.tables = tables or {}  # more tables of the deployment file, such as [registry]
         self.programs: dict[int, subprocess.Popen] = {}
         self.line: subprocess.Popen | None = None
         self.control: tuple[str, int] | None = None
@@ -135,8 +137,9 @@
             "advertise": f"{self.front(i)}:{GOSSIP_PORT}",
             "seeds": [f"{self.front(s)}:{GOSSIP_PORT}" for s in self.seeds if s != i],
         }
-        lines = ["[log]", 'format = "json"', "[fleet]"]
-        lines += [f"{key} = {json.dumps(value)}" for key, value in fleet.items()]
+        lines = []
+        for name, table in {"log": {"format": "json"}, **self.tables, "fleet": fleet}.items():
+            lines += [f"[{name}]", *(f"{key} = {json.dumps(value)}" for key, value in table.items())]
         (place / "deployment.toml").write_text("\n".join(lines) + "\n")
         env = {k: v for k, v in os.environ.items() if not k.startswith(("LB_", "MOLESPUR_"))}
         return env | {
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -10,6 +10,7 @@
 
 import msgspec
 import pytest
+from far_registry import a_registry
 
 from molespur.fleet import wire
 from molespur.fleet.model import VERSION, Ack, News, Packet, Ping, State
@@ -225,6 +226,21 @@
     return [line for line in ask(fleet.ops(i), "fleet counters") if line != "eof"]
 
 
+def test_members_find_each_other_through_the_registry(rig):
+    """No seeds but the records that each member keeps in a (stand-in) registry."""
+    with a_registry() as address:
+        tables = {"registry": {"endpoints": [address]}, "registration": {"ttl_s": 5}}
+        fleet = rig(3, faultline=False, fleet=dict(FAST, seeds_from_registry=True), seeds=(), tables=tables)
+        fleet.start(0)
+        fleet.ready(0)  # it found nobody, and is found
+        fleet.start_all(range(1, 3))
+        for i in range(3):
+            fleet.ready(i)
+        fleet.wait_agreed(AGREE_S, {"m0", "m1", "m2"})
+        fleet.terminate(2)
+        until(lambda: fleet.members(0)["m2"][0] == "left", AGREE_S)  # it said that it leaves: not failed
+
+
 def test_off_where_peers_may_not_talk(rig):
     """The platform's settings forbid peer messages: [fleet] is asked for, and nothing listens."""
     settings = dict(SETTINGS, limits=dict(SETTINGS["limits"], peerMessages=False))
