Ping members held failed, telling them so, and swap whole views only for repair

Cause, in virtual time with the default tuning, nothing happening: at 100 members a member sent 42 bytes a second of datagrams but 101 of push-pull, three times what it sent at 10, since halves found each other again only by push-pulls (every other one to a failed member) and a view grows with n; two halves cut for 30 s took 16.5 s to agree again at 100 members. Ruled out: fewer push-pulls alone (healing would take as much longer). The change: every 2 periods a member pings one that it holds failed, with that news first; where it lives it refutes on its ack and is alive again (swim.py _reconnect); push-pull only repairs what gossip missed, each push_pull_ms x n/8 beyond 8 members (model.py push_pull_every).

--- a/molespur/fleet/model.py
+++ b/molespur/fleet/model.py
@@ -159,13 +159,13 @@
         return least, least * self.suspicion_max_mult
 
     def push_pull_every(self, n: int) -> float:
-        """Beyond 32 members the period grows with n: a view's bytes grow with n, and so the bytes that a
-        member sends a second stay flat, while the fleet as a whole still swaps 32 views each `push_pull_ms`.
+        """Beyond 8 members the period grows with n: a view's bytes grow with n, and so the bytes that a
+        member sends a second stay flat, while the fleet as a whole still swaps 8 views each `push_pull_ms`.
 
         memberlist grows it with log2(n) only; measured, that tripled a member's push-pull bytes from 10 to
-        100 members.
+        100 members.  Healed halves find each other by pings to the failed (`swim.RECONNECT_PERIODS`).
         """
-        return self.push_pull_ms * max(1.0, n / 32)
+        return self.push_pull_ms * max(1.0, n / 8)
 
 
 @dataclass(frozen=True, slots=True)
--- a/molespur/fleet/swim.py
+++ b/molespur/fleet/swim.py
@@ -45,6 +45,7 @@
 PURGE_EVERY_MS = 1_000.0
 HEADROOM = 160  # bytes of a datagram kept for what is not news
 NACK_SHARE = 0.8  # of what is left of a requester's period, for a helper to wait before its nack
+RECONNECT_PERIODS = 2.0  # a member held failed is pinged this often, in probe periods
 
 
 # -- Events -----------------------------------------------------------------------------------------
@@ -245,6 +246,7 @@
         self._seeds: tuple[Address, ...] = ()
         self._last: float | None = None
         self._next_probe = self._next_gossip = self._next_push = self._next_purge = 0.0
+        self._next_reconnect = 0.0
         self._join_at: float | None = None
         self._join_tries = 0
         self._push_round = 0
@@ -353,6 +355,21 @@
         if now >= self._next_purge:
             self._next_purge = now + PURGE_EVERY_MS
             self._purge(now)
+        if now >= self._next_reconnect and not self.leaving:
+            self._next_reconnect = now + RECONNECT_PERIODS * tuning.period_ms * self.rng.uniform(0.75, 1.25)
+            self._reconnect()
+
+    def _reconnect(self) -> None:
+        """Ping one member held failed, telling it so: where it lives (a healed cut, a false death), it
+        refutes on its ack, and is alive here again at once: a datagram each few periods, not a view."""
+        failed = [m for m in self.members.values() if m.state is State.DEAD]
+        if not failed:
+            return
+        member = self.rng.choice(failed)
+        self._seq += 1
+        self.counts["reconnects"] += 1
+        ping = Ping(self._seq, self.me, *self.address, member.id, self._news(member.news(self.me)))
+        self._send(member.address, ping)
 
     def _due(self, member_id: str, now: float) -> bool:
         suspicion = self.members[member_id].suspicion
