Judge records workers on the fleet's evidence with its origin, pure

Ruled out: sharing verdicts (a member's verdict hides how much it saw, and verdicts can't be added up); one counter for the fleet (it loses who saw what, and one loud member would decide). The change: fleet/evidence.py: counts of upstream requests and failures per worker, window and member, as deltas of G-counters; a worker is bad where 3 members each found half of at least 3 requests failed, or 30 failures at that ratio from 2 members at least; windows age out; bounded in workers and members; what is refused is counted by reason. Tests: a member that alone fails 200 times at a healthy worker leaves it good (the test fails once volume may come from one member alone); nine failures over three members make it bad for all, and it ages out; deltas in any order and twice give the same store.

--- a/tests/fleet/test_state.py
+++ b/tests/fleet/test_state.py
@@ -2,12 +2,14 @@
 
 import random
 
+import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from molespur.fleet.crdt import GCounter, HybridClock, LWWMap, PNCounter, Register, Stamp
 from molespur.fleet.escrow import Escrow, Tuning
+from molespur.fleet.evidence import Evidence, Rules, Seen
 
 MEMBERS = st.sampled_from(["a", "b", "c", "d"])
 g_counters = st.dictionaries(MEMBERS, st.integers(0, 50)).map(GCounter)
@@ -171,3 +173,70 @@
     max_examples=150, stateful_step_count=60, deadline=None, suppress_health_check=[HealthCheck.too_slow]
 )
 test_escrow_never_passes_its_bound = Budget.TestCase
+
+
+# -- Evidence on workers ---------------------------------------------------------------------------
+
+
+def told_all(stores, now):
+    for store in stores:
+        for seen in store.delta(1000):
+            for other in stores:
+                other.merge(seen, now)
+
+
+def test_one_broken_path_does_not_make_a_healthy_worker_bad():
+    stores = [Evidence(f"m{i}") for i in range(9)]
+    for n in range(200):
+        stores[0].saw("w1", True, 1000.0 + n)  # m0 alone fails at w1, and sends much
+        stores[1 + n % 8].saw("w1", False, 1000.0 + n)
+    told_all(stores, 1500.0)
+    assert not any(store.verdict("w1", 1500.0).bad for store in stores)
+
+
+def test_a_bad_worker_is_judged_on_few_observations_spread_over_the_fleet():
+    """Three members that each saw three failures: nine in all, where one member alone would need its own."""
+    stores = [Evidence(f"m{i}") for i in range(9)]
+    for i in range(3):
+        for _ in range(3):
+            stores[i].saw("w2", True, 1000.0)
+    told_all(stores, 1000.0)
+    assert all(store.verdict("w2", 1000.0).bad for store in stores)
+    assert not stores[0].verdict("w2", 1000.0 + 30_000).bad, "the judgement ages out"
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 3), st.integers(0, 2), st.integers(0, 9)), max_size=30), st.randoms()
+)
+def test_evidence_merges_in_any_order_and_twice(items, rng):
+    deltas = [Seen("w", window, f"m{member}", sent, sent // 2) for member, window, sent in items]
+    a, b = Evidence("x"), Evidence("y")
+    for seen in deltas:
+        a.merge(seen, 25_000.0)
+    shuffled = deltas * 2
+    rng.shuffle(shuffled)
+    for seen in shuffled:
+        b.merge(seen, 25_000.0)
+    assert a.kept == b.kept
+
+
+@pytest.mark.parametrize(
+    ("seen", "why"),
+    [
+        (Seen("w", 9, "m1", 1, 0), "evidence_from_the_future"),
+        (Seen("w", 0, "m1", 1, 0), "evidence_old"),
+        (Seen("w", 3, "m1", 1, 5), "evidence_absurd"),
+        (Seen("w", 3, "x", 1, 0), "evidence_ours"),
+    ],
+)
+def test_evidence_that_is_refused_says_why(seen, why):
+    store = Evidence("x")
+    assert not store.merge(seen, 35_000.0) and store.counts == {why: 1}
+
+
+def test_evidence_is_bounded_in_workers():
+    store = Evidence("x", Rules(most_workers=10))
+    for n in range(50):
+        store.saw(f"w{n}", True, 1000.0)
+        store.merge(Seen(f"v{n}", 0, "m1", 1, 1), 1000.0)
+    assert len({key[0] for key in store.kept}) == 10 and store.counts["evidence_no_room"] == 90
