--- a/molespur/standins/faultline.py
+++ b/molespur/standins/faultline.py
@@ -9,7 +9,7 @@
 
     loss P | delay MS [JITTER] | dup P | reorder P      for all pairs (P a share, 0 to 1)
     cut A B | uncut A B                                 nothing from A reaches B (one way)
-    partition 0,1,2 3,4                                 groups, cut from each other both ways
+    partition 0,1,2 3,4 | partition east=0,1 west=2,3   groups (named or not), cut from each other both ways
     heal                                                all cuts and partitions gone
     clear                                               all faults gone
     counts                                              what passed and what was dropped, by reason
@@ -77,7 +77,7 @@
                     return "fail no such member"
                 self.cuts.add(pair) if word == "cut" else self.cuts.discard(pair)
             elif word == "partition":
-                groups = [{int(x) for x in group.split(",")} for group in args]
+                groups = [{int(x) for x in group.rpartition("=")[2].split(",")} for group in args]
                 if len(groups) < 2 or not all(0 <= x < members for g in groups for x in g):
                     return "fail partition needs two groups of members"
                 for a in groups:
