Give the stop test's scheduler all that a stop looks at, the record in the registry too

Ruled out: a fault of the stop itself (a real Scheduler always sets it at construction, and the tests of real processes stop through it). The change: the test's parts name it.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -565,6 +565,6 @@
 
     told = []
     parts = {"succession": SimpleNamespace(look=look), "service": SimpleNamespace(tell=told.append)}
-    parts["fleet"] = None
+    parts |= {"fleet": None, "fleet_record": None}
     Scheduler.stop(SimpleNamespace(**parts))
     assert told == [Told.STOP]
