--- a/molespur/fleet/crdt.py
+++ b/molespur/fleet/crdt.py
@@ -1,59 +1,115 @@
 """State that schedulers share by merging: counters, a hybrid logical clock, last-writer-wins registers.
 
 Pure: every `merge` here is commutative, associative and idempotent (tested), so that state may come in any
-order, twice, or late.  What ages out does so by the local time passed to `expire`, never inside `merge`: a
-merge is a function of its two sides alone.  Sources: Shapiro et al., "Conflict-free replicated data types"
+order, twice, or late; a merge is a function of its two sides alone.  What ages out does so elsewhere, by the
+holder's own clock (`judgements.py`).  Sources: Shapiro et al., "Conflict-free replicated data types"
 (2011) for the counters and registers; Kulkarni et al., "Logical physical clocks" (2014) for the clock.
 """
 
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
+NAMES_MOST = 32  # counters of one member
+TAKE_UP_MS = 60_000.0  # after a start, for rows of past lives to come from peers
+ZERO = (0, 0)
+Name = Annotated[str, Meta(max_length=32)]
+Total = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 
-class GCounter(msgspec.Struct, frozen=True):
-    """A count that only grows: each member increments its own entry; the value is their sum."""
 
-    entries: dict[str, int] = msgspec.field(default_factory=dict)
+def _larger(a: tuple[int, int], b: tuple[int, int]) -> tuple[int, int]:
+    return (max(a[0], b[0]), max(a[1], b[1]))
 
-    def value(self) -> int:
-        return sum(self.entries.values())
 
-    def add(self, member: str, count: int = 1) -> "GCounter":
-        """With `count` more (at least 0) by `member`."""
-        if count < 0:
-            raise ValueError("a G-counter only grows")
-        return GCounter({**self.entries, member: self.entries.get(member, 0) + count})
+class Row(msgspec.Struct, array_like=True, frozen=True):
+    """One member's counts in one life, by name: what was added and what was taken, both only growing.
 
-    def merge(self, other: "GCounter") -> "GCounter":
-        keys = self.entries.keys() | other.entries.keys()
-        return GCounter({k: max(self.entries.get(k, 0), other.entries.get(k, 0)) for k in sorted(keys)})
-
-
-class PNCounter(msgspec.Struct, frozen=True):
-    """A count that grows and shrinks: one G-counter of what was added, one of what was taken."""
-
-    added: GCounter = GCounter()
-    taken: GCounter = GCounter()
-
-    def value(self) -> int:
-        return self.added.value() - self.taken.value()
-
-    def add(self, member: str, count: int) -> "PNCounter":
-        if count >= 0:
-            return PNCounter(self.added.add(member, count), self.taken)
-        return PNCounter(self.added, self.taken.add(member, -count))
+    A G-counter's entry is one of which nothing is taken.  Of two lives the later stands; a member that starts
+    anew takes its past row up (`Counts.merge`), so that counts go on where they were.
+    """
 
-    def merge(self, other: "PNCounter") -> "PNCounter":
-        return PNCounter(self.added.merge(other.added), self.taken.merge(other.taken))
+    member: Annotated[str, Meta(min_length=1, max_length=64)]
+    life: Annotated[int, Meta(ge=0, le=2**63 - 1)]
+    counts: Annotated[dict[Name, tuple[Total, Total]], Meta(max_length=NAMES_MOST)]
+
+    def merge(self, other: "Row") -> "Row":
+        """The later life's, or entry by entry the larger."""
+        if self.life != other.life:
+            return self if self.life > other.life else other
+        names = sorted(self.counts.keys() | other.counts.keys())
+        merged = {n: _larger(self.counts.get(n, ZERO), other.counts.get(n, ZERO)) for n in names}
+        return Row(self.member, self.life, dict(sorted(merged.items())[:NAMES_MOST]))
+
+
+class Counts:
+    """PN-counters by name over the fleet: one row a member, its own among them."""
+
+    def __init__(self, me: str, life: int, started_ms: float = 0.0, most_members: int = 1_024):
+        self.me, self.started_ms, self.most_members = me, started_ms, most_members
+        self.rows: dict[str, Row] = {me: Row(me, life, {})}
+        self._past: dict[str, tuple[int, int]] = {}  # of past lives of ours, in our row
+        self._lives = {life}  # that our row had in this process
+
+    def add(self, name: str, count: int = 1) -> None:
+        """`count` more, or fewer, by us."""
+        mine = self.rows[self.me]
+        added, taken = mine.counts.get(name, (0, 0))
+        pair = (added + max(count, 0), taken + max(-count, 0))
+        if name in mine.counts or len(mine.counts) < NAMES_MOST:
+            self.rows[self.me] = Row(self.me, mine.life, mine.counts | {name: pair})
+
+    def merge(self, row: Row, now: float) -> bool:
+        """Another row; True if it tells anything new."""
+        if row.member == self.me:
+            return self._take_up(row, now)
+        held = self.rows.get(row.member)
+        if held is None and len(self.rows) >= self.most_members:
+            return False
+        merged = row if held is None else held.merge(row)
+        self.rows[row.member] = merged
+        return merged != held
+
+    def _take_up(self, row: Row, now: float) -> bool:
+        """A past life's row goes into ours, under a life above it, soon after our start.
+
+        Later it is another process under our id, and taking it up would go on for ever between the two.
+        """
+        mine = self.rows[self.me]
+        if row.life in self._lives or now - self.started_ms > TAKE_UP_MS:
+            return False
+        past = {n: _larger(self._past.get(n, ZERO), pair) for n, pair in row.counts.items()} | {
+            n: pair for n, pair in self._past.items() if n not in row.counts
+        }
+        if past == self._past and row.life < mine.life:
+            return False
+        counts = dict(mine.counts)
+        for name, pair in past.items():
+            old, ours = self._past.get(name, ZERO), counts.get(name, ZERO)
+            counts[name] = (ours[0] - old[0] + pair[0], ours[1] - old[1] + pair[1])
+        self._past = past
+        kept = dict(sorted(counts.items())[:NAMES_MOST])
+        life = max(mine.life, row.life + 1)
+        self._lives.add(life)
+        self.rows[self.me] = Row(self.me, life, kept)
+        return True
+
+    def total(self, name: str) -> int:
+        """What the fleet has added, less what it has taken, as far as we have heard."""
+        pairs = (row.counts.get(name, (0, 0)) for row in self.rows.values())
+        return sum(added - taken for added, taken in pairs)
+
+    def names(self) -> list[str]:
+        return sorted({name for row in self.rows.values() for name in row.counts})
 
 
 class Stamp(msgspec.Struct, frozen=True, order=True, array_like=True):
     """A hybrid logical clock's reading: wall ms, a count within them, and the member, for a total order."""
 
-    wall: int
-    logical: int
-    member: str
+    wall: Total
+    logical: Total
+    member: Annotated[str, Meta(max_length=64)]
 
 
 @dataclass
@@ -132,8 +188,3 @@
             kept = sorted(merged.items(), key=lambda item: (_order(item[1]), item[0]), reverse=True)[:most]
             merged = dict(kept)
         return LWWMap(dict(sorted(merged.items())), most)
-
-    def expire(self, now_ms: float, ttl_ms: float) -> "LWWMap":
-        """Without the registers written more than `ttl_ms` ago by our clock."""
-        kept = {k: r for k, r in self.registers.items() if r.stamp.wall + ttl_ms > now_ms}
-        return self if len(kept) == len(self.registers) else LWWMap(kept, self.most)
--- a/molespur/fleet/escrow.py
+++ b/molespur/fleet/escrow.py
@@ -1,243 +1,255 @@
-"""Budgets of the whole fleet by escrow: slot shares, lent as leases that run out.  Pure.
+"""Budgets of the whole fleet by escrow: floors, tickets, and loans among members.  Pure.
 
 After Balegas et al., "Putting consistency back into eventual consistency" (2015), with leases as Doorman has
-them. A budget's bound B (a rate, or a number held at once) is split into `slots` equal shares, and each
-member owns one by its stable slot number: B / slots is its floor, which it may always spend, heard or not.  A
-member lends what it does not want of its share to members that want more than theirs, as a lease: an amount
-until an expiry, numbered, renewed each `renew_ms` while the want lasts.  For a lease's life and a margin
-after its start, a member spends nothing of its own share: leases of its earlier life may still be out.
-
-- The lender counts a lease as its own spending until the lease's expiry and `margin_ms` more have passed; of
-  several leases to one borrower it counts the largest, since a borrower holds one lease of a lender at a
-  time.
-- The borrower counts a lease only until its expiry by its own clock, keeps only the highest number from each
-  lender, and takes none that is expired, larger than a share, or not for it.
-
-So each unit of a budget is counted by one member at a time, within the margin for clocks: the sum that all
-members may spend is never above B, whatever is lost, duplicated, replayed, reordered or cut off.  A part of
-the fleet that is cut off spends at most its own slots and leases that run out.  A lender that dies takes its
-slot with it until it restarts (its leases run out); rights are never recreated by another member, which would
-be twice.
-"""
-
-import math
-from dataclasses import dataclass, field
-
-import msgspec
-
-KEEP_SHARE = 1.2  # a lender keeps this multiple of what it wants itself
-KEEP_FLOOR = 0.05  # and at least this share of its slot
+them.  Of a budget's bound a member may spend its *floor*, what its *tickets* give (`tickets.py`) less what it
+has lent, and what it has been lent.  A member that lacks asks a few others; one asked lends what it does not
+want of its tickets, as a loan that ends before the tickets' lease does.
 
+- The borrower counts a loan from the moment it asked, on its own clock, and keeps the latest of each lender.
+- The lender counts it from the (later) moment it lent, until `margin_ms` and the budget's grace after its
+  end; of several loans to one borrower it counts the largest, since the borrower may hold any of them.
+- What a member has spent within the grace counts as wanted, so that it is not lent while it still weighs.
 
-class Lease(msgspec.Struct, frozen=True, array_like=True):
-    """`amount` of `budget`, lent by `lender` to `borrower` until `expires_ms` (Unix ms, lender's clock)."""
-
-    budget: str
-    lender: str
-    borrower: str
-    seq: int
-    amount: float
-    expires_ms: float
+So each unit of a budget is one member's at a time, and the sum of what all may spend is never above the
+bound, whatever is lost, doubled, replayed, late or cut off, and whatever the clocks say.
+"""
 
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
-class Want(msgspec.Struct, frozen=True, array_like=True):
-    """What a member would spend of a budget, and what it owns of it, as of `at_ms`."""
+from .sharing import ITEMS_MOST, Ask, Lend, Loan, Share, Wish
 
-    budget: str
-    member: str
-    wanted: float
-    owned: float
-    at_ms: float
-
-
-@dataclass
-class Tuning:
-    lease_ms: float = 3_000.0  # a lease's life
-    renew_ms: float = 1_000.0  # leases are renewed, and wants told, this often
-    margin_ms: float = 500.0  # clocks of members differ by less than this
-    want_ms: float = 5_000.0  # a want not heard again for this long is passed over
+KEEP = 1.25  # a member keeps this multiple of what it spends
+GROW = 2.0  # what a member that was denied wants, of what it may spend
+SHRINK = 0.8  # a want that is no longer there falls by this at each renewal
+LEAST = 0.01  # of what a member owns: less is not worth a loan
+SPREAD_OVER = 2.0  # what is still lacking is asked for so many times over, in parts: not all can give theirs
+LENDERS = 8  # members asked at one renewal at most, in `asked_most`
+ASKS_KEPT = 128  # own asks whose answers may still come
+FRESH = 0.75  # a loan is asked for anew once less than this share of its life is left
 
 
 @dataclass
 class Budget:
+    """One budget as one member holds it; amounts are in the budget's own unit."""
+
     bound: float
-    lent: dict[str, list[Lease]] = field(default_factory=dict)  # by borrower, until expiry + margin
-    borrowed: dict[str, Lease] = field(default_factory=dict)  # by lender: the highest number
-    wants: dict[str, Want] = field(default_factory=dict)  # by member, ours included
+    grace_ms: float
+    quiet_ms: float = 0.0  # after our start, until it may be spent
+    target: float = 0.0  # what we want to be able to spend
+    denied: bool = False  # something was turned down for it since the last renewal
+    touched: float = 0.0  # when it was last asked about here
+    lent: dict[str, list[tuple[float, float]]] = field(default_factory=dict)  # by borrower: (until, amount)
+    borrowed: dict[str, tuple[int, float, float]] = field(
+        default_factory=dict
+    )  # lender: (ask, amount, until)
+    asking: dict[str, tuple[float, float]] = field(default_factory=dict)  # borrower -> (its lack, when)
 
 
 class Escrow:
-    """One member's side of all budgets: what it may spend, what it lends, what it holds of others.
+    """One member's side of all budgets.
 
-    `slot` is its stable slot number (None: it owns no share and spends what it is lent); `slots` how many
-    there are.  `bounds` names each budget with its bound.  Times are Unix milliseconds, passed in.
+    `owned` tells until when each of our tickets is ours (the longest first), `used` how much of a budget we
+    have spent within its grace.  A budget is named `kind/what`, and comes into being when first asked about.
     """
 
     def __init__(
-        self, me: str, slot: int | None, slots: int, bounds: dict[str, float], started_ms: float, tuning=None
+        self,
+        me: str,
+        life: int,
+        share: Share,
+        owned: Callable[[float], list[float]],
+        used: Callable[[str, float], float],
+        rng: random.Random,
+        now: float,
     ):
-        if slots < 1 or (slot is not None and not 0 <= slot < slots):
-            raise ValueError(f"slot {slot} of {slots}")
-        self.me, self.slot, self.slots, self.started_ms = me, slot, slots, started_ms
-        self.tuning = tuning or Tuning()
-        self.budgets = {name: Budget(bound) for name, bound in bounds.items()}
-        self.counts: dict[str, int] = {}
+        self.me, self.life, self.share, self.rng = me, life, share, rng
+        self._owned, self._used, self._started = owned, used, now
+        self.budgets: dict[str, Budget] = {}
+        self.counts: Counter = Counter()
         self._seq = 0
-        self._renewed = -math.inf
+        self._reach, self._taken = share.asked_most, 0  # others asked beside our lenders; loans taken by then
+        self._asked: dict[int, tuple[float, str]] = {}  # ask -> (when, whom)
+        self._seen: dict[str, tuple[int, int]] = {}  # borrower -> its (life, last ask)
 
     # -- What may be spent -----------------------------------------------------------------------
 
-    def share(self, budget: str) -> float:
-        """A slot's share of a budget."""
-        return self.budgets[budget].bound / self.slots
-
-    def owned(self, budget: str) -> float:
-        return 0.0 if self.slot is None else self.share(budget)
-
-    def liability(self, budget: str, now: float) -> float:
-        """What our leases out may still be spent by their borrowers.
-
-        Just after a start all of the share: leases of an earlier life of ours may be out, unknown to us.
-        """
-        if self._quiet(now):
-            return self.owned(budget)
-        held = self.budgets[budget]
-        return sum(self._out_to(held, member, now) for member in held.lent)
-
-    def held(self, budget: str, now: float) -> float:
-        """What leases of others give us now."""
-        return sum(lease.amount for lease in self.budgets[budget].borrowed.values() if now < lease.expires_ms)
-
-    def available(self, budget: str, now: float) -> float:
-        """What we may spend now: our share less what we lent, and what we were lent."""
-        return max(0.0, self.owned(budget) - self.liability(budget, now)) + self.held(budget, now)
-
-    # -- What comes in ---------------------------------------------------------------------------
-
-    def want(self, budget: str, wanted: float, now: float) -> Want:
-        """Say what we would spend; the news to tell the others."""
-        said = Want(budget, self.me, max(0.0, wanted), self.owned(budget), now)
-        self.budgets[budget].wants[self.me] = said
-        return said
+    def budget(self, name: str, now: float) -> Budget | None:
+        """The budget of that name; None where there is no such kind, or no room for more."""
+        budget = self.budgets.get(name)
+        if budget is None:
+            kind = self.share.kind_of(name)
+            if kind is None or len(self.budgets) >= self.share.most_budgets:
+                self.counts["budgets_refused"] += 1
+                return None
+            budget = self.budgets[name] = Budget(kind.bound, kind.grace_ms, kind.grace_ms * kind.rate)
+        budget.touched = now
+        return budget
+
+    def available(self, name: str, now: float) -> float:
+        """What we may spend of a budget now, what we have spent already within its grace included."""
+        budget = self.budget(name, now)
+        if budget is None or now < self._started + budget.quiet_ms:
+            return 0.0
+        own = self.tickets(budget, now) - self.out(budget, now)
+        return self.share.floor_of(budget.bound) + max(0.0, own) + self.held(budget, now)
+
+    def tickets(self, budget: Budget, now: float) -> float:
+        """What our tickets give of it."""
+        return self.share.ticket_of(budget.bound) * sum(end > now for end in self._owned(now))
+
+    def out(self, budget: Budget, now: float, but: str = "") -> float:
+        """What borrowers (but one) may still hold of ours, or have spent so lately that it weighs."""
+        return sum(self._out_to(budget, member, now) for member in budget.lent if member != but)
 
-    def heard_want(self, want: Want, now: float) -> bool:
-        """Another's want; False where it is of no budget we know, stale or absurd."""
-        budget = self.budgets.get(want.budget)
-        if budget is None or not (0 <= want.wanted < math.inf and 0 <= want.owned <= self.share(want.budget)):
-            self._count("wants_refused")
-            return False
-        held = budget.wants.get(want.member)
-        if held is not None and held.at_ms >= want.at_ms:
-            return False
-        if want.at_ms > now + self.tuning.margin_ms:
-            self._count("wants_from_the_future")
-            return False
-        budget.wants[want.member] = want
-        return True
-
-    def heard_lease(self, lease: Lease, now: float) -> bool:
-        """A lease that came to us; False where it is not taken, and why is counted."""
-        budget = self.budgets.get(lease.budget)
-        why = ""
-        if budget is None or lease.borrower != self.me or lease.lender == self.me:
-            why = "leases_not_ours"
-        elif not 0 <= lease.amount <= self.share(lease.budget):
-            why = "leases_too_large"
-        elif lease.expires_ms > now + self.tuning.lease_ms + self.tuning.margin_ms:
-            why = "leases_too_long"
-        elif now >= lease.expires_ms:
-            why = "leases_expired"
-        elif (held := budget.borrowed.get(lease.lender)) is not None and held.seq >= lease.seq:
-            why = "leases_old"
-        if why:
-            self._count(why)
-            return False
-        budget.borrowed[lease.lender] = lease
-        self._count("leases_taken")
-        return True
-
-    def forget(self, member: str) -> None:
-        """A member left or died: no more leases to it (those out run out), its want is passed over."""
-        for budget in self.budgets.values():
-            budget.wants.pop(member, None)
-
-    # -- What goes out ---------------------------------------------------------------------------
-
-    def tick(self, now: float, alive: set[str]) -> tuple[list[Lease], list[Want]]:
-        """Each `renew_ms`: leases to lend anew, and our wants to tell; what ran out is let go."""
+    def _out_to(self, budget: Budget, member: str, now: float) -> float:
+        tail = self.share.margin_ms + budget.grace_ms
+        return max((amount for until, amount in budget.lent[member] if now < until + tail), default=0.0)
+
+    def held(self, budget: Budget, now: float) -> float:
+        """What we have been lent."""
+        return sum(amount for _, amount, until in budget.borrowed.values() if now < until)
+
+    def deny(self, name: str, now: float) -> None:
+        """Something was turned down for want of this budget: we want more."""
+        if (budget := self.budget(name, now)) is not None:
+            budget.denied = True
+            self.counts["denied"] += 1
+
+    # -- Lending ---------------------------------------------------------------------------------
+
+    def asked(self, ask: Ask, now: float) -> Lend | None:
+        """Another lacks: lend what we can spare.  None: nothing, or the ask is old or its settings differ."""
+        if ask.mark != self.share.mark:
+            self.counts["marks_differ"] += 1
+            return None
+        if self._seen.get(ask.src, (-1, 0)) >= (ask.life, ask.seq):
+            self.counts["asks_old"] += 1
+            return None
+        if ask.src not in self._seen and len(self._seen) >= 4 * max(self.share.size, 16):
+            self._seen.pop(next(iter(self._seen)))
+        self._seen[ask.src] = (ask.life, ask.seq)
+        loans = []
+        for wish in ask.wishes:
+            budget = self.budget(wish.budget, now)
+            if budget is not None and (amount := self._spare(budget, wish, ask.src, now)) > 0:
+                until = now + self.share.loan_ms
+                budget.lent.setdefault(ask.src, []).append((until, amount))
+                loans.append(Loan(wish.budget, amount, self.share.loan_ms))
+        self.counts["loans_lent"] += len(loans)
+        return Lend(ask.seq, self.me, ask.life, loans) if loans else None
+
+    def _spare(self, budget: Budget, wish: Wish, borrower: str, now: float) -> float:
+        """What this borrower gets: our spare, in proportion to what all lack that asked lately."""
+        budget.asking[borrower] = (wish.lack, now)
+        budget.asking = {m: a for m, a in budget.asking.items() if now - a[1] < self.share.loan_ms}
+        unit = self.share.ticket_of(budget.bound)
+        # a loan may not outlive the tickets that it is made of
+        owned = unit * sum(end >= now + self.share.loan_ms for end in self._owned(now))
+        wanted = max(budget.target, KEEP * self.spent(wish.budget, now))
+        spare = owned - max(0.0, wanted - self.share.floor_of(budget.bound))
+        need = sum(lack for lack, _ in budget.asking.values())
+        fair = spare * wish.lack / need if need > 0 else 0.0
+        amount = min(fair, spare - self.out(budget, now, but=borrower), wish.lack)
+        return amount if amount > LEAST * owned else 0.0
+
+    def spent(self, name: str, now: float) -> float:
+        """What we have spent of it within its grace."""
+        return max(0.0, self._used(name, now))
+
+    # -- Borrowing -------------------------------------------------------------------------------
+
+    def renew(self, now: float, others: list[str]) -> list[tuple[str, Ask]]:
+        """Each `renew_ms`: whom to ask, and for what.  Lets go what has run out."""
         self._let_go(now)
-        if now - self._renewed < self.tuning.renew_ms:
-            return [], []
-        self._renewed = now
-        leases, wants = [], []
+        lacks = {}
         for name, budget in self.budgets.items():
-            if self.me in budget.wants:
-                wants.append(self.want(name, budget.wants[self.me].wanted, now))
-            leases += self._lend(name, budget, now, alive)
-        return leases, wants
-
-    def _lend(self, name: str, budget: Budget, now: float, alive: set[str]) -> list[Lease]:
-        """Our spare share, to those that want more than they own, in proportion to what they lack.
-
-        What is out may never sum above our share: a new lease to one borrower counts beside the older leases
-        to all others, which their borrowers may still hold, however little we mean to lend them now.
-        """
-        if self.slot is None or self._quiet(now):
-            return []
-        fresh = {
-            m: w for m, w in budget.wants.items()
-            if now - w.at_ms < self.tuning.want_ms and (m == self.me or m in alive)
-        }  # fmt: skip
-        share = self.share(name)
-
-        def spare(want: Want) -> float:
-            return max(0.0, want.owned - max(KEEP_SHARE * want.wanted, KEEP_FLOOR * share))
-
-        lacking = {m: max(0.0, w.wanted - w.owned) for m, w in fresh.items() if m != self.me}
-        lacking = {m: v for m, v in lacking.items() if v > 0}
-        mine = fresh.get(self.me)
-        ours = spare(mine) if mine is not None else share * (1 - KEEP_FLOOR)
-        if not lacking or ours <= 0:
-            return []
-        spares = sum(spare(w) for m, w in fresh.items() if m != self.me) + ours
-        need = sum(lacking.values())
-        out = {m: self._out_to(budget, m, now) for m in budget.lent}
-        leases = []
-        for member, lack in sorted(lacking.items()):
-            others = sum(v for m, v in out.items() if m != member)
-            amount = min(ours * lack / max(need, spares), ours - others)
-            if amount <= 0:
-                continue
+            used = self.spent(name, now)
+            wanted = GROW * max(self.available(name, now), used) if budget.denied else KEEP * used
+            budget.target = min(max(wanted, SHRINK * budget.target), budget.bound)
+            budget.denied = False
+            own = max(0.0, self.tickets(budget, now) - self.out(budget, now))
+            lack = budget.target - self.share.floor_of(budget.bound) - own
+            if lack > LEAST * budget.bound / max(self.share.size, 1):
+                lacks[name] = lack
+        return self._asks(lacks, now, others) if lacks else []
+
+    def _asks(self, lacks: dict[str, float], now: float, others: list[str]) -> list[tuple[str, Ask]]:
+        """Lenders whose loans are running out, and some others where all loans are not enough."""
+        soon = now + FRESH * self.share.loan_ms
+        wishes: dict[str, list[Wish]] = {}
+        # guards against a fleet in which all lack asking itself in vain
+        grown = self.counts["loans_taken"] > self._taken
+        self._reach = min(2 * self._reach, self.share.asked_most) if grown else max(self._reach // 2, 2)
+        self._taken = self.counts["loans_taken"]
+        fresh = self.rng.sample(others, min(len(others), self._reach))
+        for name, lack in sorted(lacks.items(), key=lambda item: -item[1]):
+            budget, renewed = self.budgets[name], {}
+            # the largest loans first; what is no longer needed runs out
+            for member, (_, amount, until) in sorted(budget.borrowed.items(), key=lambda b: -b[1][1]):
+                if member in others and lack > 0:
+                    if until < soon:
+                        renewed[member] = min(amount, lack)
+                    lack -= amount
+            asked = [*renewed, *(m for m in fresh if m not in budget.borrowed)]
+            more = 0.0
+            if asked and lack > LEAST * budget.bound / max(self.share.size, 1):
+                more = lack * min(1.0, SPREAD_OVER / len(asked))
+            for member in asked:
+                if (wish := renewed.get(member, 0.0) + more) > 0:
+                    self._wish(wishes, member, name, wish)
+        asks = []
+        for member, some in wishes.items():
             self._seq += 1
-            lease = Lease(name, self.me, member, self._seq, amount, now + self.tuning.lease_ms)
-            budget.lent.setdefault(member, []).append(lease)
-            out[member] = max(out.get(member, 0.0), amount)
-            leases.append(lease)
-        self._count("leases_lent", len(leases))
-        return leases
-
-    def _out_to(self, budget: Budget, member: str, now: float) -> float:
-        """The most that one borrower may still hold of our leases."""
-        until = now - self.tuning.margin_ms
-        return max((x.amount for x in budget.lent.get(member, ()) if until < x.expires_ms), default=0.0)
+            self._asked[self._seq] = (now, member)
+            self._asked.pop(self._seq - ASKS_KEPT, None)
+            asks.append((member, Ask(self._seq, self.me, self.life, self.share.mark, some)))
+        self.counts["asks"] += len(asks)
+        return asks
+
+    def _wish(self, wishes: dict[str, list[Wish]], member: str, name: str, lack: float) -> None:
+        if member not in wishes and len(wishes) >= LENDERS * self.share.asked_most:
+            return  # what a member sends stays bounded, however much it lacks
+        some = wishes.setdefault(member, [])
+        if len(some) < ITEMS_MOST:
+            some.append(Wish(name, lack))
+
+    def lent_to_us(self, lend: Lend, now: float) -> bool:
+        """The answer to one of our asks; False where it is none of them, and why is counted."""
+        at, whom = self._asked.get(lend.seq, (0.0, ""))
+        if lend.life != self.life or whom != lend.src:
+            self.counts["loans_not_asked_for"] += 1
+            return False
+        for loan in lend.loans:
+            budget = self.budgets.get(loan.budget)
+            if budget is None or loan.amount > budget.bound or loan.life_ms > self.share.loan_ms:
+                self.counts["loans_absurd"] += 1
+                continue
+            until = at + loan.life_ms
+            if until <= now:
+                self.counts["loans_late"] += 1
+            elif budget.borrowed.get(lend.src, (-1, 0.0, 0.0))[0] < lend.seq:
+                budget.borrowed[lend.src] = (lend.seq, loan.amount, until)
+                self.counts["loans_taken"] += 1
+            else:
+                self.counts["loans_old"] += 1
+        return True
 
-    def _quiet(self, now: float) -> bool:
-        """Just started: leases of an earlier life may be out, unknown to us."""
-        return now < self.started_ms + self.tuning.lease_ms + self.tuning.margin_ms
+    # -- Time ------------------------------------------------------------------------------------
 
     def _let_go(self, now: float) -> None:
-        margin = self.tuning.margin_ms
-        for budget in self.budgets.values():
-            for member in list(budget.lent):
-                kept = [lease for lease in budget.lent[member] if now < lease.expires_ms + margin]
-                if kept:
-                    budget.lent[member] = kept  # a few: lease_ms / renew_ms + 1 at most
-                else:
+        for name, budget in list(self.budgets.items()):
+            tail = self.share.margin_ms + budget.grace_ms
+            for member, loans in list(budget.lent.items()):
+                budget.lent[member] = [loan for loan in loans if now < loan[0] + tail]
+                if not budget.lent[member]:
                     del budget.lent[member]
-                    self._count("leases_returned")
-            for lender in [k for k, lease in budget.borrowed.items() if now >= lease.expires_ms]:
+                    self.counts["loans_returned"] += 1
+            for lender in [m for m, (_, _, until) in budget.borrowed.items() if now >= until]:
                 del budget.borrowed[lender]
-                self._count("leases_expired_held")
-
-    def _count(self, name: str, n: int = 1) -> None:
-        self.counts[name] = self.counts.get(name, 0) + n
+                self.counts["loans_expired"] += 1
+            idle = now - budget.touched > 10 * self.share.loan_ms + budget.grace_ms
+            if idle and not budget.lent and not budget.borrowed:
+                del self.budgets[name]
--- /dev/null
+++ b/molespur/fleet/shared.py
@@ -0,0 +1,387 @@
+"""The state that this member shares with the fleet, put together.  Pure: events in, actions out.
+
+Joins tickets, loans, evidence, judgements and counts (each a part of its own) and decides what is sent when.
+Time is the `now` of each call, in milliseconds; `unix_ms` is the system's clock, which serves the order of
+judgements alone.  Who lives comes from the fleet view as `View`.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from . import wire
+from .crdt import Counts, Row
+from .escrow import Escrow
+from .evidence import Evidence, Own, Verdict
+from .judgements import ASK, BAD, Judgements
+from .model import Address
+from .rendezvous import Spread as Falls
+from .rendezvous import pick
+from .sharing import (
+    ITEMS_MOST,
+    Ask,
+    Lend,
+    Said,
+    Seen,
+    Share,
+    Sharing,
+    Spread,
+    Tell,
+    TicketAsk,
+    TicketSay,
+    Whole,
+)
+from .swim import Send
+from .tickets import Holder, Witness
+
+HEADROOM = 80  # bytes of a datagram kept for what is not registers and rows
+RETOLD = 4  # times that a register or row is told on, for each ten-fold of the fleet
+ROWS_FLAT = 16  # members up to which a row is told each `counts_ms`
+ASK_AGAIN = 0.5  # of a window, after which a worker's judges ask for what members saw once more
+
+
+# -- Events -----------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """Who lives by the fleet view (ids to addresses), ourselves not among them."""
+
+    alive: dict[str, Address]
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A message of shared state."""
+
+    message: Sharing
+
+
+@dataclass(frozen=True, slots=True)
+class Carried:
+    """What rode on a push-pull."""
+
+    whole: Whole
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """An upstream request of ours to a worker ended, and whether that speaks against it."""
+
+    worker: str
+    failed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+# -- Actions (beside `swim.Send`) ---------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Judged:
+    """A worker is bad for the fleet from now on, by whom, and on what (None: it came from another)."""
+
+    worker: str
+    by: str
+    verdict: Verdict | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Lifted:
+    """A judgement is over."""
+
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class Owned:
+    """How many tickets we own has changed."""
+
+    before: int
+    after: int
+
+
+class _Queued:
+    __slots__ = ("left", "size")
+
+    def __init__(self, left: int, size: int):
+        self.left, self.size = left, size
+
+
+class Shared:
+    """One member's shared state.
+
+    `handle(now, unix_ms, event) -> actions`.  `used(budget, now)` tells what we have spent of a budget within
+    its grace.  Reading: `available`, `bad`, `budgets`, `counts_of`.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        life: int,
+        share: Share,
+        cluster: str,
+        rng: random.Random,
+        used: Callable[[str, float], float],
+        now: float,
+        datagram_most: int = 1_400,
+    ):
+        self.me, self.life, self.share, self.cluster, self.rng = me, life, share, cluster, rng
+        self.datagram_most = datagram_most
+        self.counts: Counter = Counter()
+        self.alive: dict[str, Address] = {}
+        self.witness = Witness(me, share.tickets, share.keep_ms, now) if me in share.witnesses else None
+        self.holder = Holder(me, life, share)
+        self.escrow = Escrow(me, life, share, self.holder.owned, used, rng, now)
+        self.own, self.evidence = Own(share), Evidence(share)
+        self.judgements = Judgements(me, share.bad_ms)
+        self.totals = Counts(me, life, now)
+        self._falls = Falls("ticket/", share.tickets)
+        self._queue: dict[tuple[str, str], _Queued] = {}  # ("said" or "row", key) still to be told on
+        self._next = {name: now + rng.uniform(0.0, 1.0) * getattr(share, f"{name}_ms") for name in CHORES}
+        self._seq = 0
+        self._told: dict[str, tuple[Seen, float]] = {}  # worker -> what we told its judges last, and when
+        self._asked_of: dict[str, float] = {}  # worker -> since when we as its judge look into it
+        self._owned = 0
+        self._bad: set[str] = set()
+        self._out: list = []
+
+    # -- The entry ---------------------------------------------------------------------------------
+
+    def handle(self, now: float, unix_ms: float, event) -> list:
+        """Take one event; what it leads to."""
+        self._out = []
+        if isinstance(event, Ended):
+            if not self.own.saw(event.worker, event.failed, now):
+                self.counts["evidence_no_room"] += 1
+        elif isinstance(event, Heard):
+            self._heard(now, unix_ms, event.message)
+        elif isinstance(event, Carried):
+            for said in event.whole.said:
+                self._hear(said, now, unix_ms)
+            for row in event.whole.rows:
+                self._take_row(row, now)
+        elif isinstance(event, View):
+            self._view(event.alive)
+        else:
+            self._chores(now, unix_ms)
+        return self._out
+
+    # -- Reading -----------------------------------------------------------------------------------
+
+    def available(self, budget: str, now: float) -> float:
+        """What we may spend of a budget, what is spent within its grace included."""
+        return self.escrow.available(budget, now)
+
+    def bad(self, now: float) -> set[str]:
+        """Workers that are bad for the fleet now."""
+        return self.judgements.having(BAD, now)
+
+    def whole(self, now: float) -> Whole:
+        """What rides on a push-pull."""
+        return Whole(list(self.judgements.all(now)), list(self.totals.rows.values()))
+
+    def budgets(self, now: float) -> list[tuple[str, float, float, float, float, float]]:
+        """Each budget that is known here: name, bound, ours to spend, spent, lent, lent to us."""
+        rows = []
+        for name, budget in sorted(self.escrow.budgets.items()):
+            own = self.escrow.available(name, now)
+            spent = self.escrow.spent(name, now)
+            out, held = self.escrow.out(budget, now), self.escrow.held(budget, now)
+            rows.append((name, budget.bound, own, spent, out, held))
+        return rows
+
+    # -- Who lives ---------------------------------------------------------------------------------
+
+    def _view(self, alive: dict[str, Address]) -> None:
+        self.alive = dict(alive)
+        self._falls.change([*alive, self.me])
+        if len(alive) + 1 > self.share.size:
+            self.counts["above_size"] += 1
+
+    # -- Messages ----------------------------------------------------------------------------------
+
+    def _heard(self, now: float, unix_ms: float, message: Sharing) -> None:
+        if message.src == self.me:
+            self.counts["from_ourselves"] += 1
+        elif isinstance(message, TicketAsk):
+            self._ticket_ask(now, message)
+        elif isinstance(message, TicketSay):
+            if not self.holder.said(message):
+                self.counts["says_not_asked_for"] += 1
+            self._note_owned(now)
+        elif isinstance(message, Ask):
+            if (lend := self.escrow.asked(message, now)) is not None:
+                self._send(message.src, lend)
+        elif isinstance(message, Lend):
+            self.escrow.lent_to_us(message, now)
+        elif isinstance(message, Tell):
+            for seen in message.seen:
+                why = self.evidence.tell(message.src, (message.life, message.seq), seen, now)
+                self.counts["evidence_" + (why or "taken")] += 1
+        else:
+            self.judgements.compare(message.src, message.unix_ms - unix_ms)
+            for said in message.said:
+                self._hear(said, now, unix_ms)
+            for row in message.rows:
+                self._take_row(row, now)
+
+    def _ticket_ask(self, now: float, ask: TicketAsk) -> None:
+        if self.witness is None or ask.mark != self.share.mark:
+            self.counts["not_a_witness" if self.witness is None else "marks_differ"] += 1
+        elif (say := self.witness.ask(ask, now)) is None:
+            self.counts["asks_old"] += 1
+        else:
+            self._send(ask.src, say)
+
+    def _hear(self, said: Said, now: float, unix_ms: float) -> None:
+        why = self.judgements.hear(said, now, unix_ms)
+        self.counts["judgements_" + (why or "taken")] += 1
+        if not why:
+            self._queue_up("said", said.key, said)
+            self._note_bad(now, said.stamp.member)
+
+    def _take_row(self, row: Row, now: float) -> None:
+        if self.totals.merge(row, now):
+            row = self.totals.rows[row.member]
+            self._queue_up("row", row.member, row)
+
+    # -- Chores ------------------------------------------------------------------------------------
+
+    def _chores(self, now: float, unix_ms: float) -> None:
+        for name, chore in CHORES.items():
+            if now >= self._next[name]:
+                every = getattr(self.share, f"{name}_ms")
+                if name == "counts":
+                    every *= max(1.0, (len(self.alive) + 1) / ROWS_FLAT)
+                self._next[name] = max(self._next[name] + every, now + every / 2)
+                chore(self, now, unix_ms)
+
+    def _renew(self, now: float, unix_ms: float) -> None:
+        """Ask the witnesses for our tickets, and others for loans."""
+        if self.share.witnesses:
+            ask = self.holder.ask(self._falls.of(self.me), now)
+            for witness in self.share.witnesses:
+                if witness == self.me:
+                    self.holder.said(self.witness.ask(ask, now))
+                else:
+                    self._send(witness, ask)
+            for member, some in self.escrow.renew(now, list(self.alive)):
+                self._send(member, some)
+        self._note_owned(now)
+
+    def _note_owned(self, now: float) -> None:
+        owned = len(self.holder.owned(now))
+        if owned != self._owned:
+            self._out.append(Owned(self._owned, owned))
+            self._owned = owned
+
+    def _tell(self, now: float, unix_ms: float) -> None:
+        """Tell judges what we saw of workers that failed us or that they ask about; judge those of ours."""
+        for worker in self.judgements.expire(now):
+            if worker in self._bad:
+                self._bad.discard(worker)
+                self._out.append(Lifted(worker))
+        self.evidence.expire(now)
+        asked = self.judgements.having(ASK, now)
+        window = self.own.window(now)
+        self._told = {w: t for w, t in self._told.items() if w in window}
+        some: dict[str, list[Seen]] = {}
+        self._seq += 1
+        for worker, seen in window.items():
+            last, at = self._told.get(worker, (None, 0.0))
+            if seen == last and now - at < self.share.window_ms / 4:
+                continue
+            if not seen.failed and worker not in asked:
+                continue
+            self._told[worker] = (seen, now)
+            for judge in pick(worker, [*self.alive, self.me], self.share.judges):
+                if judge == self.me:
+                    self.evidence.tell(self.me, (self.life, self._seq), seen, now)
+                else:
+                    some.setdefault(judge, []).append(seen)
+        for judge, seen in some.items():
+            for start in range(0, len(seen), ITEMS_MOST // 4):
+                part = seen[start : start + ITEMS_MOST // 4]
+                self._seq += 1
+                self._send(judge, Tell(self._seq, self.me, self.life, part))
+        self._judge(now, unix_ms)
+
+    def _judge(self, now: float, unix_ms: float) -> None:
+        """As a judge: ask what members saw of a worker that failed someone, then say whether it is bad."""
+        bad = self.bad(now)
+        self._asked_of = {w: at for w, at in self._asked_of.items() if w in self.evidence.told}
+        for worker in list(self.evidence.told):
+            if worker in bad:
+                self._asked_of.pop(worker, None)
+                continue
+            verdict = self.evidence.verdict(worker)
+            since = self._asked_of.get(worker)
+            if not verdict.against:
+                continue
+            if since is None or now - since >= ASK_AGAIN * self.share.window_ms:
+                self._asked_of[worker] = now
+                self._say(worker, ASK, now, unix_ms)
+            elif verdict.bad and now - since >= self.share.settle_ms:
+                self._say(worker, BAD, now, unix_ms)
+                self.counts["judged_bad"] += 1
+                self._note_bad(now, self.me, verdict)
+
+    def _say(self, worker: str, value: bytes, now: float, unix_ms: float) -> None:
+        self._queue_up("said", worker, self.judgements.write(worker, value, now, unix_ms))
+
+    def _note_bad(self, now: float, by: str, verdict: Verdict | None = None) -> None:
+        bad = self.bad(now)
+        for worker in sorted(bad - self._bad):
+            # guards against the same evidence speaking against a worker twice, after its judgement is over
+            self.evidence.told.pop(worker, None)
+            self.own.forget(worker)
+            self._out.append(Judged(worker, by, verdict))
+        for worker in sorted(self._bad - bad):
+            self._out.append(Lifted(worker))
+        self._bad = bad
+
+    def _count(self, now: float, unix_ms: float) -> None:
+        """Our own row is due to be told."""
+        self._queue_up("row", self.me, self.totals.rows[self.me])
+
+    def _spread(self, now: float, unix_ms: float) -> None:
+        """Tell registers and rows on to a few members."""
+        members = self.rng.sample(list(self.alive), min(len(self.alive), self.share.spread_nodes))
+        for member in members:
+            said, rows, room = [], [], self.datagram_most - HEADROOM
+            for (kind, key), queued in sorted(self._queue.items(), key=lambda item: -item[1].left):
+                if queued.size > room or len(said) >= ITEMS_MOST or len(rows) >= ITEMS_MOST:
+                    continue
+                item = self.judgements.told(key, now) if kind == "said" else self.totals.rows.get(key)
+                queued.left -= 1
+                if item is None or queued.left <= 0:
+                    del self._queue[kind, key]
+                if item is not None:
+                    (said if kind == "said" else rows).append(item)
+                    room -= queued.size
+            if said or rows:
+                self._send(member, Spread(self.me, unix_ms, said, rows))
+
+    def _queue_up(self, kind: str, key: str, item: Said | Row) -> None:
+        size = len(msgspec.msgpack.encode(item)) + 4
+        left = RETOLD * len(str(len(self.alive) + 1))
+        if size <= self.datagram_most - HEADROOM:
+            self._queue[kind, key] = _Queued(left, size)
+
+    def _send(self, member: str, message: Sharing) -> None:
+        address = self.alive.get(member)
+        if address is None:
+            self.counts["nobody_there"] += 1
+            return
+        self.counts["sent"] += 1
+        self._out.append(Send(address, wire.encode(self.cluster, message)))
+
+
+CHORES = {"renew": Shared._renew, "tell": Shared._tell, "counts": Shared._count, "spread": Shared._spread}
--- /dev/null
+++ b/molespur/fleet/sharing.py
@@ -0,0 +1,193 @@
+"""Plain data of the state that schedulers share: its messages and its tuning (docs/design/fleet_state.md).
+
+Messages go as datagrams beside the fleet view's (`model.py`); strings, lists and numbers are bounded here.
+Times are milliseconds; no lease compares two clocks: messages carry durations.  The one time
+of a clock told (`Spread.unix_ms`) serves the order of judgements alone.
+"""
+
+import zlib
+from dataclasses import dataclass, field
+from functools import cached_property
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from .crdt import Row, Stamp
+from .model import Count, Id, Message
+
+Key = Annotated[str, Meta(min_length=1, max_length=96)]
+Amount = Annotated[float, Meta(ge=0.0, le=1e15)]
+Bits = Annotated[bytes, Meta(max_length=512)]
+ITEMS_MOST = 64  # wishes, loans, pieces of evidence, registers or rows in one datagram
+
+
+class TicketAsk(msgspec.Struct, array_like=True, tag=6):
+    """To a witness: lend this life of mine these tickets, for a lease.  `mark` names the settings."""
+
+    seq: Count
+    src: Id
+    life: Count
+    mark: Count
+    tickets: Bits
+
+
+class TicketSay(msgspec.Struct, array_like=True, tag=7):
+    """A witness's answer to the ask `seq` of that life: the tickets it lends."""
+
+    seq: Count
+    src: Id
+    life: Count
+    tickets: Bits
+
+
+class Wish(msgspec.Struct, array_like=True, frozen=True):
+    """How much of a budget the sender lacks."""
+
+    budget: Key
+    lack: Amount
+
+
+class Ask(msgspec.Struct, array_like=True, tag=8):
+    """Lend me of these budgets what you can spare."""
+
+    seq: Count
+    src: Id
+    life: Count
+    mark: Count
+    wishes: Annotated[list[Wish], Meta(max_length=ITEMS_MOST)]
+
+
+class Loan(msgspec.Struct, array_like=True, frozen=True):
+    """`amount` of a budget, for `life_ms` from when it was asked for, by the borrower's own clock."""
+
+    budget: Key
+    amount: Amount
+    life_ms: Amount
+
+
+class Lend(msgspec.Struct, array_like=True, tag=9):
+    """The answer to the ask `seq` of that life."""
+
+    seq: Count
+    src: Id
+    life: Count
+    loans: Annotated[list[Loan], Meta(max_length=ITEMS_MOST)]
+
+
+class Seen(msgspec.Struct, array_like=True, frozen=True):
+    """What a member saw of one worker over its own sliding window: requests ended, and how many failed."""
+
+    worker: Key
+    sent: Count
+    failed: Count
+
+
+class Tell(msgspec.Struct, array_like=True, tag=10):
+    """Evidence for a worker's judges: the latest of a life stands for all before it."""
+
+    seq: Count
+    src: Id
+    life: Count
+    seen: Annotated[list[Seen], Meta(max_length=ITEMS_MOST)]
+
+
+class Said(msgspec.Struct, array_like=True, frozen=True):
+    """A register as told on: what was written and when, and how long others have held it."""
+
+    key: Key
+    stamp: Stamp
+    value: Annotated[bytes, Meta(max_length=64)] | None
+    age_ms: Amount
+
+
+class Spread(msgspec.Struct, array_like=True, tag=11):
+    """Registers and rows of counts, told on to a few members; `unix_ms` is the sender's clock as it sends."""
+
+    src: Id
+    unix_ms: Amount
+    said: Annotated[list[Said], Meta(max_length=ITEMS_MOST)] = []
+    rows: Annotated[list[Row], Meta(max_length=ITEMS_MOST)] = []
+
+
+class Whole(msgspec.Struct, array_like=True):
+    """The shared state that rides on a push-pull."""
+
+    said: Annotated[list[Said], Meta(max_length=8_192)] = []
+    rows: Annotated[list[Row], Meta(max_length=4_096)] = []
+
+
+Sharing = TicketAsk | TicketSay | Ask | Lend | Tell | Spread
+Anything = Message | Sharing
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of budget: its bound at each worker (or for the fleet), and how long after a right to it has run
+    out what was spent on it may still weigh (ms): a rate's window, a connection's longest use.
+
+    Of a `rate` nothing is spent for so long after a start: an earlier life may have spent its floor just now.
+    (What is held at once, such as connections, ends with the process.)
+    """
+
+    bound: float
+    grace_ms: float
+    rate: bool = True
+
+
+@dataclass(frozen=True)
+class Share:
+    """How state is shared; what `mark` covers must be the same at all members.  Milliseconds unless named."""
+
+    witnesses: tuple[str, ...] = ()  # ids; without any, each member has its floor alone
+    size: int = 1  # members of the fleet at most
+    floor: float = 0.05  # of each budget, divided by `size`: what a member may spend heard or not
+    tickets: int = 256
+    lease_ms: float = 4_000.0  # of a ticket
+    loan_ms: float = 2_000.0
+    renew_ms: float = 1_000.0  # tickets and loans are asked for anew this often
+    margin_ms: float = 250.0  # for clocks that run at different rates over a lease
+    kinds: dict[str, Kind] = field(default_factory=dict)  # by the budget's name up to its slash
+    asked_most: int = 8  # members asked for loans at each renewal
+    most_budgets: int = 1_024
+    spread_ms: float = 200.0  # registers and rows are told on this often
+    spread_nodes: int = 3
+    judges: int = 3
+    window_ms: float = 10_000.0  # of evidence
+    tell_ms: float = 200.0
+    settle_ms: float = 1_000.0  # from the first evidence to a judgement, so that successes are heard too
+    quorum: int = 3  # members that must find a worker bad
+    least: int = 6  # failed requests that they must have seen together
+    volume: int = 30  # failed requests that are enough from two members
+    ratio: float = 0.5  # of a member's requests that failed, and of the members that find it bad
+    bad_ms: float = 10_000.0  # a judgement's life
+    most_workers: int = 2_048
+    counts_ms: float = 2_000.0  # a member's row is told this often, less often beyond 16 members
+
+    @property
+    def majority(self) -> int:
+        return len(self.witnesses) // 2 + 1
+
+    @cached_property
+    def keep_ms(self) -> float:
+        """How long a witness keeps a ticket for a life that asks no more."""
+        return self.lease_ms + self.margin_ms + max((k.grace_ms for k in self.kinds.values()), default=0.0)
+
+    @cached_property
+    def mark(self) -> int:
+        """Names what must be the same at all members for the bounds to hold."""
+        kinds = sorted((name, kind.bound, kind.grace_ms, kind.rate) for name, kind in self.kinds.items())
+        same = (sorted(self.witnesses), self.size, self.floor, self.tickets, self.lease_ms, self.loan_ms,
+                self.margin_ms, kinds)  # fmt: skip
+        return zlib.crc32(repr(same).encode())
+
+    def kind_of(self, budget: str) -> Kind | None:
+        return self.kinds.get(budget.partition("/")[0])
+
+    def floor_of(self, bound: float) -> float:
+        """What each member may always spend of a budget."""
+        return bound * (self.floor if self.witnesses else 1.0) / max(self.size, 1)
+
+    def ticket_of(self, bound: float) -> float:
+        """What one ticket gives of a budget."""
+        return bound * (1.0 - self.floor) / self.tickets if self.witnesses else 0.0
--- a/molespur/fleet/swim.py
+++ b/molespur/fleet/swim.py
@@ -22,6 +22,7 @@
 import math
 import random
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from . import wire
@@ -234,6 +235,7 @@
         self.health = 0  # Lifeguard's local health score: 0 is healthy
         self.counts: Counter = Counter()
         self.started = self.leaving = self.joined = False
+        self.whole: Callable[[], bytes] = lambda: wire.NOTHING  # the shared state that rides on push-pulls
         self._suspects: set[str] = set()
         self._ring_version = 0  # raised whenever a member comes into or goes out of the ring
         self._ring_key: tuple[int, int] | None = None
@@ -715,7 +717,7 @@
             State.LEFT if self.leaving else State.ALIVE, self.me,
         )  # fmt: skip
         members = [own] + [m.news() for m in self.members.values()]
-        return wire.encode_exchange(self.cluster, self.me, join, members)
+        return wire.encode_exchange(self.cluster, self.me, join, members, self.whole())
 
     def _push_pull(self) -> None:
         """With a member held alive; every other time with one held failed, so that split halves heal."""
--- a/molespur/fleet/wire.py
+++ b/molespur/fleet/wire.py
@@ -8,15 +8,18 @@
 
 import msgspec
 
-from .model import VERSION, Exchange, Message, News, Packet
+from .model import VERSION, Exchange, News, Packet
+from .sharing import Anything, Whole
 
 LENGTH = struct.Struct("!I")
 REASONS = ("oversized", "malformed", "version", "cluster")
 
 _encoder = msgspec.msgpack.Encoder()
 _packet = msgspec.msgpack.Decoder(Packet)
-_message = msgspec.msgpack.Decoder(Message)
+_message = msgspec.msgpack.Decoder(Anything)
 _exchange = msgspec.msgpack.Decoder(Exchange)
+_whole = msgspec.msgpack.Decoder(Whole | None)
+NOTHING = b"\xc0"  # nil
 
 
 class _Head(msgspec.Struct, array_like=True):
@@ -28,7 +31,7 @@
 _head = msgspec.msgpack.Decoder(_Head)
 
 
-def encode(cluster: str, message: Message) -> bytes:
+def encode(cluster: str, message: Anything) -> bytes:
     """One datagram."""
     return _encoder.encode(Packet(VERSION, cluster, msgspec.Raw(_encoder.encode(message))))
 
@@ -45,7 +48,7 @@
         return None
 
 
-def decode(data: bytes, cluster: str, most: int) -> tuple[Message | None, str]:
+def decode(data: bytes, cluster: str, most: int) -> tuple[Anything | None, str]:
     """The message of a datagram and "", or None and the reason why not."""
     if len(data) > most:
         return None, "oversized"
@@ -63,9 +66,9 @@
         return None, "malformed"
 
 
-def encode_exchange(cluster: str, src: str, join: bool, members: list[News]) -> bytes:
-    """A push-pull state with its length in front."""
-    body = _encoder.encode(Exchange(VERSION, cluster, src, join, members))
+def encode_exchange(cluster: str, src: str, join: bool, members: list[News], whole: bytes = NOTHING) -> bytes:
+    """A push-pull state with its length in front; `whole` is the shared state, as `encode_whole` gives it."""
+    body = _encoder.encode(Exchange(VERSION, cluster, src, join, members, msgspec.Raw(whole)))
     return LENGTH.pack(len(body)) + body
 
 
@@ -80,3 +83,16 @@
     if exchange.cluster != cluster:
         return None, "cluster"
     return exchange, ""
+
+
+def encode_whole(whole: Whole) -> bytes:
+    """The shared state that rides on a push-pull."""
+    return _encoder.encode(whole)
+
+
+def decode_whole(data: msgspec.Raw) -> tuple[Whole | None, str]:
+    """The shared state of a push-pull, None where there is none, and why not where it can't be taken."""
+    try:
+        return _whole.decode(data), ""
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return None, "malformed"
--- a/molespur/standins/virtual_fleet.py
+++ b/molespur/standins/virtual_fleet.py
@@ -24,6 +24,7 @@
     loss: float = 0.0
     delay_ms: float = 1.0
     jitter_ms: float = 0.0
+    dup: float = 0.0
     cuts: set[tuple[int, int]] = field(default_factory=set)  # (from, to): nothing passes that way
 
     def passes(self, rng: random.Random, source: int, target: int) -> bool:
@@ -107,9 +108,12 @@
         if self._lives[i] != life or not self.up[i]:
             return
         if i not in self.paused:
-            self._act(i, self.members[i].handle(self.now, Tick()))
+            self._ticked(i)
         self._at(self.now + self.tick_ms, "tick", i, life)
 
+    def _ticked(self, i: int) -> None:
+        self._act(i, self.members[i].handle(self.now, Tick()))
+
     def _deliver(self, target: int, data: bytes, life: int) -> None:
         member = self.members[target]
         if member is None or self._lives[target] != life:
@@ -119,7 +123,10 @@
             return
         message, _ = wire.decode(data, "v", self.tuning.datagram_most)
         if message is not None:
-            self._act(target, member.handle(self.now, Received(message)))
+            self._take(target, message)
+
+    def _take(self, i: int, message) -> None:
+        self._act(i, self.members[i].handle(self.now, Received(message)))
 
     def _exchange(self, source: int, target: int, data: bytes, join: bool, life: int) -> None:
         member = self.members[target]
@@ -128,6 +135,7 @@
             self._at(self.now + PUSH_TIMEOUT_MS, "push_failed", source, target, join, self._lives[source])
             return
         exchange, _ = wire.decode_exchange(data[4:], "v")
+        self._carried(target, exchange)
         answer, actions = member.answer(self.now, exchange)
         self.pushed_bytes[target] += len(answer)
         self._act(target, actions)
@@ -138,8 +146,12 @@
         if member is None or self._lives[source] != life:
             return
         exchange, _ = wire.decode_exchange(answer[4:], "v")
+        self._carried(source, exchange)
         self._act(source, member.handle(self.now, Merged(exchange)))
 
+    def _carried(self, i: int, exchange) -> None:
+        """What rides on a push-pull beside the view."""
+
     def _push_failed(self, source: int, target: int, join: bool, life: int) -> None:
         member = self.members[source]
         if member is not None and self._lives[source] == life:
@@ -151,9 +163,11 @@
                 self.sent_bytes[i] += len(action.data)
                 self.sent_datagrams[i] += 1
                 target = self._by_address.get(action.address)
-                if target is not None and self.line.passes(self.rng, i, target):
-                    self._at(self.now + self.line.delay(self.rng), "deliver", target, action.data,
-                             self._lives[target])  # fmt: skip
+                copies = 1 + (self.line.dup > 0 and self.rng.random() < self.line.dup)
+                for _ in range(copies if target is not None else 0):
+                    if self.line.passes(self.rng, i, target):
+                        self._at(self.now + self.line.delay(self.rng), "deliver", target, action.data,
+                                 self._lives[target])  # fmt: skip
             elif isinstance(action, Push):
                 self.pushed_bytes[i] += len(action.data)
                 target = self._by_address.get(action.address)
--- /dev/null
+++ b/molespur/standins/virtual_state.py
@@ -0,0 +1,126 @@
+"""Many members that share state, in virtual time on the fleet view's network: deterministic from one seed.
+
+Each member's `Shared` goes by its own clock, which may be ahead, behind, or run faster.  Members spend
+budgets as told by `demand`: in each tick a member tries to spend so much, and may as far as its budget allows
+within the window.  What all have spent within any window is kept, and can be held against the bound.
+"""
+
+import random
+from collections import deque
+from collections.abc import Callable
+
+from ..fleet import shared, wire
+from ..fleet.model import State, Tuning
+from ..fleet.sharing import Share, Sharing
+from .virtual_fleet import VirtualFleet
+
+
+class Spender:
+    """What one member spends of one rate budget: so much in any window at most, as its budget allows."""
+
+    def __init__(self, window_ms: float):
+        self.window_ms, self.spends = window_ms, deque()  # (when, amount)
+
+    def used(self, now: float) -> float:
+        while self.spends and self.spends[0][0] <= now - self.window_ms:
+            self.spends.popleft()
+        return sum(amount for _, amount in self.spends)
+
+
+class VirtualState(VirtualFleet):
+    """A fleet of `Shared` members; member i's clock shows `now * rate[i] + offset[i]`."""
+
+    def __init__(self, n: int, share: Share, tuning: Tuning | None = None, seed: int = 1):
+        super().__init__(n, tuning, seed)
+        self.share = share
+        self.shared: list[shared.Shared | None] = [None] * n
+        self.offset, self.rate, self.unix_off = [0.0] * n, [1.0] * n, [0.0] * n
+        self.spenders: list[dict[str, Spender]] = [{} for _ in range(n)]
+        self.spent: dict[str, deque] = {}  # budget -> (when, amount, member), within its window
+        self.peak: dict[str, float] = {}  # budget -> the most that all spent in any window
+        self.passed: dict[str, float] = {}  # budget -> all that was ever spent of it
+        self.demand: Callable[[int, float], dict[str, float]] = lambda i, now: {}  # in a window, by budget
+        self.notes: list[tuple[float, int, object]] = []  # judged, lifted, owned: (time, member, action)
+        self._views: list[dict] = [{} for _ in range(n)]
+
+    def clock(self, i: int) -> float:
+        return self.now * self.rate[i] + self.offset[i]
+
+    def unix(self, i: int) -> float:
+        return 1e12 + self.now + self.unix_off[i]
+
+    # -- Life --------------------------------------------------------------------------------------
+
+    def start(self, i: int, seeds: tuple[int, ...] = (0,)) -> None:
+        life = int(1_000_000 + self.now) + self._lives[i] + 1
+        self.spenders[i] = {}
+        self.shared[i] = shared.Shared(
+            f"m{i}", life, self.share, "v", random.Random(self.rng.random()),
+            lambda name, now, i=i: self._used(i, name, now), self.clock(i),
+        )  # fmt: skip
+        self._views[i] = {}
+        super().start(i, seeds)
+        self.members[i].whole = lambda: wire.encode_whole(self.shared[i].whole(self.clock(i)))
+
+    def kill(self, i: int) -> None:
+        super().kill(i)
+        self.shared[i] = None
+
+    def tell(self, i: int, event) -> None:
+        """Give member i's shared state an event, such as `shared.Ended`."""
+        self._act(i, self.shared[i].handle(self.clock(i), self.unix(i), event))
+
+    # -- Time --------------------------------------------------------------------------------------
+
+    def _ticked(self, i: int) -> None:
+        super()._ticked(i)
+        view = {m.id: m.address for m in self.members[i].members.values() if m.state <= State.SUSPECT}
+        if view != self._views[i]:
+            self._views[i] = view
+            self.tell(i, shared.View(view))
+        self.tell(i, shared.Tick())
+        for name, wanted in self.demand(i, self.now).items():
+            self._spend(i, name, wanted)
+
+    def _take(self, i: int, message) -> None:
+        if isinstance(message, Sharing):
+            self.tell(i, shared.Heard(message))
+        else:
+            super()._take(i, message)
+
+    def _carried(self, i: int, exchange) -> None:
+        whole, _ = wire.decode_whole(exchange.whole)
+        if whole is not None:
+            self.tell(i, shared.Carried(whole))
+
+    def _act(self, i: int, actions: list) -> None:
+        super()._act(i, actions)
+        for action in actions:
+            if isinstance(action, shared.Judged | shared.Lifted | shared.Owned):
+                self.notes.append((self.now, i, action))
+
+    # -- Spending ----------------------------------------------------------------------------------
+
+    def _used(self, i: int, name: str, now: float) -> float:
+        spender = self.spenders[i].get(name)
+        return spender.used(now) if spender else 0.0
+
+    def _spend(self, i: int, name: str, wanted: float) -> None:
+        """Spend a tick's part of what is wanted in a window, as far as the budget allows."""
+        window = self.share.kind_of(name).grace_ms
+        spender = self.spenders[i].setdefault(name, Spender(window))
+        now = self.clock(i)
+        room = self.shared[i].available(name, now) - spender.used(now)
+        part = wanted * self.tick_ms / window
+        amount = max(0.0, min(part, room))
+        if amount < part:
+            self.shared[i].escrow.deny(name, now)
+        if amount <= 0:
+            return
+        spender.spends.append((now, amount))
+        self.passed[name] = self.passed.get(name, 0.0) + amount
+        line = self.spent.setdefault(name, deque())
+        line.append((self.now, amount))
+        while line[0][0] <= self.now - window / max(self.rate):  # a fast clock's window is shorter than ours
+            line.popleft()
+        self.peak[name] = max(self.peak.get(name, 0.0), sum(a for _, a in line))
