Let the module take its part of cold budgets, and workers bad for all, from the fleet

Ruled out: a gate in the host before cold sends (each refusal there would cost one of a job's attempts, and the module would learn nothing of it).

--- a/molespur/interface.py
+++ b/molespur/interface.py
@@ -199,6 +199,18 @@
     entries: tuple[WorkerEntry, ...] = ()
 
 
+@dataclass(slots=True)
+class SharedNews:
+    """What the schedulers share, as of now; stands until the next.
+
+    `parts`: for each cold worker whose budget is shared, which part of all that it may be sent this
+    dispatcher may send (0 to 1).  `bad`: workers that the evidence of several schedulers speaks against.
+    """
+
+    parts: dict[str, float] = field(default_factory=dict)
+    bad: frozenset[str] = frozenset()
+
+
 @dataclass(slots=True)
 class Submitted:
     """A client's request, which now is owed one final answer within time_left_ms."""
@@ -311,6 +323,16 @@
     """Ask discovery for its changes from now on."""
 
 
+@dataclass(slots=True)
+class ColdUse:
+    """Answers `SharedNews` for one cold worker: which part of all that it may be sent in a window this
+    dispatcher has sent lately, and up to which part its jobs have asked for since the last answer."""
+
+    worker: str
+    sent: float
+    asked: float
+
+
 @dataclass(slots=True)
 class Probe:
     """Ask a worker for its load."""
@@ -319,5 +341,5 @@
 
 
 Event = Started | Retuned | FleetNews | Submitted | StreamBegun | Progressed | AttemptEnded | ClientGone
-Event |= TimerFired | ProbeEnded
-Action = Send | Cancel | Refuse | Fail | SetTimer | Watch | Probe
+Event |= TimerFired | ProbeEnded | SharedNews
+Action = Send | Cancel | Refuse | Fail | SetTimer | Watch | Probe | ColdUse
--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -7,6 +7,7 @@
 from heapq import heappop, heappush
 from math import exp, log, sqrt
 from random import Random
+from statistics import fmean
 from zlib import crc32
 
 from . import interface as io
@@ -73,7 +74,7 @@
             io.Submitted: self._submitted, io.AttemptEnded: self._ended, io.Progressed: self._progressed,
             io.TimerFired: self._fired, io.FleetNews: self._news, io.ClientGone: self._client_gone,
             io.ProbeEnded: self._probe_ended, io.StreamBegun: self._begun, io.Started: self._started,
-            io.Retuned: self._retuned,
+            io.Retuned: self._retuned, io.SharedNews: self._shared,
         }  # fmt: skip
 
     def _retuned(self, event):
@@ -108,6 +109,16 @@
         if self.s.may_probe:
             self._at(PROBE_MS[0] * self.rng.random(), self._probe_next)
 
+    def _shared(self, event):
+        """What dispatchers share: our part of each cold worker's budget, and workers that are bad for all."""
+        for w in self.live:
+            if w.id in event.bad:
+                self._strike(w)
+            w.part, asked, w.part_asked = event.parts.get(w.id), w.part_asked, 0.0
+            if w.part is not None:
+                _, may, sent = self._cold(w)
+                self.out.append(io.ColdUse(w.id, sent / may, asked))
+
     def _ask(self, turn):
         """Subscribe.  Each call is answered, and only its failure calls for the next."""
         if turn == self.asks:  # guards against askings that double at each error
@@ -123,9 +134,8 @@
         if event.mode is not NewsMode.PERSISTED:
             self.ask_wait = self.ask_first
         if event.mode is not NewsMode.PARTIAL:
-            named = {e.worker for e in event.entries}
             for worker in self.workers.values():
-                worker.list_ok = worker.list_ok and worker.id in named
+                worker.list_ok = False
         for entry in event.entries:
             worker = self.workers.get(entry.worker)
             if worker is None:
@@ -148,8 +158,7 @@
             kinds.setdefault(w.kind, []).append(w)
         known = [w.slots for w in self.live if w.slots_known] or [DEFAULT_SLOTS]
         for group in kinds.values():
-            alike = [w.slots for w in group if w.slots_known] or known
-            mean = sum(alike) / len(alike)
+            mean = fmean([w.slots for w in group if w.slots_known] or known)
             for w in group:
                 w.slots = w.slots if w.slots_known else mean
         fleet = sum(w.power for w in self.live) / max(sum(w.slots for w in self.live), 1.0)
@@ -211,8 +220,7 @@
 
     def _wait(self, w, ask):
         """Prior of the waiting time, and the slots by which the job would be over what the worker has."""
-        age = self.now - w.seen
-        known = self.turn / (self.turn + age)  # a report counts half after a mean run
+        known = self.turn / (self.turn + self.now - w.seen)  # a report counts half after a mean run
         # a cold worker runs a few jobs as fast as a warm one, but has fewer slots to run them on
         warmth, slots = self._warmth(w), w.slots * self._warmth(w)
         usual = w.slots * self.rho[warmth < 1]
@@ -257,20 +265,18 @@
             w.pace *= PACE_KEPT
             place.setdefault(w.kind, len(place))
         kinds, size = len(place), len(place) + 3  # a run for each kind, waiting, misses, constant
-        rows = [[RIDGE if i == j else 0.0 for j in range(size)] for i in range(size)]
-        right, unit = [RIDGE] * (size - 1) + [0.0], 0.1 * self.turn  # the unit of the constant
+        prior, unit = [1.0] * (size - 1) + [0.0], 0.1 * self.turn  # the unit of the constant
+        rows = [[RIDGE * (i == j) for j in range(size)] + [RIDGE * one] for i, one in enumerate(prior)]
         for bucket in self.buckets.values():
             weight = 1.0
             for kind, run, wait, miss, const, y in reversed(bucket):
                 if kind in place:
                     terms = ((place[kind], run), (kinds, wait), (kinds + 1, miss), (kinds + 2, const * unit))
                     for i, a in terms:
-                        right[i] += weight * a * y
-                        row = rows[i]
-                        for j, b in terms:
-                            row[j] += weight * a * b
+                        for j, b in (*terms, (size, y)):
+                            rows[i][j] += weight * a * b
                 weight *= RECENCY
-        solved = solve(rows, right)
+        solved = solve(rows)
         self.heat = {key: heat * HEAT_KEPT for key, heat in self.heat.items() if heat > 0.1}
         self.heat_all, self.homes = self.heat_all * HEAT_KEPT, {}
         self.coef = {k: min(max(solved[i], 0.2), 5.0) for k, i in place.items()}
@@ -304,7 +310,7 @@
         if len(healthy) < PANIC_SHARE * len(pool):
             healthy = pool  # guards against ejecting the whole fleet for a fault that is not its own
         unsafe, left = job.state.cls.effect is not Effect.SAFE, job.aim_at - now
-        found, best, warm_best, near_free, margins = [], None, None, False, None
+        found, near_free, margins = [], False, {}
         if job.sheddable and any(m for m, _ in self.margins.values()):
             worth = self._density(job, self._favour())
             levels = self.margins.items()
@@ -322,28 +328,23 @@
             match = 1.0 if job.key is None else self._match(w, job.key)
             miss = (1 - match) * self.turn
             time = run * w.slope + self.wait_coef * wait + self.miss_coef * miss + self.const
-            if margins:
-                time += margins.get(w.kind, 0.0) + margins.get(None, 0.0)
+            time += margins.get(w.kind, 0.0) + margins.get(None, 0.0)
             near_free = near_free or (over <= 0 and w.zone == self.s.zone)
             found.append((time, w, wait, match, miss))
-            if best is None or time < best:
-                best = time
-            if match > WARM_MATCH and (warm_best is None or time < warm_best):
-                warm_best = time
         if not found:
             return None
+        warm = [f for f in found if f[3] > WARM_MATCH] if job.key is not None else []
         # warm workers lose their claim if a mean run slower than the best
-        claim = job.key is not None and warm_best is not None and warm_best <= best + self.turn
+        claim = warm and min(f[0] for f in warm) <= min(f[0] for f in found) + self.turn
         if claim and self.rng.random() >= WARM_EXPLORE:
-            found = [f for f in found if f[3] > WARM_MATCH]
+            found = warm
         tier = [f for f in found if f[0] <= left]
         meets = bool(tier)
         if not meets:
             tier = found
         elif len(tier) < len(found) and not unsafe and self.rng.random() < EXPLORE:
             tier = [f for f in found if f[0] > left]
-        allowed = job.state.cls.aim_ms + job.state.cls.aim_stretch * run
-        crossing = CROSSING * self.s.cross_zone_price * allowed * near_free
+        crossing = CROSSING * self.s.cross_zone_price * job.allowed * near_free
         costs = [f[0] + crossing * (f[1].zone != self.s.zone) for f in tier]
         top = min(costs)
         weights = [exp((top - cost) / (DRAW_SCALE * max(top, 1.0))) for cost in costs]
@@ -417,8 +418,7 @@
             self._give_up(job)  # lateness earns nothing, so the slots go to jobs that can be in time
             return True
         # late already, and worth the same until the deadline: it waits for room as if it had just come
-        fresh_aim = job.state.cls.aim_ms + job.state.cls.aim_stretch * job.run
-        if time > fresh_aim or self.now + time >= job.deadline:
+        if time > job.allowed or self.now + time >= job.deadline:
             return False
         self._send(job, w, sample)
         return True
@@ -473,10 +473,8 @@
 
     def _give_up(self, job):
         """Final answer: a refusal where no attempt can have run or repeats are harmless, else a failure."""
-        if job.may_have_run() and not job.state.cls.harmless:
-            self.out.append(io.Fail(job.id))
-        else:
-            self.out.append(io.Refuse(job.id, self.s.pause_ms))
+        harm = job.may_have_run() and not job.state.cls.harmless  # that a repeat may do
+        self.out.append(io.Fail(job.id) if harm else io.Refuse(job.id, self.s.pause_ms))
         job.state.in_time -= CLASS_GAIN * job.state.in_time
         self._close(job)
 
@@ -576,8 +574,7 @@
             w.room += ROOM_REGAINED
             w.full_until, w.fulls = 0.0, max(w.fulls - 1, 0)  # one of its slots has just come free
             w.probation = w.probation and attempt.sent <= w.eject_until
-            if not w.probation and w.strikes:
-                w.strikes = max(0, w.strikes - 0.25)
+            w.strikes = max(0, w.strikes - 0.25 * (not w.probation))
             ran = now - attempt.began if attempt.began is not None else elapsed
             longer = 0.0 if job.hinted else ran / w.base - job.run
             self._count(job, now - job.aim_at - job.state.cls.aim_stretch * longer, attempt.sample[2])
@@ -593,8 +590,7 @@
             self._set_slope(w)
         elif outcome is Outcome.FULL:
             w.heard = now
-            over = self._wait(w, attempt.ask)[1]
-            w.room = max(min(w.room, over), ROOM_LEAST)
+            w.room = max(min(w.room, self._wait(w, attempt.ask)[1]), ROOM_LEAST)
             w.others, w.seen = max(w.others, w.slots - w.own + w.room), now
             self._rest(w)
             w.fulls = min(w.fulls + 1, 3)
@@ -634,19 +630,25 @@
         """Core time that a send is counted at: at least its hint and its class's mean, for hints err."""
         return max(job.run, job.hint or 0.0, job.state.mean) * job.ask
 
-    def _cold_allows(self, w, job):
-        """Rule 4: this dispatcher's share of what a cold worker may be sent within the window."""
-        start = self.now - self.s.cold_window_ms
-        while w.budget and w.budget[0][0] < start:
+    def _cold(self, w):
+        """Work in a window: what a cold worker can do at least, may be sent by all, and was sent by us."""
+        while w.budget and w.budget[0][0] < self.now - self.s.cold_window_ms:
             w.budget.popleft()
-        full = w.slots / (w.base * self.coef.get(w.kind, 1.0))
-        able = self._warmth(w) * full * self.s.cold_window_ms / self.s.balancers
-        work, limit = self._work(job), min(COLD_BURST * self.s.cold_multiple, COLD_LOAD) * able
+        able = self._warmth(w) * w.slots / (w.base * self.coef.get(w.kind, 1.0)) * self.s.cold_window_ms
+        may = max(min(COLD_BURST * self.s.cold_multiple, COLD_LOAD) * able, 1e-9)
+        return able, may, sum(sent for _, sent in w.budget)
+
+    def _cold_allows(self, w, job):
+        """Rule 4: this dispatcher's part of what a cold worker may be sent within the window."""
+        part = 1 / self.s.balancers if w.part is None else w.part
+        (able, may, sent), work = self._cold(w), self._work(job)
+        w.part_asked = max(w.part_asked, (sent + work) / may)
+        able, limit = able * part, may * part
         if work <= limit or self.turn <= limit:
-            return sum(sent for _, sent in w.budget) + work <= limit
+            return sent + work <= limit
         # guards against cold workers that get nothing where a share is below a job: then one at a time,
         # the first after a part of its gap drawn once, lest a large job's wait lets a small one through
-        gap = work * self.s.cold_window_ms / (COLD_LUMPS * able)
+        gap = work * self.s.cold_window_ms / max(COLD_LUMPS * able, 1e-9)
         if w.lump_from is None:
             w.lump_from, w.lump_part = self.now, self.rng.random()
         return self.now >= w.lump_from + w.lump_part * gap
--- a/molespur/records.py
+++ b/molespur/records.py
@@ -37,6 +37,7 @@
         self.strikes, self.eject_until, self.probation, self.faults, self.mute = 0, 0.0, False, 0.0, 0
         self.budget = deque()  # (time, work) sent while cold
         self.lump_from, self.lump_part = None, 1.0  # since when a large job waits, and its part
+        self.part, self.part_asked = None, 0.0  # of its budget while cold: what is ours, what jobs asked for
         self.keys.clear()
 
     def recent(self, now):
@@ -106,7 +107,8 @@
         state.longest_left = max(state.longest_left, left)
         # guards against retries counted as fresh: the aim runs from the client's first try
         gone = state.longest_left - left
-        self.aim_at = now + min(cls.aim_ms + cls.aim_stretch * self.run, cls.deadline_ms) - gone
+        self.allowed = cls.aim_ms + cls.aim_stretch * self.run  # time to be in, from its first try
+        self.aim_at = now + min(self.allowed, cls.deadline_ms) - gone
         self.deadline, self.not_before = now + left, now
         self.attempts, self.out, self.open, self.tried = [], 0, True, ()
         self.sheddable, self.worth = state.sheddable, cls.worth
@@ -124,13 +126,11 @@
         self.due = due  # when it ends if it need not wait
 
 
-def solve(rows, right):
-    """Solve a small symmetric positive system by elimination, in place."""
+def solve(rows):
+    """Solve a small symmetric positive system, its right side as the last column, by elimination in place."""
     for i, pivot in enumerate(rows):
         for j, row in enumerate(rows):
             if j != i and row[i]:
                 factor = row[i] / pivot[i]
-                right[j] -= factor * right[i]
-                for k in range(i, len(row)):
-                    row[k] -= factor * pivot[k]
-    return [value / row[i] for i, (value, row) in enumerate(zip(right, rows, strict=True))]
+                rows[j] = [a - factor * b for a, b in zip(row, pivot, strict=True)]
+    return [row[-1] / row[i] for i, row in enumerate(rows)]
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -511,3 +511,40 @@
             asked += 1
             news(d, now=now, mode=io.NewsMode.ERROR)
     assert 5 <= asked <= 24  # 30 s: waits of up to 0.2 s, which doubles up to 5 s
+
+
+def cold_work(d, n=60):
+    """The work that a cold worker is allowed of n jobs of 100 ms that come at once."""
+    d.now = 30.0
+    for i in range(n):
+        job = Job(io.Submitted(i, "safe", 5000.0, work_hint_ms=100.0), d.classes["safe"], 3, d.now)
+        if d._cold_allows(d.workers["new"], job):
+            d._send(job, d.workers["new"], None)
+    return d._cold(d.workers["new"])[2]
+
+
+@pytest.mark.parametrize(("part", "of_all"), [(None, 0.25), (0.5, 0.5), (1.0, 1.0), (0.0, 0.0)])
+def test_a_cold_worker_gets_the_part_that_the_schedulers_agree_on(part, of_all):
+    d = make(balancers=4, cold_ms=60_000.0, cold_window_ms=4000.0)
+    news(d, entry("new", born=1.0))
+    for state in d.classes.values():
+        state.mean = d.turn = 100.0  # sends count for at least their class's mean
+    may = d._cold(d.workers["new"])[1]
+    parts = {} if part is None else {"new": part}
+    (use,) = of(d.handle(20.0, io.SharedNews(parts)), io.ColdUse) or (None,)
+    sent = cold_work(d)
+    assert of_all * may - 200.0 < sent <= of_all * may + 1e-6
+    (use,) = of(d.handle(40.0, io.SharedNews({"new": 0.5})), io.ColdUse)
+    assert use.worker == "new" and use.sent == pytest.approx(sent / may, rel=0.01)
+    assert use.asked > of_all - 0.01, "more was asked for than it got"
+
+
+def test_a_worker_that_is_bad_for_all_rests_and_is_tried_again_with_care():
+    d = make()
+    news(d, entry("w0"), entry("w1"), entry("w2"))
+    d.handle(5.0, io.SharedNews(bad=frozenset({"w1", "unknown"})))
+    assert d.avoided(6.0) == {"w1"} and d.workers["w1"].probation
+    d.handle(7.0, io.SharedNews(bad=frozenset({"w1"})))
+    assert d.workers["w1"].strikes == 1, "told again while it rests: no further strike"
+    d.handle(8.0, io.SharedNews(bad=frozenset({"w0", "w1", "w2"})))
+    assert d.avoided(9.0) == set(), "too many would be: none is"
