--- a/molespur/standins/virtual_state.py
+++ b/molespur/standins/virtual_state.py
@@ -12,6 +12,7 @@
 from ..fleet import shared, wire
 from ..fleet.model import State, Tuning
 from ..fleet.sharing import Share, Sharing
+from ..fleet.swim import Changed
 from .virtual_fleet import VirtualFleet
 
 
@@ -41,7 +42,7 @@
         self.passed: dict[str, float] = {}  # budget -> all that was ever spent of it
         self.demand: Callable[[int, float], dict[str, float]] = lambda i, now: {}  # in a window, by budget
         self.notes: list[tuple[float, int, object]] = []  # judged, lifted, owned: (time, member, action)
-        self._views: list[dict] = [{} for _ in range(n)]
+        self._changed: set[int] = set()  # members whose view changed since they were told
 
     def clock(self, i: int) -> float:
         return self.now * self.rate[i] + self.offset[i]
@@ -58,7 +59,6 @@
             f"m{i}", life, self.share, "v", random.Random(self.rng.random()),
             lambda name, now, i=i: self._used(i, name, now), self.clock(i),
         )  # fmt: skip
-        self._views[i] = {}
         super().start(i, seeds)
         self.members[i].whole = lambda: wire.encode_whole(self.shared[i].whole(self.clock(i)))
 
@@ -74,10 +74,10 @@
 
     def _ticked(self, i: int) -> None:
         super()._ticked(i)
-        view = {m.id: m.address for m in self.members[i].members.values() if m.state <= State.SUSPECT}
-        if view != self._views[i]:
-            self._views[i] = view
-            self.tell(i, shared.View(view))
+        if i in self._changed:
+            self._changed.discard(i)
+            alive = (m for m in self.members[i].members.values() if m.state <= State.SUSPECT)
+            self.tell(i, shared.View({m.id: m.address for m in alive}))
         self.tell(i, shared.Tick())
         for name, wanted in self.demand(i, self.now).items():
             self._spend(i, name, wanted)
@@ -96,6 +96,8 @@
     def _act(self, i: int, actions: list) -> None:
         super()._act(i, actions)
         for action in actions:
+            if isinstance(action, Changed):
+                self._changed.add(i)
             if isinstance(action, shared.Judged | shared.Lifted | shared.Owned):
                 self.notes.append((self.now, i, action))
 
@@ -107,20 +109,23 @@
 
     def _spend(self, i: int, name: str, wanted: float) -> None:
         """Spend a tick's part of what is wanted in a window, as far as the budget allows."""
-        window = self.share.kind_of(name).grace_ms
+        window, now = self.share.kind_of(name).grace_ms, self.clock(i)
         spender = self.spenders[i].setdefault(name, Spender(window))
-        now = self.clock(i)
-        room = self.shared[i].available(name, now) - spender.used(now)
         part = wanted * self.tick_ms / window
-        amount = max(0.0, min(part, room))
+        amount = max(0.0, min(part, self.shared[i].available(name, now) - spender.used(now)))
         if amount < part:
             self.shared[i].escrow.deny(name, now)
+        self.book(i, name, amount)
+
+    def book(self, i: int, name: str, amount: float) -> None:
+        """Member i has spent so much now."""
         if amount <= 0:
             return
-        spender.spends.append((now, amount))
+        spender = self.spenders[i][name]
+        spender.spends.append((self.clock(i), amount))
         self.passed[name] = self.passed.get(name, 0.0) + amount
         line = self.spent.setdefault(name, deque())
         line.append((self.now, amount))
-        while line[0][0] <= self.now - window / max(self.rate):  # a fast clock's window is shorter than ours
+        while line[0][0] <= self.now - spender.window_ms / max(self.rate):  # a fast clock's window is shorter
             line.popleft()
         self.peak[name] = max(self.peak.get(name, 0.0), sum(a for _, a in line))
