Sketch overload handled by the fleet as one, and clients that come back for it

Passed over, with why: a rate budget for retries by tickets, reports to all by gossip, levels that each member finds for itself, a leader, one limit per worker agreed by all. The stand-in clients now try again, at once or after Retry-After, at a scheduler of their choice, and workers turn away what their queue does not hold, so that the baseline can be measured before anything is built.

--- a/molespur/standins/fleet_load.py
+++ b/molespur/standins/fleet_load.py
@@ -5,6 +5,7 @@
 for each worker), so that what arrives is known by member, and one member's path can be broken alone.
 """
 
+import random
 import threading
 from collections import Counter
 from dataclasses import dataclass, field
@@ -31,6 +32,7 @@
     slots: int = 4
     work_ms: float = 20.0
     born_ms: float = 0.0
+    queue: int | None = None  # jobs that may wait; more are turned away unstarted; None: any number
     failing: bool = False  # answers 500 at once
     deaf_to: set[int] = field(default_factory=set)  # members whose connections break with no answer
     arrived: list[tuple[float, int]] = field(default_factory=list)  # (when in s, member), by the loop's clock
@@ -61,13 +63,38 @@
         return most
 
 
+@dataclass(frozen=True)
+class Clients:
+    """What clients ask for, and what they do when they are refused."""
+
+    classes: tuple[tuple[str, float], ...] = (("lookup", 1.0),)  # and their shares of the jobs
+    timeout_ms: int = 5000
+    tries: int = 1  # of a client at one job, each at a scheduler of its own choice
+    patient: bool = False  # a refused client comes back after Retry-After; else at once
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """One client's job from its first try to its end: when it was due (s), its class, how it ended, how long
+    that took (ms), and how many tries."""
+
+    due: float
+    job_class: str
+    end: str
+    took_ms: float
+    tries: int
+
+
 class FleetLoad:
     """Workers and open-loop clients of n schedulers on net 127.N; used as a context manager.
 
-    `rates` may be changed at any time; `clients[i].tally` holds what became of member i's jobs.
+    `rates` (of first tries) may be changed at any time; `done` holds what became of each job.
     """
 
-    def __init__(self, n: int, net: int, workers: list[FleetWorker], cost_us: int | None = None):
+    def __init__(
+        self, n: int, net: int, workers: list[FleetWorker], cost_us: int | None = None, clients=None, seed=1
+    ):
+        self.kind, self.rng, self.done = clients or Clients(), random.Random(seed), []
         self.n, self.net, self.workers = n, net, workers
         self.rates: dict[int, float] = {}  # jobs a second at each member, as it is now
         places = [(f"127.{net}.2.{i + 1}", LISTEN_PORT) for i in range(n)]
@@ -92,7 +119,7 @@
 
     def ends(self) -> Counter:
         """What became of all jobs so far: served, refused, failed, lost."""
-        return sum((one.tally.ends for one in self.clients), Counter())
+        return Counter(one.end for one in self.done)
 
     def now(self) -> float:
         """The loop's clock, seconds."""
@@ -158,6 +185,10 @@
                     worker.ends["failed"] += 1
                     error = h11.Response(status_code=500, headers=[("Content-Length", "0")])
                     await served.say(error, h11.EndOfMessage())
+                elif worker.queue is not None and limit.statistics().tasks_waiting >= worker.queue:
+                    worker.ends["turned away"] += 1
+                    full = [("Content-Length", "0"), ("X-Not-Processed", "1")]
+                    await served.say(h11.Response(status_code=503, headers=full), h11.EndOfMessage())
                 else:
                     chunked = [("Transfer-Encoding", "chunked")]
                     await served.say(h11.Response(status_code=200, headers=chunked))
@@ -172,8 +203,8 @@
     # -- Clients -----------------------------------------------------------------------------------
 
     async def _clients(self, member: int) -> None:
-        """Jobs at one member, on time whatever becomes of them."""
-        due, jobs = trio.current_time(), self.clients[member]
+        """Jobs that are first tried at one member, on time whatever becomes of them."""
+        due = trio.current_time()
         while True:
             rate = self.rates.get(member, 0.0)
             if rate <= 0:
@@ -182,4 +213,19 @@
                 continue
             due = max(due + 1 / rate, trio.current_time() - 1.0)
             await trio.sleep_until(due)
-            self._nursery.start_soon(jobs.one, due)
+            self._nursery.start_soon(self._job, member, due)
+
+    async def _job(self, member: int, due: float) -> None:
+        """One client's job, tried again where it is refused and its time is not over."""
+        names, shares = zip(*self.kind.classes, strict=True)
+        job_class, end, tries = self.rng.choices(names, shares)[0], "", 0
+        while end in ("", "refused") and tries < self.kind.tries:
+            left = self.kind.timeout_ms - (trio.current_time() - due) * 1000
+            if left <= 50:
+                break
+            tries += 1
+            end, _, pause = await self.clients[member].send(job_class, int(left))
+            if end == "refused" and tries < self.kind.tries:
+                member = self.rng.choice([i for i, rate in self.rates.items() if rate > 0] or [member])
+                await trio.sleep(pause if self.kind.patient else 0.01)
+        self.done.append(Done(due, job_class, end, (trio.current_time() - due) * 1000, tries))
--- a/molespur/standins/jobs.py
+++ b/molespur/standins/jobs.py
@@ -56,19 +56,23 @@
 
     async def one(self, due: float) -> None:
         """Send one job that was due then (trio's clock), and count how it ends."""
-        end, by = "lost", ""
-        try:
-            with trio.move_on_after(7):
-                end, by = await self._exchange()
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
-            pass  # counted as lost
+        end, by, _ = await self.send(self.job_class, 5000)
         self.tally.ends[end] += 1
         if by:
             self.tally.by[by] += 1
         # counted from when it was due: a sender that is held up does not make the tail look short
         self.tally.took_ms.append((trio.current_time() - due) * 1000)
 
-    async def _exchange(self) -> tuple[str, str]:
+    async def send(self, job_class: str, timeout_ms: int) -> tuple[str, str, float]:
+        """One job: served, refused, failed or lost; who served it; Retry-After (s, 0: none)."""
+        try:
+            with trio.move_on_after(timeout_ms / 1000 + 2):
+                return await self._exchange(job_class, timeout_ms)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
+            pass
+        return "lost", "", 0.0
+
+    async def _exchange(self, job_class: str, timeout_ms: int) -> tuple[str, str, float]:
         if self._idle:
             stream, http = self._idle.pop()
             http.start_next_cycle()
@@ -78,28 +82,29 @@
         try:
             ident = f"{self.prefix}{next(self._numbers)}"
             headers = [
-                ("Host", "x"), ("X-Request-ID", ident), ("X-Priority-Class", self.job_class),
-                ("X-Timeout-Ms", "5000"), ("Idempotency-Key", ident), ("Content-Length", "2"),
+                ("Host", "x"), ("X-Request-ID", ident), ("X-Priority-Class", job_class),
+                ("X-Timeout-Ms", str(timeout_ms)), ("Idempotency-Key", ident), ("Content-Length", "2"),
             ]  # fmt: skip
             if self.cost_us is not None:
                 headers.append(("X-Cost", str(self.cost_us)))
-            request = h11.Request(method="POST", target=f"/{self.job_class}", headers=headers)
+            request = h11.Request(method="POST", target=f"/{job_class}", headers=headers)
             parts = (request, h11.Data(data=b"hi"), h11.EndOfMessage())
             await stream.send_all(b"".join(http.send(part) for part in parts))
-            status, body = 0, b""
+            status, body, pause = 0, b"", 0.0
             while type(event := http.next_event()) is not h11.EndOfMessage:
                 if event is h11.NEED_DATA:
                     data = await stream.receive_some(65536)
                     if not data and http.their_state is h11.SEND_RESPONSE:
-                        return "lost", ""
+                        return "lost", "", 0.0
                     http.receive_data(data)
                 elif type(event) is h11.Response:
                     status = event.status_code
+                    pause = float(dict(event.headers).get(b"retry-after", b"0"))
                 elif type(event) is h11.Data:
                     body += bytes(event.data)
             kept = http.our_state is h11.DONE and http.their_state is h11.DONE
             end = "served" if status == 200 else "refused" if status in (429, 503) else "failed"
-            return end, body.decode("latin-1").removeprefix("by ") if end == "served" else ""
+            return end, body.decode("latin-1").removeprefix("by ") if end == "served" else "", pause
         finally:
             if kept:
                 self._idle.append((stream, http))
