--- a/benchmarks/fleet_state.py
+++ b/benchmarks/fleet_state.py
@@ -14,8 +14,8 @@
 bad ones in the first 10 s and in 30 s, and healthy workers judged bad; by today's local judgement alone and
 with the fleet's, three plays each on the same seeds.
 
-Real: n processes, a cold worker and open-loop clients behind the fault line, with the tests' fast settings (a
-probe each 0.2 s); two halves cut for 10 s.
+Real: n processes with the default settings, a cold worker and open-loop clients, behind the fault line; two
+halves cut for 20 s.
 """
 
 import argparse
@@ -35,7 +35,7 @@
 from molespur.fleet.tickets import Witness, to_bits
 from molespur.interface import FleetNews, JobClass, NewsMode, Outcome, WorkerEntry
 from molespur.standins.fleet_load import FleetLoad, FleetWorker
-from molespur.standins.members import FAST, SETTINGS, SHARED, Members, ask
+from molespur.standins.members import SETTINGS, Members, ask
 from molespur.standins.virtual_state import Spender, VirtualState
 
 from .fleet_view import cpu_s
@@ -256,8 +256,8 @@
     settings = SETTINGS | {"profiles": profiles, "rules": rules}
     with tempfile.TemporaryDirectory() as place, FleetLoad(n, net, [worker], cost_us=25_000) as load:
         made = Members(
-            Path(place), n, net=net, fleet=FAST, faultline=True, settings=settings, known=load.known,
-            tables={"shared": SHARED},
+            Path(place), n, net=net, fleet={}, faultline=True, settings=settings, known=load.known,
+            tables={"shared": {"enabled": True, "witnesses": list(WITNESSES)}},
         )  # fmt: skip
         made.open_line(seed=n)
         try:
@@ -265,7 +265,7 @@
             for i in range(n):
                 made.ready(i, 60)
             made.wait_agreed(60)
-            time.sleep(5)
+            time.sleep(7)
             for i in range(n):
                 load.rates[i] = 1.5 * bound / n
             time.sleep(12)
@@ -279,7 +279,7 @@
                      "cpu": (cpu_s(made.programs[n - 1].pid) - cpu0) / span}  # fmt: skip
             half = ",".join(map(str, range(n // 2 + 1))), ",".join(map(str, range(n // 2 + 1, n)))
             made.fault(f"partition {half[0]} {half[1]}")
-            time.sleep(10)
+            time.sleep(20)
             made.fault("heal")
             healed = load.now()
             while load.now() - healed < 60:
