Bear overload as one fleet: earned retries, watched workers, one level of shedding

The change: fleet/retries.py (rights earned by first attempts, given to those that lack), watching.py (two members probe a worker for all that use it, and send them its reports), shedding.py (judges keep a pace; the same jobs are turned away at all, the lowest priority first), concurrency.py (a gradient limit within a member's part of a worker's connections), Retry-After from half to the whole of what is allowed; the module reads all of it through SharedNews and a job's draw, its lines freed by one loop for held jobs, one way out of _try_send; molespur fleet load; standins/virtual_site.py plays the module's instances with shared state.

--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -2,12 +2,12 @@
 
     python -m benchmarks.fleet_view [--virtual 10,100,1000] [--real 5,20,50] [--seed N] [--write]
 
-Virtual: n members with the default tuning (a probe each second) join through two seeds (more than 300 begin with
-views that agree); then members are killed one after another (each started again once all hold it dead), and we
-note for each death when the first member suspected it (detection), when the first declared it dead, and when
-the last live member held it dead (spread), in probe periods.  False positives: deaths of live members per
-member-hour under 0, 5 and 20 % loss.  Load: datagrams and bytes a member sends per second.  Healing: two halves
-cut for 30 s, then the time until all views agree.
+Virtual: n members with the default tuning (a probe each second) join through two seeds (more than 300 begin
+with views that agree); then members are killed one after another (each started again once all hold it dead),
+and we note for each death when the first member suspected it (detection), when the first declared it dead,
+and when the last live member held it dead (spread), in probe periods.  False positives: deaths of live
+members per member-hour under 0, 5 and 20 % loss.  Load: datagrams and bytes a member sends per second.
+Healing: two halves cut for 30 s, then the time until all views agree.
 
 Real: n processes of `python -m molespur serve` behind the fault line with the default tuning: time to agree
 after the start, detection and spread of one SIGKILL, bytes a member sends per second, and CPU of a member.
--- a/molespur/cli/fleet.py
+++ b/molespur/cli/fleet.py
@@ -99,6 +99,31 @@
     return 0
 
 
+@command.command("load")
+@_at
+@_wait
+def load(at: str, wait: float) -> int:
+    """Print how the fleet bears its load, as this scheduler knows it.
+
+    What is turned away of each class by all, who judges that and at what pace, the retry budget, upstream
+    attempts per first attempt over the fleet, and the workers that this scheduler probes for others.
+    """
+    if (lines := _lines(at, "fleet load", wait)) is None:
+        return 1
+    said = {
+        "shed": "shed           {0:<24} {1:>7} of its jobs, by all",
+        "judge": "judge          {0:<24} number {1}",
+        "pace": "pace           {0:>7} jobs a second are let in",
+        "retries": "retries        {0} for each first attempt; {1} to spend here, {2} earned a second",
+        "amplification": "attempts       {0} over the fleet, {1} for each first one",
+        "watched": "watched        {0:<24} for {1} others",
+    }
+    for words in (line.split() for line in lines):
+        if words[0] in said:
+            click.echo(said[words[0]].format(*words[1:]))
+    return 0
+
+
 def _sentence(words: list[str]) -> str:
     if words[0] == "tickets":
         return f"tickets  {words[1]:<24} {words[2]:>5} fall to it, {words[3]:>5} lent by this witness"
--- a/molespur/config/deployment.py
+++ b/molespur/config/deployment.py
@@ -164,16 +164,25 @@
         float, Meta(gt=0, le=1, description="of requests failed, and of members that find a worker bad")
     ] = 0.5
     bad_ms: Annotated[Positive, Meta(description="a judgement's life")] = 10_000.0
+    retry_ratio: Annotated[
+        float, Meta(ge=0, le=10, description="retries for each first attempt, over the fleet; 0: not bounded")
+    ] = 0.1
+    retry_floor: Annotated[float, Meta(ge=0, description="retries a second of all, heard or not")] = 2.0
+    watchers: Annotated[int, Meta(ge=0, description="members that probe a worker for all; 0: each")] = 2
+    sheds: Annotated[bool, Meta(description="turn the same jobs away at all, low priorities first")] = True
+    adapts: Annotated[bool, Meta(description="hold connections to what the service time allows")] = True
     slow_multiple: Annotated[
         float, Meta(ge=0, description="an answer of so many usual ones counts as failed; 0: none does")
     ] = 6.0
 
-    def share(self, kinds: dict, balancers: int):
-        """The pure machine's tuning, for these kinds of budgets and a fleet of so many by the settings."""
+    def share(self, kinds: dict, settings):
+        """The pure machine's tuning, for these kinds of budgets and the platform's settings."""
         from ..fleet.sharing import Share
 
         same = {f: getattr(self, f) for f in self.__struct_fields__ if f in Share.__dataclass_fields__}
-        same |= {"witnesses": tuple(self.witnesses), "size": self.size or balancers, "kinds": kinds}
+        same |= {"witnesses": tuple(self.witnesses), "size": self.size or settings.balancers, "kinds": kinds}
+        same["watchers"] = self.watchers if settings.may_probe else 0
+        same["priorities"] = tuple(c.priority for c in settings.classes) if self.sheds else ()
         return Share(**same)
 
 
--- a/molespur/fleet/escrow.py
+++ b/molespur/fleet/escrow.py
@@ -67,6 +67,8 @@
         self._owned, self._used, self._started = owned, used, now
         self.budgets: dict[str, Budget] = {}
         self.counts: Counter = Counter()
+        # what is given for good, by name: (give(lack, now) -> amount, take(ask, amount))
+        self.gifts: dict[str, tuple[Callable[[float, float], float], Callable[[int, float], bool]]] = {}
         self._seq = 0
         self._reach, self._taken = share.asked_most, 0  # others asked beside our lenders; loans taken by then
         self._asked: dict[int, tuple[float, str]] = {}  # ask -> (when, whom)
@@ -129,6 +131,10 @@
         self._seen[ask.src] = (ask.life, ask.seq)
         loans = []
         for wish in ask.wishes:
+            if wish.budget in self.gifts:
+                if (gift := self.gifts[wish.budget][0](wish.lack, now)) > 0:
+                    loans.append(Loan(wish.budget, gift, 0.0))
+                continue
             budget = self.budget(wish.budget, now)
             if budget is not None and (amount := self._spare(budget, wish, ask.src, now)) > 0:
                 until = now + self.share.loan_ms
@@ -197,14 +203,15 @@
             for member in asked:
                 if (wish := renewed.get(member, 0.0) + more) > 0:
                     self._wish(wishes, member, name, wish)
-        asks = []
-        for member, some in wishes.items():
-            self._seq += 1
-            self._asked[self._seq] = (now, member)
-            self._asked.pop(self._seq - ASKS_KEPT, None)
-            asks.append((member, Ask(self._seq, self.me, self.life, self.share.mark, some)))
-        self.counts["asks"] += len(asks)
-        return asks
+        return [(member, self.ask(member, some, now)) for member, some in wishes.items()]
+
+    def ask(self, member: str, wishes: list[Wish], now: float) -> Ask:
+        """An ask to a member, whose answer is waited for."""
+        self._seq += 1
+        self._asked[self._seq] = (now, member)
+        self._asked.pop(self._seq - ASKS_KEPT, None)
+        self.counts["asks"] += 1
+        return Ask(self._seq, self.me, self.life, self.share.mark, wishes)
 
     def _wish(self, wishes: dict[str, list[Wish]], member: str, name: str, lack: float) -> None:
         if member not in wishes and len(wishes) >= LENDERS * self.share.asked_most:
@@ -220,6 +227,9 @@
             self.counts["loans_not_asked_for"] += 1
             return False
         for loan in lend.loans:
+            if loan.budget in self.gifts:
+                self.gifts[loan.budget][1](lend.seq, loan.amount)
+                continue
             budget = self.budgets.get(loan.budget)
             if budget is None or loan.amount > budget.kind.bound or loan.life_ms > self.share.loan_ms:
                 self.counts["loans_absurd"] += 1
--- a/molespur/fleet/shared.py
+++ b/molespur/fleet/shared.py
@@ -20,10 +20,13 @@
 from .model import Address
 from .rendezvous import Spread as Falls
 from .rendezvous import pick
+from .retries import KEPT_S, Retries
 from .sharing import (
     ITEMS_MOST,
     Ask,
     Lend,
+    LoadTell,
+    Reports,
     Said,
     Seen,
     Share,
@@ -32,15 +35,21 @@
     Tell,
     TicketAsk,
     TicketSay,
+    Using,
     Whole,
+    Wish,
 )
+from .shedding import LIFE_MS, Load, LoadJudge, from_bytes, to_bytes
 from .swim import Send
 from .tickets import Holder, Witness
+from .watching import Watching
 
 HEADROOM = 80  # bytes of a datagram kept for what is not registers and rows
 RETOLD = {"said": 4, "row": 2}  # times that a register or row is told on, for each ten-fold of the fleet
 ROWS_FLAT = 16  # members up to which a row is told each `counts_ms`
 NAMED_EVERY_MS, NAMED_MOST = 10_000.0, 64  # a member whose state is refused is named so often; and so many
+RETRY, GIVERS = "retry", 3  # the retry budget's name in asks; members asked for rights at a renewal
+SHED = "/shed"  # the register of what is turned away
 ASK_AGAIN = 0.5  # of a window, after which a worker's judges ask for what members saw once more
 
 
@@ -76,6 +85,21 @@
     failed: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Workers:
+    """The workers that are listed."""
+
+    listed: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """A probe of ours brought a worker's report."""
+
+    worker: str
+    fields: dict[str, float]
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time has passed."""
@@ -108,6 +132,22 @@
     after: int
 
 
+@dataclass(frozen=True, slots=True)
+class Learnt:
+    """Another's probe brought a worker's report."""
+
+    worker: str
+    fields: dict[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Shed:
+    """What all schedulers turn away has changed: of each class the part, by whom."""
+
+    parts: tuple[float, ...]
+    by: str
+
+
 @dataclass(frozen=True, slots=True)
 class Refused:
     """State of a member is not taken, and why."""
@@ -127,7 +167,8 @@
     """One member's shared state.
 
     `handle(now, unix_ms, event) -> actions`.  `used(budget, now)` tells what we have spent of a budget within
-    its grace.  Reading: `available`, `bad`, `whole`, and `report` for operators.
+    its grace; `loads()` what became of each class's jobs since it was last called.  Reading: `available`,
+    `bad`, `shed`, `whole`, and `report` for operators.
     """
 
     def __init__(
@@ -140,6 +181,7 @@
         used: Callable[[str, float], float],
         now: float,
         datagram_most: int = 1_400,
+        loads: Callable[[], list[Load]] = list,
     ):
         self.me, self.life, self.share, self.cluster, self.rng = me, life, share, cluster, rng
         self.datagram_most = datagram_most
@@ -148,6 +190,9 @@
         self.witness = Witness(me, share.tickets, share.keep_ms, now) if me in share.witnesses else None
         self.holder = Holder(me, life, share)
         self.escrow = Escrow(me, life, share, self.holder.owned, used, rng, now)
+        self.retries = Retries(share, now) if share.retry_ratio else None
+        if self.retries is not None:
+            self.escrow.gifts[RETRY] = (self.retries.give, self.retries.take)
         self.own, self.evidence = Own(share), Evidence(share)
         self.judgements = Judgements(me, share.bad_ms)
         self.totals = Counts(me, life, now)
@@ -157,6 +202,9 @@
         self._seq = 0
         self._told: dict[str, tuple[Seen, float]] = {}  # worker -> what we told its judges last, and when
         self._asked_of: dict[str, float] = {}  # worker -> since when we as its judge look into it
+        self.watching = Watching(me, share) if share.watchers else None
+        self.judge, self.loads, self._load_at = LoadJudge(me, share), loads, now
+        self._parts: tuple[float, ...] = ()
         self._named: dict[tuple[str, str], float] = {}  # (member, why) -> when it was named last
         self._owned = 0
         self._bad: set[str] = set()
@@ -179,6 +227,12 @@
                 self._take_row(row, now)
         elif isinstance(event, View):
             self._view(event.alive)
+        elif isinstance(event, Workers):
+            if self.watching is not None:
+                self.watching.listed(event.listed)
+        elif isinstance(event, Probed):
+            if self.watching is not None:
+                self.watching.probed(event.worker, event.fields)
         else:
             self._chores(now, unix_ms)
         return self._out
@@ -193,6 +247,13 @@
         """Workers that are bad for the fleet now."""
         return self.judgements.having(BAD, now)
 
+    def shed(self, now: float) -> tuple[float, ...]:
+        """Of each class, in the settings' order, the part that all schedulers turn away now."""
+        said = self.judgements.told(SHED, now)
+        if said is None or said.age_ms >= LIFE_MS or len(said.value) != len(self.share.priorities):
+            return ()
+        return tuple(from_bytes(said.value))
+
     def whole(self, now: float) -> Whole:
         """What rides on a push-pull."""
         return Whole(list(self.judgements.all(now)), list(self.totals.rows.values()))
@@ -206,6 +267,8 @@
     def _view(self, alive: dict[str, Address]) -> None:
         self.alive = dict(alive)
         self._falls.change([*alive, self.me])
+        if self.watching is not None:
+            self.watching.members(alive)
         if len(alive) + 1 > self.share.size:
             self.counts["above_size"] += 1
 
@@ -233,6 +296,16 @@
                 self.counts["evidence_" + (why or "taken")] += 1
                 if why == "absurd":
                     self._refuse(message.src, "evidence", now)
+        elif isinstance(message, Using):
+            if self.watching is not None:
+                self.watching.used_by(message, now)
+        elif isinstance(message, Reports):
+            self.counts["reports_taken"] += len(message.reports)
+            self._out += [Learnt(one.worker, one.fields) for one in message.reports]
+        elif isinstance(message, LoadTell):
+            order = (message.life, message.seq)
+            if not self.judge.take(message.src, order, now, message.span_ms, message.loads):
+                self.counts["loads_not_taken"] += 1
         else:
             self.judgements.compare(message.src, message.unix_ms - unix_ms)
             for said in message.said:
@@ -279,6 +352,8 @@
                 every = getattr(self.share, f"{name}_ms")
                 if name == "counts":
                     every *= max(1.0, (len(self.alive) + 1) / ROWS_FLAT)
+                elif name == "load":
+                    every = self.judge.every_ms(len(self.alive) + 1)
                 self._next[name] = max(self._next[name] + every, now + every / 2)
                 chore(self, now, unix_ms)
 
@@ -293,6 +368,9 @@
                     self._send(witness, ask)
             for member, some in self.escrow.renew(now, list(self.alive)):
                 self._send(member, some)
+        if self.retries is not None and (lack := self.retries.lacking(now)) > 0:
+            for member in self.rng.sample(list(self.alive), min(len(self.alive), GIVERS)):
+                self._send(member, self.escrow.ask(member, [Wish(RETRY, lack)], now))
         self._note_owned(now)
 
     def _note_owned(self, now: float) -> None:
@@ -394,6 +472,42 @@
         if size <= self.datagram_most - HEADROOM:
             self._queue[kind, key] = _Queued(left, size)
 
+    # -- Workers watched for all, and the fleet's load -----------------------------------------------
+
+    def _using(self, now: float, unix_ms: float) -> None:
+        """Tell those that watch the workers that we use."""
+        if self.watching is not None:
+            for member, using in self.watching.using(self.own.window(now), now):
+                self._send(member, using)
+
+    def _report(self, now: float, unix_ms: float) -> None:
+        """Send on what our probes have brought."""
+        if self.watching is not None:
+            for member, reports in self.watching.reports():
+                self._send(member, reports)
+
+    def _load(self, now: float, unix_ms: float) -> None:
+        """Tell the judges what became of our jobs; as the acting one, say what is to be turned away."""
+        if not self.share.priorities:
+            return
+        loads, span, members = self.loads(), max(now - self._load_at, 1.0), [*self.alive, self.me]
+        self._load_at = now
+        self._seq += 1
+        plain = [(one.offered, one.shed, one.good, one.late, one.bad) for one in loads]
+        for judge in self.judge.judges(members):
+            if judge == self.me:
+                self.judge.take(self.me, (self.life, self._seq), now, span, plain)
+            else:
+                self._send(judge, LoadTell(self._seq, self.me, self.life, span, plain))
+        said = self.judgements.told(SHED, now)
+        parts = self.judge.judge(now, members, None if said is None else said.age_ms)
+        if parts is not None and (any(parts) or said is not None):
+            self._queue_up("said", SHED, self.judgements.write(SHED, to_bytes(parts), now, unix_ms))
+        now_shed = self.shed(now)
+        if now_shed != self._parts and (any(now_shed) or any(self._parts)):
+            self._out.append(Shed(now_shed, said.stamp.member if said else self.me))
+        self._parts = now_shed
+
     def _send(self, member: str, message: Sharing) -> None:
         address = self.alive.get(member)
         if address is None:
@@ -403,7 +517,15 @@
         self._out.append(Send(address, wire.encode(self.cluster, message)))
 
 
-CHORES = {"renew": Shared._renew, "tell": Shared._tell, "counts": Shared._count, "spread": Shared._spread}
+CHORES = {
+    "renew": Shared._renew,
+    "tell": Shared._tell,
+    "counts": Shared._count,
+    "spread": Shared._spread,
+    "using": Shared._using,
+    "reports": Shared._report,
+    "load": Shared._load,
+}
 
 
 def report(one: Shared, now: float) -> list[str]:
@@ -434,3 +556,27 @@
         added, taken = ours.get(name, (0, 0))
         lines.append(f"count {name} {one.totals.total(name)} {added - taken}")
     return lines
+
+
+def load_report(one: Shared, now: float, names: list[str]) -> list[str]:
+    """What one member knows of the fleet's load, as lines of words:
+
+    `shed CLASS PART`, `judge MEMBER RANK`, `pace JOBS_PER_S` (at the acting judge, in a crowd),
+    `retries RATIO AVAILABLE EARNED_S` (this member's rights, and what it earns a second),
+    `amplification ATTEMPTS PER_FIRST` over the fleet, `watched WORKER USERS` for each worker that this member
+    probes for others.
+    """
+    members = [*one.alive, one.me]
+    lines = [f"shed {name} {part:.3f}" for name, part in zip(names, one.shed(now), strict=False)]
+    lines += [f"judge {member} {rank}" for rank, member in enumerate(one.judge.judges(members))]
+    if one.judge.pace.jobs_per_s is not None:
+        lines.append(f"pace {one.judge.pace.jobs_per_s:.1f}")
+    if one.retries is not None:
+        earned = one.retries.earned_lately(now) / KEPT_S
+        lines.append(f"retries {one.share.retry_ratio:g} {one.retries.available(now):.2f} {earned:.2f}")
+    firsts, retries = one.totals.total("firsts"), one.totals.total("retries")
+    lines.append(f"amplification {firsts + retries} {(firsts + retries) / max(firsts, 1):.3f}")
+    if one.watching is not None:
+        watched = sorted(one.watching.watched)
+        lines += [f"watched {worker} {len(one.watching.users(worker))}" for worker in watched]
+    return lines
--- a/molespur/fleet/sharing.py
+++ b/molespur/fleet/sharing.py
@@ -117,7 +117,40 @@
     rows: Annotated[list[Row], Meta(max_length=4_096)] = []
 
 
-Sharing = TicketAsk | TicketSay | Ask | Lend | Tell | Spread
+class Using(msgspec.Struct, array_like=True, tag=12):
+    """To those that watch these workers: I use them, send me their reports."""
+
+    src: Id
+    workers: Annotated[list[Key], Meta(max_length=ITEMS_MOST)]
+
+
+class Report(msgspec.Struct, array_like=True, frozen=True):
+    """A worker's load report, as a probe of the sender's brought it just now."""
+
+    worker: Key
+    fields: Annotated[dict[Annotated[str, Meta(max_length=32)], Annotated[float, Meta(ge=-1e12, le=1e12)]],
+                      Meta(max_length=16)]  # fmt: skip
+
+
+class Reports(msgspec.Struct, array_like=True, tag=13):
+    """Reports of workers that the sender watches, for one that uses them."""
+
+    src: Id
+    reports: Annotated[list[Report], Meta(max_length=ITEMS_MOST)]
+
+
+class LoadTell(msgspec.Struct, array_like=True, tag=14):
+    """To the judges of the fleet's load: of each class, in the settings' order, over the last `span_ms`, jobs
+    asked for, turned away as agreed, served in time, served late, refused or failed."""
+
+    seq: Count
+    src: Id
+    life: Count
+    span_ms: Amount
+    loads: Annotated[list[tuple[Count, Count, Count, Count, Count]], Meta(max_length=ITEMS_MOST)]
+
+
+Sharing = TicketAsk | TicketSay | Ask | Lend | Tell | Spread | Using | Reports | LoadTell
 Anything = Message | Sharing
 
 
@@ -168,6 +201,13 @@
     ratio: float = 0.5  # of a member's requests that failed, and of the members that find it bad
     bad_ms: float = 10_000.0  # a judgement's life
     most_workers: int = 2_048
+    retry_ratio: float = 0.0  # retries for each first attempt, over the fleet; 0: not bounded
+    retry_floor: float = 2.0  # retries a second of all members together, heard or not
+    watchers: int = 0  # members that probe a worker; 0: each its own
+    using_ms: float = 5_000.0  # watchers are told what we use this often
+    reports_ms: float = 100.0  # reports are sent on this often
+    priorities: tuple[int, ...] = ()  # of the classes, where load is shed by the fleet as one; (): it is not
+    load_ms: float = 500.0  # judges are told of load this often, less often beyond 50 members
     counts_ms: float = 5_000.0  # a member's row is told this often, less often beyond 16 members
 
     @property
--- a/molespur/fleet/state.py
+++ b/molespur/fleet/state.py
@@ -12,7 +12,21 @@
 from . import wire
 from .gossip import Link
 from .model import Address, State
-from .shared import Carried, Ended, Heard, Judged, Lifted, Owned, Refused, Shared, Tick, View, report
+from .shared import (
+    Carried,
+    Heard,
+    Judged,
+    Learnt,
+    Lifted,
+    Owned,
+    Refused,
+    Shared,
+    Shed,
+    Tick,
+    View,
+    load_report,
+    report,
+)
 from .sharing import Sharing
 from .uses import Uses
 
@@ -22,21 +36,28 @@
 class StateLink(Link):
     """One member on the network that shares state; `share` joins it before `open`."""
 
-    def share(self, machine: Shared, uses: Uses) -> None:
-        """Share state by this pure machine, for these uses."""
+    def share(self, machine: Shared, uses: Uses, adapts: bool) -> None:
+        """Share state by this pure machine, for these uses; `adapts`: limits follow the service time."""
         self.machine, self.uses = machine, uses
         self._viewed: dict[str, Address] | None = None  # who lives, as the machine was told
         self._lent = 0  # loans lent when the program was last held to its budgets
         self.membership.whole = lambda: wire.encode_whole(machine.whole(self.clock.now()))
-        uses.connect(machine.available, machine.escrow.deny, self._saw, self._hold, machine.share)
+        uses.connect(machine, self._tell, self._hold, adapts)
 
     def budgets(self) -> list[str]:
         """Shared budgets, who holds them, judgements and counts, as lines (`shared.report`)."""
         return report(self.machine, self.clock.now())
 
+    def load(self) -> list[str]:
+        """What is turned away, retries and probes over the fleet, as lines (`shared.load_report`)."""
+        return load_report(self.machine, self.clock.now(), self.uses.names)
+
     def publish(self) -> None:
         super().publish()
-        for name, count in (*self.machine.counts.items(), *self.machine.escrow.counts.items()):
+        parts = [self.machine.counts, self.machine.escrow.counts]
+        if self.machine.retries is not None:
+            parts.append(self.machine.retries.counts)
+        for name, count in (item for counts in parts for item in counts.items()):
             self.counters["fleet.shared." + name] = count
         now = self.clock.now()
         self.counters["fleet.shared.tickets"] = len(self.machine.holder.owned(now))
@@ -76,6 +97,10 @@
             log.info("fleet.judgement_over", worker=action.worker)
         elif isinstance(action, Owned):
             log.info("fleet.tickets", before=action.before, after=action.after)
+        elif isinstance(action, Learnt):
+            self.uses.learnt(action.worker, action.fields)
+        elif isinstance(action, Shed):
+            log.warning("fleet.shed", by=action.by, **dict(zip(self.uses.names, action.parts, strict=False)))
         elif isinstance(action, Refused):
             log.warning("fleet.state_refused", member=action.member, why=action.why)
 
@@ -84,10 +109,7 @@
     def _tell(self, event) -> None:
         self._do(self.machine.handle(self.clock.now(), time.time() * 1000, event))
 
-    def _saw(self, worker: str, failed: bool) -> None:
-        self._tell(Ended(worker, failed))
-
     def _hold(self) -> None:
-        """Hold the program to its budgets and judgements as they are now."""
+        """Hold the program to what is shared, as it is now."""
         self._lent = self.machine.escrow.counts["loans_lent"]
-        self.uses.refresh(frozenset(self.machine.bad(self.clock.now())))
+        self.uses.refresh()
--- a/molespur/interface.py
+++ b/molespur/interface.py
@@ -205,15 +205,28 @@
 
     `parts`: for each cold worker whose budget is shared, which part of all that it may be sent this
     dispatcher may send (0 to 1).  `bad`: workers that the evidence of several schedulers speaks against.
+    `retries`: second and further attempts that may be sent until the next news (counted down in place).
+    `probes`: the workers that this dispatcher probes, None: as it likes.  `shed`: the part of each class's
+    jobs that all turn away, those of the lowest draw.
     """
 
     parts: dict[str, float] = field(default_factory=dict)
     bad: frozenset[str] = frozenset()
+    retries: float = float("inf")
+    probes: frozenset[str] | None = None
+    shed: dict[str, float] = field(default_factory=dict)
+
+    def sheds(self, submitted) -> bool:
+        """Whether all schedulers turn this job away."""
+        return submitted.draw < self.shed.get(submitted.job_class, 0.0)
 
 
 @dataclass(slots=True)
 class Submitted:
-    """A client's request, which now is owed one final answer within time_left_ms."""
+    """A client's request, which now is owed one final answer within time_left_ms.
+
+    `draw` is from 0 to 1, the same for one job at every scheduler; 1 where schedulers share nothing.
+    """
 
     request: int
     job_class: str
@@ -223,6 +236,7 @@
     key: int | None = None
     work_hint_ms: float | None = None
     tenant: str | None = None
+    draw: float = 1.0
 
 
 @dataclass(slots=True)
--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -70,6 +70,7 @@
         # how often each key was asked for lately; needed kind -> (mean runs of headroom, worth of late jobs)
         self.heat, self.heat_all, self.margins = {}, 0.0, {}
         self.arrivals, self.born, self.served_at, self.reported = 0, 0.0, 0.0, False
+        self.shared = io.SharedNews()
         self.routes = {
             io.Submitted: self._submitted, io.AttemptEnded: self._ended, io.Progressed: self._progressed,
             io.TimerFired: self._fired, io.FleetNews: self._news, io.ClientGone: self._client_gone,
@@ -110,7 +111,8 @@
             self._at(PROBE_MS[0] * self.rng.random(), self._probe_next)
 
     def _shared(self, event):
-        """What dispatchers share: our part of each cold worker's budget, and workers that are bad for all."""
+        """What dispatchers share: cold budgets, workers bad for all, retries, probes, jobs to turn away."""
+        self.shared = event
         for w in self.live:
             if w.id in event.bad:
                 self._strike(w)
@@ -380,7 +382,7 @@
         self.jobs[job.id] = job
         self.heat[job.key] = self.heat.get(job.key, 0.0) + 1
         self.heat_all += 1
-        if job.deadline - self.now <= ANSWER_MARGIN_MS:
+        if job.deadline - self.now <= ANSWER_MARGIN_MS or self.shared.sheds(event):
             self._give_up(job)
         elif not self._try_send(job):
             self._hold(job)
@@ -409,19 +411,18 @@
         if choice is None:
             return False
         w, sample, meets, time = choice
-        if meets or not (job.sheddable or job.attempts):
+        go = meets or not (job.sheddable or job.attempts)
+        if not go:
+            if self.now + min(v.slope for v in few) * job.run <= job.aim_at:
+                return False  # an idle worker would still be in time: wait for one
+            if not job.state.cls.late_worth:
+                self._give_up(job)  # lateness earns nothing, so the slots go to jobs that can be in time
+                return True
+            # late already, and worth the same until the deadline: it waits for room as if it had just come
+            go = time <= job.allowed and self.now + time < job.deadline
+        if go:
             self._send(job, w, sample)
-            return True
-        if self.now + min(v.slope for v in few) * job.run <= job.aim_at:
-            return False  # an idle worker would still be in time: wait for one
-        if not job.state.cls.late_worth:
-            self._give_up(job)  # lateness earns nothing, so the slots go to jobs that can be in time
-            return True
-        # late already, and worth the same until the deadline: it waits for room as if it had just come
-        if time > job.allowed or self.now + time >= job.deadline:
-            return False
-        self._send(job, w, sample)
-        return True
+        return go
 
     def _count(self, job, late, waited):
         """Note by how much a job was late, for its class's share and the margin others must leave."""
@@ -463,9 +464,7 @@
         for job in self.held:
             # what fails for one job of a class fails for the next
             like = (job.state.cls.name, job.ask, job.key, job.aim_at < now)
-            if like in stuck:
-                waiting.append(job)
-            elif not self._try_send(job):
+            if like in stuck or not self._try_send(job):
                 waiting.append(job)
                 if now >= job.not_before:
                     stuck.add(like)
@@ -492,7 +491,8 @@
     def _may_send(self, job):
         """Whether the rules allow a further attempt of this job at all."""
         late = job.deadline - self.now <= ANSWER_MARGIN_MS
-        if late or not job.open or job.out or len(job.attempts) >= job.most:
+        most = job.most if self.shared.retries >= 1 else 1  # attempts: all retries of the fleet are bounded
+        if late or not job.open or job.out or len(job.attempts) >= most:
             return False
         cls, ran = job.state.cls, job.may_have_run()
         if cls.effect is Effect.SAFE or not ran:
@@ -504,6 +504,7 @@
         due = self.now + job.run * w.slope + self.turn  # a missing key may take as long as a run
         attempt = Attempt(job, w, sample, self.now, due)
         w.unended[attempt] = None
+        self.shared.retries -= bool(job.attempts)
         job.attempts.append(attempt)
         job.out += 1
         if w.own <= 0:
@@ -657,7 +658,8 @@
 
     def _probe_next(self):
         """Probe the worker longest unprobed, as often as the price is worth."""
-        few = self.live[: self.subset]
+        mine = self.shared.probes
+        few = self.live[: self.subset] if mine is None else [w for w in self.live if w.id in mine]
         if few:
             w = min(few, key=lambda v: v.probed)
             w.probed = self.now
@@ -674,12 +676,11 @@
             self._report(w, event.report or {})
         elif event.outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT):
             w.others, w.seen, w.mute = max(w.others, w.slots - w.own + 1), self.now, w.mute + 1
-            if w.mute < MUTE or self.now - w.heard <= HEARD_MS:
-                return
-            self._strike(w)  # fallen silent: its jobs go elsewhere while they can be in time
-            for attempt in w.unended:
-                if attempt.job.open and attempt.sent >= w.heard - HEARD_MS:
-                    self._cancel(attempt)
+            if w.mute >= MUTE and self.now - w.heard > HEARD_MS:
+                self._strike(w)  # fallen silent: its jobs go elsewhere while they can be in time
+                for attempt in w.unended:
+                    if attempt.job.open and attempt.sent >= w.heard - HEARD_MS:
+                        self._cancel(attempt)
 
     def _at(self, delay, call, *args):
         self.serial += 1
--- a/molespur/net/host.py
+++ b/molespur/net/host.py
@@ -45,21 +45,24 @@
     key: int | None = None
     work_hint_ms: float | None = None
     tenant: str | None = None
+    job: str = ""  # names the client's job, the same at each of its tries, where the client says so
 
 
 class Stream:
     """One request of a client: owed exactly one final answer, tried by upstream requests."""
 
     __slots__ = (
-        "answer", "attempts", "backstop", "deadline", "job_class", "most", "number", "out", "over", "payload",
+        "answer", "arrival", "attempts", "backstop", "deadline", "draw", "last", "most", "number", "out",
+        "over", "since",
     )  # fmt: skip
 
     def __init__(
         self, number: int, deadline: float, most: int, arrival: Arrival, answer: Callable[[Answer], None]
     ):
         self.most = most  # upstream requests, by the settings under which it was taken
-        self.job_class, payload = arrival.job_class, arrival.payload
-        self.number, self.deadline, self.payload, self.answer = number, deadline, payload, answer
+        self.arrival, self.since, self.draw = arrival, deadline - arrival.time_left_ms, 1.0
+        self.last: Outcome | None = None  # of its upstream requests, that which ended last
+        self.number, self.deadline, self.answer = number, deadline, answer
         self.attempts = []  # upstream requests in the order of their Send; None where none was made
         self.out, self.over, self.backstop = 0, False, None
 
@@ -78,7 +81,11 @@
         self._events, self._busy = deque(), False
         # for state that schedulers share (fleet/uses.py); None where they share none
         self.observe: Callable[[str, str, Outcome, float], None] | None = None
-        self.sending: Callable[[str], None] | None = None
+        self.sending: Callable[[str, int], None] | None = None  # worker, which attempt of its stream
+        self.answered: Callable[[Stream, Answer], None] | None = None
+        self.probed: Callable[[str, dict[str, float]], None] | None = None
+        self.draw: Callable[[str], float] | None = None  # of a job's name, from 0 to 1
+        self.pause: Callable[[float], float] | None = None  # what a refused client is told
         self.cold_use: Callable[[io.ColdUse], None] | None = None
         self.freshen: Callable[[], None] | None = None
         self.fresh_until = float("inf")  # what the schedulers share is to be looked at anew from then on
@@ -155,9 +162,11 @@
         self.streams[stream.number] = stream
         late = arrival.time_left_ms + BACKSTOP_MS
         stream.backstop = self.wheel.after(late, self._overdue, stream)
+        if self.draw is not None:
+            stream.draw = self.draw(arrival.job)
         event = io.Submitted(
             stream.number, arrival.job_class, arrival.time_left_ms, arrival.slots, arrival.memory,
-            arrival.key, arrival.work_hint_ms, arrival.tenant,
+            arrival.key, arrival.work_hint_ms, arrival.tenant, stream.draw,
         )  # fmt: skip
         self.deliver(event)
         return stream
@@ -189,6 +198,7 @@
     def ended(self, stream: Stream, number: int, elapsed_ms: float, result: Served | Failure) -> None:
         """The one outcome of an upstream request."""
         self.counters[f"sent.{result.outcome.name.lower()}"] += 1
+        stream.last = result.outcome
         stream.out -= 1
         if isinstance(result, Served) and not stream.over:
             self._finish(stream, result)
@@ -226,15 +236,17 @@
         def ended(result):
             timer.cancel()
             if self.observe is not None:
-                self.observe(action.worker, stream.job_class, result.outcome, self.clock.now() - now)
+                self.observe(action.worker, stream.arrival.job_class, result.outcome, self.clock.now() - now)
             self.ended(stream, number, self.clock.now() - now, result)
 
         def progressed(share):
             self.progressed(stream, number, share)
 
         if self.sending is not None:
-            self.sending(action.worker)
-        request = self.upstream.send(action.worker, stream.payload, limit, ended, progressed)
+            self.sending(action.worker, number)
+        if number:
+            self.counters[f"retries.after_{stream.last.name.lower()}"] += 1
+        request = self.upstream.send(action.worker, stream.arrival.payload, limit, ended, progressed)
         stream.attempts.append(request)
         timer = self.wheel.after(limit, request.abandon, Cause.TIMED_OUT)
 
@@ -245,7 +257,8 @@
             known[0].abandon(Cause.CANCELLED)
 
     def _refuse(self, action: io.Refuse) -> None:
-        self._answer(action.request, Refused(action.pause_ms))
+        pause_ms = action.pause_ms if self.pause is None else self.pause(action.pause_ms)
+        self._answer(action.request, Refused(pause_ms))
 
     def _fail(self, action: io.Fail) -> None:
         self._answer(action.request, Failed())
@@ -267,6 +280,8 @@
 
         def ended(outcome: Outcome, report):
             self.counters[f"probes.{outcome.name.lower()}"] += 1
+            if self.probed is not None and outcome is Outcome.OK:
+                self.probed(action.worker, report or {})
             self.deliver(io.ProbeEnded(action.worker, outcome, self.clock.now() - started, report))
 
         self.upstream.probe(action.worker, ended)
@@ -294,6 +309,8 @@
         """Give the one final answer."""
         self.counters[f"answered.{type(answer).__name__.lower()}"] += 1
         self._close(stream)
+        if self.answered is not None:
+            self.answered(stream, answer)
         stream.answer(answer)
 
     def _close(self, stream: Stream) -> None:
--- a/molespur/net/intake.py
+++ b/molespur/net/intake.py
@@ -86,6 +86,7 @@
         int.from_bytes(blake2b(key.encode(), digest_size=6).digest()) if key else None,
         None if cost is None else cost / 1000,
         headers.get(b"x-tenant-id"),
+        headers.get(b"idempotency-key", ""),
     )
 
 
--- a/molespur/operations/calls.py
+++ b/molespur/operations/calls.py
@@ -30,11 +30,12 @@
         if call in (b"evacuate", b"activate"):
             why = self._tell(Told(call.decode()))
             return [f"fail {why}" if why else "ok"]
-        if call in (b"fleet members", b"fleet counters", b"fleet budgets"):
+        if call in (b"fleet members", b"fleet counters", b"fleet budgets", b"fleet load"):
             what = call.decode().split()[1]
-            lines, off = self._fleet(what), "shared state" if what == "budgets" else "the fleet view"
+            lines = self._fleet(what)
+            off = "shared state" if what in ("budgets", "load") else "the fleet view"
             return [f"fail {off} is off"] if lines is None else [*lines, "eof"]
         if len(line) > LINE_MOST:
             return ["fail the call is too long"]
-        calls = "readyz, telemetry, evacuate, activate, fleet members|budgets|counters"
+        calls = "readyz, telemetry, evacuate, activate, fleet members|budgets|load|counters"
         return [f"fail unknown call; there are {calls}"]
--- a/molespur/records.py
+++ b/molespur/records.py
@@ -17,7 +17,6 @@
 
     def __init__(self, entry, now, rank):
         self.id, self.rank = entry.worker, rank  # the lowest ranks make up the dispatcher's own subset
-        self.keys = {}  # key -> None, oldest first
         self.slots, self.slots_known = DEFAULT_SLOTS, False
         self.base, self.slope, self.probed = 1.0, 1.0, now
         self.forget(entry, now)
@@ -38,7 +37,7 @@
         self.budget = deque()  # (time, work) sent while cold
         self.lump_from, self.lump_part = None, 1.0  # since when a large job waits, and its part
         self.part, self.part_asked = None, 0.0  # of its budget while cold: what is ours, what jobs asked for
-        self.keys.clear()
+        self.keys = {}  # key -> None, oldest first
 
     def recent(self, now):
         """Own slots there as a report that arrives now would show them."""
--- a/molespur/scheduler.py
+++ b/molespur/scheduler.py
@@ -194,11 +194,13 @@
         from .fleet.uses import Uses, kinds
 
         part, settings, link = self.fleet_given.shared, self.config.settings, StateLink(*parts)
-        uses = Uses(self.host, self.upstream, self.cluster, self.clock, self.counters, part.slow_multiple)
-        share = part.share(kinds(settings, part.connections, part.cold), settings.balancers)
+        given = (self.clock, self.counters, part.slow_multiple, rng)
+        uses = Uses(self.host, self.upstream, self.cluster, *given)
+        share = part.share(kinds(settings, part.connections, part.cold), settings)
         me, life, most = link.membership.me, int(time.time() * 1000), link.tuning.datagram_most
         now, name = self.clock.now(), self.fleet_part.cluster
-        link.share(Shared(me, life, share, name, rng, uses.used, now, most), uses)
+        machine = Shared(me, life, share, name, rng, uses.used, now, most, uses.loads)
+        link.share(machine, uses, part.adapts)
         return link
 
     async def _seeds_from_registry(self, member: str, advertise, seeds: tuple) -> tuple:
@@ -225,11 +227,11 @@
             log.error("fleet.seeds_refused", why=str(problem), then="the seeds stay as they were")
 
     def fleet_lines(self, what: str) -> list[str] | None:
-        """The fleet's `members`, shared `budgets` or `counters` as lines; None where that is off."""
-        if self.fleet is None or (what == "budgets" and self.fleet.machine is None):
+        """The fleet's `members`, `budgets`, `load` or `counters` as lines; None where that is off."""
+        if self.fleet is None or (what in ("budgets", "load") and self.fleet.machine is None):
             return None
-        if what in ("members", "budgets"):
-            return self.fleet.members() if what == "members" else self.fleet.budgets()
+        if what != "counters":
+            return getattr(self.fleet, what)()  # members, budgets, load
         self.fleet.publish()
         return [f"{k}={v}" for k, v in sorted(self.counters.items()) if k.startswith("fleet.")]
 
--- a/molespur/standins/virtual_site.py
+++ b/molespur/standins/virtual_site.py
@@ -12,8 +12,12 @@
 from dataclasses import dataclass, field
 
 from .. import interface as io
+from ..fleet import shared
+from ..fleet.sharing import Share
+from ..fleet.shedding import Load
 from ..interface import FleetNews, JobClass, NewsMode, Outcome, Settings, WorkerEntry
 from ..logic import Dispatcher
+from .virtual_state import VirtualState
 
 WIRE_MS = 1.0  # each way between a scheduler and a worker
 CLASSES = (
@@ -62,7 +66,7 @@
     """n schedulers before `workers` workers; `rate` jobs a second in all.
 
     `tries` of a client at one job, `patient` clients come back after the pause they are told, others at once.
-    `more` are further Settings.  `on_actions(i, actions)` may look at each scheduler's actions.
+    `more` are further Settings.
     """
 
     def __init__(
@@ -78,12 +82,9 @@
         self.workers = {f"w{k}": Worker(slots, queue) for k in range(workers)}
         self.done: list[Done] = []
         self.counts: Counter = Counter()  # first attempts, retries, probes, turned away, served at workers
-        self.on_send: Callable[[int, int, str], None] | None = None  # scheduler, attempt, worker
-        self.on_end: Callable[[int, str, Outcome], None] | None = None
-        self.on_probe: Callable[[int, str], None] | None = None
         self._queue: list = []
         self._order = self._stream = 0
-        self._open: dict[int, list] = {}  # stream -> [attempts, over, its client's job]
+        self._open: dict[int, list] = {}  # stream -> [attempts, over, job, scheduler, since]
         entries = tuple(WorkerEntry(name) for name in self.workers)
         for i, one in enumerate(self.schedulers):
             self.act(i, one.handle(0.0, io.Started()))
@@ -118,6 +119,20 @@
         self.run(tail_ms)
         return [one for one in self.done if began <= one.job.due < ended]
 
+    # -- What a site of schedulers that share state looks at --------------------------------------
+
+    def sent(self, i: int, number: int, worker: str) -> None:
+        """Scheduler i made an attempt."""
+
+    def ended(self, i: int, worker: str, outcome: Outcome) -> None:
+        """An attempt of scheduler i ended."""
+
+    def probed(self, i: int, worker: str, report: dict[str, float]) -> None:
+        """A probe of scheduler i brought a report."""
+
+    def answered(self, i: int, job: Job, end: str, took_ms: float) -> None:
+        """Scheduler i gave a job's final answer."""
+
     # -- Clients -------------------------------------------------------------------------------
 
     def _arrivals(self) -> None:
@@ -132,10 +147,10 @@
         job.tries += 1
         self.counts["client tries"] += 1
         self._stream += 1
-        self._open[self._stream] = [0, False, job]
         i, left = self.rng.randrange(self.n), 2000.0 - (self.now - job.due)
+        self._open[self._stream] = [0, False, job, i, self.now]
         hint = self.work_ms if self.hinted else None
-        event = io.Submitted(self._stream, job.job_class, left, work_hint_ms=hint)
+        event = io.Submitted(self._stream, job.job_class, left, work_hint_ms=hint, draw=job.key / 2**32)
         self.act(i, self.schedulers[i].handle(self.now, event))
 
     def _end(self, stream: int, end: str, pause_ms: float = 0.0) -> None:
@@ -143,6 +158,7 @@
         if held[1]:
             return
         held[1], job = True, held[2]
+        self.answered(held[3], job, end, self.now - held[4])
         wait = max(pause_ms, 10.0) if self.patient else 10.0
         if end == "refused" and job.tries < self.tries and self.now + wait - job.due < 1900.0:
             self.at(self.now + wait, self._submit, job)
@@ -162,8 +178,7 @@
                 held = self._open[action.request]
                 number, held[0] = held[0], held[0] + 1
                 self.counts["retries" if number else "first attempts"] += 1
-                if self.on_send is not None:
-                    self.on_send(i, number, action.worker)
+                self.sent(i, number, action.worker)
                 self.at(self.now + WIRE_MS, self._arrive, i, action.request, number, action.worker, self.now)
             elif isinstance(action, io.SetTimer):
                 self.at(self.now + action.delay_ms, self.tell, i, io.TimerFired(action.tag))
@@ -188,8 +203,8 @@
         up = self.workers[name].up
         outcome, report = (Outcome.OK, self.report(name)) if up else (Outcome.CONNECT_FAILED, None)
         self.tell(i, io.ProbeEnded(name, outcome, 2 * WIRE_MS, report))
-        if self.on_probe is not None and up:
-            self.on_probe(i, name)
+        if up:
+            self.probed(i, name, report)
 
     # -- Workers -------------------------------------------------------------------------------
 
@@ -242,7 +257,82 @@
     def _ended(self, i: int, stream: int, number: int, name: str, outcome: Outcome, sent: float) -> None:
         if outcome is Outcome.OK:
             self._end(stream, "served")
-        if self.on_end is not None:
-            self.on_end(i, name, outcome)
+        self.ended(i, name, outcome)
         over = self._open[stream][1]
         self.tell(i, io.AttemptEnded(stream, number, outcome, self.now - sent, over, None))
+
+
+class FleetSite(Site):
+    """The same with schedulers that share state over the fleet's network, in the same virtual time."""
+
+    STEP_MS, REFRESH_MS = 10.0, 50.0
+
+    def __init__(self, n: int, workers: int, share: Share, **more):
+        self.state = VirtualState(n, share, seed=more.get("seed", 1))
+        self.share, self._loads = share, [Counter() for _ in range(n)]
+        self.failing, self.learnt = [False] * n, 0
+        self.state.on_note = self._note
+        self.state.start_settled()
+        self.state.run(8_000)
+        self._began = self.state.now
+        super().__init__(n, workers, **more)
+        self.state.loads = self._take_loads
+        for i in range(n):
+            self.state.tell(i, shared.Workers(frozenset(self.workers)))
+        self._step()
+
+    def _step(self) -> None:
+        self.state.run(self._began + self.now)
+        if int(self.now) % int(self.REFRESH_MS) < self.STEP_MS:
+            for i, one in enumerate(self.state.shared):
+                if one is not None:
+                    self.tell(i, self.news(i, one, self.state.clock(i)))
+        self.at(self.now + self.STEP_MS, self._step)
+
+    def news(self, i: int, one: shared.Shared, now: float) -> io.SharedNews:
+        """What scheduler i's shared state tells its module."""
+        retries = float("inf")
+        if one.retries is not None:
+            retries = one.retries.available(now)
+            if retries < 1 and self.failing[i]:
+                one.retries.deny()
+            self.failing[i] = False
+        names = [c.name for c in self.settings.classes]
+        return io.SharedNews(
+            bad=frozenset(one.bad(now)), retries=retries,
+            probes=one.watching.watched if one.watching is not None else None,
+            shed=dict(zip(names, one.shed(now), strict=False)),
+        )  # fmt: skip
+
+    def _take_loads(self, i: int) -> list[Load]:
+        counts, self._loads[i] = self._loads[i], Counter()
+        return [Load(*(counts[c.name, what] for what in ("offered", "shed", "good", "late", "bad")))
+                for c in self.settings.classes]  # fmt: skip
+
+    def _note(self, i: int, action) -> None:
+        if isinstance(action, shared.Learnt):
+            self.learnt += 1
+            self.at(self.now, self.tell, i, io.ProbeEnded(action.worker, Outcome.OK, 0.0, action.fields))
+
+    def sent(self, i: int, number: int, worker: str) -> None:
+        one, now = self.state.shared[i], self.state.clock(i)
+        if one.retries is not None:
+            one.retries.spend(now) if number else one.retries.first(now)
+
+    def ended(self, i: int, worker: str, outcome: Outcome) -> None:
+        if outcome is not Outcome.OK:
+            self.failing[i] = True
+        if outcome in (Outcome.OK, Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.TIMEOUT):
+            self.state.tell(i, shared.Ended(worker, outcome is not Outcome.OK))
+
+    def probed(self, i: int, worker: str, report: dict[str, float]) -> None:
+        self.state.tell(i, shared.Probed(worker, report))
+
+    def answered(self, i: int, job: Job, end: str, took_ms: float) -> None:
+        parts = dict(zip((c.name for c in self.settings.classes),
+                         self.state.shared[i].shed(self.state.clock(i)), strict=False))  # fmt: skip
+        what = "bad" if end != "served" else "good" if took_ms <= GOOD_MS else "late"
+        if end == "refused" and job.key / 2**32 < parts.get(job.job_class, 0.0) and took_ms < 1.0:
+            what = "shed"
+        self._loads[i][job.job_class, "offered"] += 1
+        self._loads[i][job.job_class, what] += 1
--- a/molespur/standins/virtual_state.py
+++ b/molespur/standins/virtual_state.py
@@ -41,6 +41,8 @@
         self.peak: dict[str, float] = {}  # budget -> the most that all spent in any window
         self.passed: dict[str, float] = {}  # budget -> all that was ever spent of it
         self.demand: Callable[[int, float], dict[str, float]] = lambda i, now: {}  # in a window, by budget
+        self.loads: Callable[[int], list] = lambda i: []  # what became of member i's jobs lately
+        self.on_note: Callable[[int, object], None] = lambda i, action: None
         self.notes: list[tuple[float, int, object]] = []  # judged, lifted, owned: (time, member, action)
         self._changed: set[int] = set()  # members whose view changed since they were told
 
@@ -58,6 +60,7 @@
         self.shared[i] = shared.Shared(
             f"m{i}", life, self.share, "v", random.Random(self.rng.random()),
             lambda name, now, i=i: self._used(i, name, now), self.clock(i),
+            loads=lambda i=i: self.loads(i),
         )  # fmt: skip
         super().start(i, seeds)
         self.members[i].whole = lambda: wire.encode_whole(self.shared[i].whole(self.clock(i)))
@@ -98,8 +101,9 @@
         for action in actions:
             if isinstance(action, Changed):
                 self._changed.add(i)
-            if isinstance(action, shared.Judged | shared.Lifted | shared.Owned):
+            if isinstance(action, shared.Judged | shared.Lifted | shared.Owned | shared.Shed):
                 self.notes.append((self.now, i, action))
+            self.on_note(i, action)
 
     # -- Spending ----------------------------------------------------------------------------------
 
