--- a/molespur/fleet/shedding.py
+++ b/molespur/fleet/shedding.py
@@ -22,6 +22,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
+from math import ceil
 
 from .rendezvous import pick
 from .sharing import Share
@@ -34,8 +35,8 @@
 CALM_MS = 3_000.0  # asked for less than the pace for so long, the fleet is no more in a crowd
 PART_MOST = 0.96  # of a class that is turned away: those let in tell how many there are
 ACT_MS = 1_500.0  # from one change of what is turned away to the next
-STEP_UP = 0.3  # of a priority at one change
-FIRST_MS = 4_000.0  # of a crowd, in which a change up may be larger
+STEP_UP = 0.2  # of a priority at one change
+FIRST_MS = 2_000.0  # of a crowd, in which changes come faster, up to the end of a priority
 LEAST_JOBS = 10  # fewer ended jobs than this say nothing
 LIFE_MS = 3_000.0  # of what the acting judge says, unless it says more
 KEPT = 2.5  # tellings after which a member's load is over
@@ -110,12 +111,13 @@
         let_in = [sum(found) / len(found) for found in zip(*self._lately, strict=True)]
         jobs = [a / (1.0 - part) for a, part in zip(let_in, self._parts or [0.0] * len(loads), strict=True)]
         wanted = _level(jobs, sum(jobs) - self.jobs_per_s, priorities)
-        # a crowd that goes is not waited for
-        if now - self._acted_at >= (ACT_MS if wanted > self._level / 2 else ACT_MS / 3):
+        first = now - self._began_at <= FIRST_MS
+        # a crowd that comes or goes is not waited for
+        if now - self._acted_at >= (ACT_MS / 3 if first or wanted <= self._level / 2 else ACT_MS):
             self._acted_at = now
             # guards against jobs let in that were refused all the same and came again, counted as many
-            up = STEP_UP if now - self._began_at > FIRST_MS else 1.0
-            self._level += min(wanted - self._level, up)
+            most = int(self._level) + 1.0 if first else self._level + STEP_UP
+            self._level = min(wanted, most)
             order = sorted(set(priorities))
             self._parts = [min(max(self._level - order.index(p), 0.0), PART_MOST) for p in priorities]
         return self._parts
@@ -135,7 +137,7 @@
 
 def to_bytes(parts: Iterable[float]) -> bytes:
     """Parts as a register's value, rounded up to steps; the classes' order is that of the settings."""
-    return bytes(min(int(part * STEPS + 0.999), STEPS) for part in parts)
+    return bytes(min(ceil(part * STEPS), STEPS) for part in parts)
 
 
 def from_bytes(value: bytes) -> list[float]:
--- a/molespur/standins/fleet_load.py
+++ b/molespur/standins/fleet_load.py
@@ -34,6 +34,7 @@
     born_ms: float = 0.0
     queue: int | None = None  # jobs that may wait; more are turned away unstarted; None: any number
     failing: bool = False  # answers 500 at once
+    lost: bool = False  # connections break with no answer, for all
     deaf_to: set[int] = field(default_factory=set)  # members whose connections break with no answer
     arrived: list[tuple[float, int]] = field(default_factory=list)  # (when in s, member), by the loop's clock
     probed: list[tuple[float, int]] = field(default_factory=list)  # the same of probes
@@ -173,7 +174,7 @@
     async def _serve(self, worker: FleetWorker, member: int, limit, served: Served) -> None:
         while (asked := await served.request()) is not None:
             head, _ = asked
-            if member in worker.deaf_to:
+            if member in worker.deaf_to or worker.lost:
                 worker.ends["broken"] += 1
                 return
             if head.method == b"GET":
--- /dev/null
+++ b/tests/fleet/test_overload.py
@@ -0,0 +1,95 @@
+"""Real schedulers in a crowd: issue 23's hard cases 1, 3, 4 and 6, before workers with a capacity."""
+
+import time
+from collections import Counter
+
+import pytest
+from test_shared import Rig
+
+from molespur.standins.fleet_load import Clients, FleetWorker
+from molespur.standins.members import ask
+
+SLOTS, WORK_MS, N = 2, 100.0, 6
+CAPACITY = N * SLOTS * 1000 / WORK_MS  # 120 jobs a second
+GOOD_MS = 600.0
+SITE = {
+    "profiles": [
+        {"name": "lookup", "aim": 500.0, "deadline": 2000.0, "effect": "retryable", "worth": 1.0},
+        {"name": "assessment", "aim": 500.0, "deadline": 2000.0, "effect": "retryable", "worth": 5.0},
+    ],
+    "familyInfo": {"classPriority": [0, 1]},
+    "report": {"via": "probe"},
+    "limits": {
+        "peerMessages": True, "tryLimit": 3, "dialTimeout": 300.0, "probing": True, "cancelling": True,
+        "retryAfter": True, "maxRetryAfter": 1000.0,
+    },
+}  # fmt: skip
+
+
+def offer(rig, times, seconds):
+    """Offer so many times the capacity for a time; what became of the jobs that were due then."""
+    rig.rates(times * CAPACITY / N)
+    begin, end = rig.span(seconds)
+    time.sleep(2.5)  # at the same rate, until the last of them has ended
+    return [one for one in rig.load.done if begin <= one.due < end]
+
+
+def good(done, job_class=None):
+    found = [one for one in done if job_class in (None, one.job_class)]
+    return sum(one.end == "served" and one.took_ms <= GOOD_MS for one in found) / max(len(found), 1)
+
+
+def counters(rig):
+    found = Counter()
+    for i in range(N):
+        lines = [line.split("=") for line in ask(rig.fleet.ops(i), "fleet counters") if line != "eof"]
+        found.update({name: int(value) for name, value in lines if name in ("fleet.firsts", "fleet.retries")})
+    return found
+
+
+def shed(rig, i):
+    lines = [line.split() for line in ask(rig.fleet.ops(i), "fleet load") if line.startswith("shed")]
+    return {row[1]: float(row[2]) for row in lines}
+
+
+@pytest.mark.parametrize("patient", [False, True])
+def test_a_crowd_of_three_times_the_capacity_comes_and_goes(tmp_path, patient):
+    """Cases 1, 4 and 6; the clients come back at once, or after Retry-After."""
+    workers = [FleetWorker(f"w{i}", i, slots=SLOTS, work_ms=WORK_MS, queue=8) for i in range(N)]
+    clients = Clients((("lookup", 0.7), ("assessment", 0.3)), 2000, 4, patient)
+    with Rig(tmp_path, N, workers, 35 + patient, rules={}, more=SITE, clients=clients) as rig:
+        assert good(offer(rig, 0.6, 3.0)) > 0.95
+        offer(rig, 3.0, 3.0)
+        before = counters(rig)
+        done = offer(rig, 3.0, 6.0)
+        assert good(done) * 3.0 > 0.7, "of the capacity, in time"
+        assert good(done, "assessment") > 0.6 > 0.3 > good(done, "lookup"), "the lowest priority first"
+        shares = [shed(rig, i).get("lookup", 0.0) for i in range(N)]
+        assert min(shares) > 0.3 and max(shares) - min(shares) < 0.4, "all turn away alike"
+        if not patient:
+            rig.fleet.fault("partition 0,1,2 3,4,5")
+            assert good(offer(rig, 3.0, 4.0)) * 3.0 > 0.6
+            rig.fleet.fault("heal")
+        spent = counters(rig)
+        spent.subtract(before)
+        assert spent["fleet.retries"] <= 0.1 * spent["fleet.firsts"] + 2.0 * 20 + 0.2 * CAPACITY
+        offer(rig, 0.6, 1.5)  # and 2.5 s more: the crowd has gone
+        assert good(offer(rig, 0.6, 3.0)) > 0.9
+
+
+def test_half_of_the_workers_lost_at_once_bring_no_storm(tmp_path):
+    """Case 3: retries within the budget, and the rest of the workers serve what they can."""
+    workers = [FleetWorker(f"w{i}", i, slots=SLOTS, work_ms=WORK_MS, queue=8) for i in range(N)]
+    clients = Clients((("lookup", 0.7), ("assessment", 0.3)), 2000, 4)
+    with Rig(tmp_path, N, workers, 37, rules={}, more=SITE, clients=clients) as rig:
+        offer(rig, 0.5, 2.0)
+        before = counters(rig)
+        for worker in workers[:3]:
+            worker.lost = True
+        done = offer(rig, 0.4, 6.0)
+        spent = counters(rig)
+        spent.subtract(before)
+        assert 0 < spent["fleet.retries"] <= 0.1 * spent["fleet.firsts"] + 2.0 * 9 + 0.2 * CAPACITY
+        late = [one for one in done if one.due > done[0].due + 4.0]
+        assert good(late) > 0.7
+        assert max(w.busiest(1.0)[0] for w in workers[3:]) < 2.5 * SLOTS * 1000 / WORK_MS
--- a/tests/fleet/test_shared.py
+++ b/tests/fleet/test_shared.py
@@ -29,10 +29,10 @@
 class Rig:
     """A fleet of n schedulers with workers of the test's own, and clients."""
 
-    def __init__(self, place, n, workers, net, rules=COLD, shared=()):
-        self.load = FleetLoad(n, net, workers, cost_us=int(1000 * workers[0].work_ms))
+    def __init__(self, place, n, workers, net, rules=COLD, shared=(), more=(), clients=None):
+        self.load = FleetLoad(n, net, workers, cost_us=int(1000 * workers[0].work_ms), clients=clients)
         limits = {"peerMessages": True, "tryLimit": 3, "dialTimeout": 300.0}
-        settings = SETTINGS | JOBS | {"rules": rules, "limits": limits}
+        settings = SETTINGS | JOBS | {"rules": rules, "limits": limits} | dict(more)
         tables = {"shared": SHARED | dict(shared)}
         self.fleet = Members(
             place, n, net=net, faultline=True, settings=settings, tables=tables, known=self.load.known
