--- a/molespur/config/deployment.py
+++ b/molespur/config/deployment.py
@@ -145,7 +145,9 @@
     floor: Annotated[
         float, Meta(gt=0, le=1, description="of each budget, what all may spend heard or not")
     ] = 0.05
-    tickets: Annotated[int, Meta(ge=1, le=4096, description="parts of the rest of each budget")] = 256
+    tickets: Annotated[
+        int, Meta(ge=0, le=4096, description="parts of the rest of each budget; 0: four a member, at least 256")
+    ] = 0
     lease_ms: Annotated[Positive, Meta(description="a ticket's lease")] = 4_000.0
     loan_ms: Annotated[Positive, Meta(description="a loan's life; below lease_ms")] = 2_000.0
     renew_ms: Annotated[Positive, Meta(description="tickets and loans are asked for this often")] = 1_000.0
@@ -177,10 +179,11 @@
 
     def share(self, kinds: dict, settings):
         """The pure machine's tuning, for these kinds of budgets and the platform's settings."""
-        from ..fleet.sharing import Share
+        from ..fleet.sharing import Share, tickets_for
 
         same = {f: getattr(self, f) for f in self.__struct_fields__ if f in Share.__dataclass_fields__}
         same |= {"witnesses": tuple(self.witnesses), "size": self.size or settings.balancers, "kinds": kinds}
+        same["tickets"] = self.tickets or tickets_for(same["size"])
         same["watchers"] = self.watchers if settings.may_probe else 0
         same["priorities"] = tuple(c.priority for c in settings.classes) if self.sheds else ()
         return Share(**same)
--- a/molespur/fleet/sharing.py
+++ b/molespur/fleet/sharing.py
@@ -174,6 +174,11 @@
         return self.grace_ms if self.rate else 0.0
 
 
+def tickets_for(size: int) -> int:
+    """Tickets enough for a fleet: some four a member, so that few have none."""
+    return min(max(4 * size, 256), 4_096)
+
+
 @dataclass(frozen=True)
 class Share:
     """How state is shared; what `mark` covers must be the same at all members.  Milliseconds unless named."""
