--- a/molespur/config/deployment.py
+++ b/molespur/config/deployment.py
@@ -146,7 +146,7 @@
         float, Meta(gt=0, le=1, description="of each budget, what all may spend heard or not")
     ] = 0.05
     tickets: Annotated[
-        int, Meta(ge=0, le=4096, description="parts of the rest of each budget; 0: four a member, at least 256")
+        int, Meta(ge=0, le=4096, description="parts of the rest of each budget; 0: four a member, 256 least")
     ] = 0
     lease_ms: Annotated[Positive, Meta(description="a ticket's lease")] = 4_000.0
     loan_ms: Annotated[Positive, Meta(description="a loan's life; below lease_ms")] = 2_000.0
