--- a/benchmarks/fleet_overload.py
+++ b/benchmarks/fleet_overload.py
@@ -2,17 +2,18 @@
 
     python -m benchmarks.fleet_overload [--virtual 6,20] [--probes 10,50,200] [--real 6] [--seeds 5] [--write]
 
-Virtual: the decision module's instances before as many workers (2 slots, 100 ms a job, a queue of 8, reports by
-probes), clients that try again at once up to four times within their 2 s (or, `patient`, after Retry-After);
-two classes, 3 in 10 jobs worth five times the others.  For each offered load, a multiple of the capacity, 30 s
-from a quiet start: goodput (served within 600 ms of the first try) of the capacity; worth in time of what the
-best order would have (all of the higher class, then the other); upstream attempts for each first one; 50th and
-99th of served jobs.  Recovery: after 3 times the capacity for 15 s back to 0.7, the time until a second has 95 %
-served in time.  Lost: half of the workers die at 0.6 of the capacity; retries for each first attempt over 10 s.
+Virtual: the decision module's instances before as many workers (2 slots, 100 ms a job, a queue of 8, reports
+by probes), clients that try again at once up to four times within their 2 s (or, `patient`, after
+Retry-After); two classes, 3 in 10 jobs worth five times the others.  For each offered load, a multiple of the
+capacity, 30 s from a quiet start: goodput (served within 600 ms of the first try) of the capacity; worth in
+time of what the best order would have (all of the higher class, then the other); upstream attempts for each
+first one; 50th and 99th of served jobs.  Recovery: after 3 times the capacity for 15 s back to 0.7, the time
+until a second has 95 % served in time.  Lost: half of the workers die at 0.6 of the capacity; retries for
+each first attempt over 10 s.
 
 Probes: the same with n schedulers before 20 workers at a low load: probes of one worker a second.
 
-Real: six processes of `python -m molespur serve` before stand-in workers, behind the fault line, the same load.
+Real: six processes of `python -m molespur serve` before stand-in workers, behind the fault line, the same.
 """
 
 import argparse
@@ -33,6 +34,7 @@
 OUT = Path(__file__).parents[1] / "docs" / "measurements" / "fleet_overload.md"
 LOADS = (0.5, 1.0, 1.5, 2.0, 3.0)
 WAYS = ("alone", "fleet")
+SHOWN = {"good": ".2f", "worth": ".2f", "amp": ".3f", "tries": ".1f"}
 WORTH = {c.name: c.worth for c in CLASSES}
 
 
@@ -126,15 +128,17 @@
         for patient in (False, True):
             for times in LOADS:
                 a, b = (list(pool.map(crowd, [(way, n, times, s, patient) for s in seeds])) for way in WAYS)
-                lines.append(
-                    f"| {n} | {'patient' if patient else 'at once'} | {times}"
-                    f" | {mean(a, 'good'):.2f} / {mean(b, 'good'):.2f} | {mean(a, 'worth'):.2f} / {mean(b, 'worth'):.2f}"
-                    f" | {mean(a, 'amp'):.3f} / {mean(b, 'amp'):.3f} | {mean(a, 'tries'):.1f} / {mean(b, 'tries'):.1f}"
-                    f" | {mean(a, 'p50'):.0f} / {mean(a, 'p99'):.0f} | {mean(b, 'p50'):.0f} / {mean(b, 'p99'):.0f} |"
-                )
+                both = {key: f"{mean(a, key):{form}} / {mean(b, key):{form}}" for key, form in SHOWN.items()}
+                tails = [f"{mean(rows, 'p50'):.0f} / {mean(rows, 'p99'):.0f}" for rows in (a, b)]
+                row = [n, "patient" if patient else "at once", times, *both.values(), *tails]
+                lines.append("| " + " | ".join(map(str, row)) + " |")
                 print(lines[-1], flush=True)
-    lines += ["", "| schedulers | recovered after (s), each play: alone | fleet"
-              " | half lost, retries for each first attempt: alone / fleet |", "| --- | --- | --- | --- |"]  # fmt: skip
+    lines += [
+        "",
+        "| schedulers | recovered after (s), each play: alone | fleet"
+        " | half lost, retries for each first attempt: alone / fleet |",
+        "| --- | --- | --- | --- |",
+    ]
     for n in sizes:
         back = [list(pool.map(recovery, [(way, n, s) for s in seeds])) for way in WAYS]
         storm = [statistics.mean(pool.map(lost, [(way, n, s) for s in seeds])) for way in WAYS]
@@ -146,7 +150,7 @@
 
 def probed(sizes, pool) -> str:
     lines = [
-        "| schedulers before 20 workers | probes of one worker a second: alone | fleet |",
+        "| schedulers | probes of one of 20 workers a second: alone | fleet |",
         "| --- | --- | --- |",
     ]
     for n in sizes:
@@ -169,9 +173,8 @@
     ]
     limits = {"peerMessages": True, "tryLimit": 3, "dialTimeout": 300.0, "probing": True, "cancelling": True,
               "retryAfter": True, "maxRetryAfter": 1000.0}  # fmt: skip
-    settings = SETTINGS | {
-        "profiles": profiles, "familyInfo": {"classPriority": [0, 1]}, "report": {"via": "probe"}, "limits": limits,
-    }  # fmt: skip
+    more = {"familyInfo": {"classPriority": [0, 1]}, "report": {"via": "probe"}}
+    settings = SETTINGS | more | {"profiles": profiles, "limits": limits}
     shared = {"enabled": shares, "witnesses": ["m0", "m1", "m2"]}
     lines, clients = [], Clients((("lookup", 0.7), ("assessment", 0.3)), 2000, 4)
     with tempfile.TemporaryDirectory() as place, FleetLoad(n, net, workers, 100_000, clients) as load:
@@ -199,13 +202,18 @@
                 took = [d.took_ms for d in done if d.end == "served"]
                 worth = sum(WORTH[d.job_class] for d in good) / (end - begin)
                 ends = Counter(d.end for d in done)
-                lines.append(
-                    f"| {n} | {'fleet' if shares else 'alone'} | {times} ({seconds} s)"
-                    f" | {len(good) / (end - begin) / min(capacity, times * capacity):.2f}"
-                    f" | {worth / best_worth(times * capacity, capacity):.2f}"
-                    f" | {ends['refused']} / {ends['lost']} of {len(done)} | {attempts / max(ends['served'], 1):.2f}"
-                    f" | {quantile(took, 0.5):.0f} / {quantile(took, 0.99):.0f} | {rate:.1f} |"
-                )
+                row = [
+                    n,
+                    "fleet" if shares else "alone",
+                    f"{times} ({seconds} s)",
+                    f"{len(good) / (end - begin) / min(capacity, times * capacity):.2f}",
+                    f"{worth / best_worth(times * capacity, capacity):.2f}",
+                    f"{ends['refused']} / {ends['lost']} of {len(done)}",
+                    f"{attempts / max(ends['served'], 1):.2f}",
+                    f"{quantile(took, 0.5):.0f} / {quantile(took, 0.99):.0f}",
+                    f"{rate:.1f}",
+                ]
+                lines.append("| " + " | ".join(map(str, row)) + " |")
                 print(lines[-1], flush=True)
         finally:
             made.end()
@@ -232,9 +240,8 @@
     parser.add_argument("--jobs", type=int, default=5)
     parser.add_argument("--write", action="store_true")
     args = parser.parse_args()
-    sizes = {
-        name: [int(x) for x in getattr(args, name).split(",") if x] for name in ("virtual", "probes", "real")
-    }
+    parts = ("virtual", "probes", "real")
+    sizes = {name: [int(x) for x in getattr(args, name).split(",") if x] for name in parts}
     text = ""
     with ProcessPoolExecutor(args.jobs) as pool:
         if sizes["virtual"]:
