Let requests wait for a connection where the fleet's budget allows no more

Need: a scheduler whose part of a worker's connections was in use failed each further request at once as never sent; the module tried again three times within milliseconds and refused the client. Change: such a request waits within the dial time-out for one of our connections there to be let go, at most four for each open one; it looks again when the budget grows, and goes elsewhere at once when the worker is told to drain or is gone. Four scenarios without sockets; each of the wakings taken out fails one.

--- a/molespur/net/upstream.py
+++ b/molespur/net/upstream.py
@@ -1,6 +1,7 @@
 """Upstream requests, the connections that carry them, and probes."""
 
 import select
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -22,6 +23,7 @@
 STALE_CUT, FRESH_GAIN = 0.8, 1.05
 USABLE_LEAST_MS = 50.0  # so short a rest says nothing
 IDLE_SHARE = 0.8  # of the idle limit: a request that crosses an upstream host's own close may have run
+WAITING_EACH = 4  # requests that may wait for each connection, where the fleet's budget allows no more
 DONE, FAILED, RETURNED, LOST = "done", "failed", "returned", "lost"
 HOP_BY_HOP = frozenset(
     b"connection host keep-alive proxy-connection te trailer transfer-encoding upgrade".split()
@@ -109,6 +111,12 @@
     wanted: bool = True  # it wants new work
     open: int = 0  # connections to it, those being opened included
     most: int | None = None  # connections that we may hold to it by the fleet's budget; None: no such bound
+    waiting: deque[trio.Event] = field(default_factory=deque)  # requests that wait for one of them
+
+    def wake(self, most: int) -> None:
+        """So many of those that wait for a connection look again whether there is one for them."""
+        for _ in range(min(most, len(self.waiting))):
+            self.waiting.popleft().set()
 
 
 class UpstreamRequest:
@@ -185,6 +193,8 @@
         host = self.hosts.get(uid)
         if host is not None and (host.address, host.started) == (address, started):
             host.wanted = wanted
+            if not wanted:
+                host.wake(len(host.waiting))  # their jobs go elsewhere at once
             return
         # guards against kept connections to a process that is no more: a request on one may be lost unseen
         self.drop(uid)
@@ -200,6 +210,7 @@
         host = self.hosts.get(uid)
         if host is not None:
             host.most = most
+            host.wake(max(most - host.open, 0))
             if host.open > most:
                 self._close_idle(host, max(len(host.idle) - (host.open - most), 0))
 
@@ -208,6 +219,7 @@
         host = self.hosts.pop(uid, None)
         if host is not None:
             host.gone = True
+            host.wake(len(host.waiting))
             self._close_idle(host, 0)
 
     def _close_idle(self, host: UpstreamHost, keep: int) -> int:
@@ -271,12 +283,17 @@
         return bool(idle)
 
     async def _connect(self, host: UpstreamHost) -> Connection | Failure:
-        """A kept connection or a new one."""
-        connection = self._kept(host)
-        if connection is not None:
-            return connection
-        if self.may_open is not None and not self.may_open(host.uid, host.open):
-            return Failure(Stage.CONNECTING, Cause.NOT_SENT, "no connection left in the fleet's budget")
+        """A kept connection or a new one, or one that comes free where the fleet's budget allows no more."""
+        until = self.clock.now() + self.config.dial_timeout_ms
+        while (connection := self._kept(host)) is None:
+            if self.may_open is None or self.may_open(host.uid, host.open):
+                return await self._open(host)
+            if not await self._let_go(host, until):
+                return Failure(Stage.CONNECTING, Cause.NOT_SENT, "the fleet's budget is used up")
+        return connection
+
+    async def _open(self, host: UpstreamHost) -> Connection | Failure:
+        """A new connection."""
         if not self._make_room():
             return Failure(Stage.CONNECTING, Cause.NOT_SENT, "too many connections")
         self.counters["upstream.dialled"] += 1
@@ -292,8 +309,26 @@
             if stream is None:
                 self.count -= 1
                 host.open -= 1
+                host.wake(1)
         return Connection(stream, host) if stream else Failure(Stage.CONNECTING, Cause.BROKEN, why)
 
+    async def _let_go(self, host: UpstreamHost, until: float) -> bool:
+        """Wait for a connection to an upstream host to be let go; False: not in time, or too many wait."""
+        left = until - self.clock.now()
+        full = len(host.waiting) >= WAITING_EACH * host.open
+        if left <= 0 or full or host.gone or not host.wanted:
+            return False
+        self.counters["upstream.waited"] += 1
+        woken = trio.Event()
+        host.waiting.append(woken)
+        try:
+            with self.wheel.limit(left):
+                await woken.wait()
+        finally:
+            if woken in host.waiting:
+                host.waiting.remove(woken)
+        return woken.is_set()
+
     async def _release(self, connection: Connection | Failure | None) -> None:
         """Keep a connection whose exchange is complete; close any other."""
         if not isinstance(connection, Connection):
@@ -306,6 +341,7 @@
             host.idle.append(connection)
         else:
             await self._close(connection)
+        host.wake(1)
 
     # -- Upstream requests -----------------------------------------------------------------------
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -17,6 +17,7 @@
     program stop            SIGTERM has come;  program evacuate|activate|successor|alone  the process is told
     program evacuate stopping   .. and says why not;  front up yes|no      the front asks
     within 5050             no more than these milliseconds have passed
+    budget 1                connections to each worker that the fleet allows this scheduler
 
 With `registry="etcd"` or `"consul"` the workers are listed by a stand-in registry (g), not by discovery:
 
@@ -118,6 +119,7 @@
         settings = self.config.settings
         self.host = Host(self.dispatcher, clock, self.wheel, self.counters, settings, 100)
         upstream = Upstream(self.config, self.wheel, clock, self.counters, nursery, 100, self.dial)
+        self.upstream = upstream
         self.cluster = Cluster(self.config.known, clock, self.host, upstream)
         parts = (self.config, self.cluster, self.wheel, clock, self.counters, nursery)
         self.registry = None
@@ -328,6 +330,9 @@
             assert self.counters[verb] == int(words[0]), dict(self.counters)
         elif who == "within":
             assert (trio.current_time() - self.start) * 1000 <= int(verb)
+        elif who == "budget":
+            self.upstream.may_open = lambda _, have: have < int(verb)
+            self.upstream.bound("w1", int(verb))
         elif who in ("program", "front"):
             await self.program(verb, words)
         elif who == "retune":
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -55,6 +55,49 @@
         w1 send r4 done four
         a expect 200 four
         count upstream.dialled 4""",
+    "where the fleet allows no more connections, requests wait for one to come free": """
+        budget 1
+        a send lookup r1
+        w1 expect r1
+        b send lookup r2
+        wait 50
+        w1 send r1 done one
+        a expect 200 one
+        w1 send r2 done two
+        b expect 200 two
+        count upstream.waited 1
+        count upstream.dialled 1""",
+    "a client that leaves makes room for the request that waits": """
+        budget 1
+        a send lookup r1
+        w1 expect r1
+        b send lookup r2
+        a close
+        w1 send r2 done two
+        b expect 200 two
+        count upstream.dialled 2""",
+    "requests that wait use what the fleet's budget gives them anew, and go on when it gives nothing": """
+        budget 1
+        a send lookup r1
+        w1 expect r1
+        b send lookup r2
+        budget 2
+        w1 expect r2
+        c send lookup r3
+        wait 200
+        count sent.moot 1
+        w1 send r2 done two
+        b expect 200 two""",
+    "requests that wait at a worker that is gone go elsewhere at once": f"""
+        d expect 0
+        budget 1
+        a send lookup r1
+        w1 expect r1
+        b send lookup r2
+        count upstream.waited 1
+        d send {LIST % (4, "true", "active")}
+        w2 expect r2
+        within 100""",
     "a connection near its idle limit is not used": """
         a send lookup r1
         w1 send r1 done one
