Count as a retry only what follows a request that was really sent

Cause: an attempt that never left (no connection in the budget, the worker just drained) counted as a try, so that the fleet's retry budget was spent on first attempts and, once spent, refused jobs that had never been sent anywhere (logic.py _may_send, host.py _send). Ruled out: counting by outcome at the budget alone (the module would still refuse).

--- a/molespur/fleet/uses.py
+++ b/molespur/fleet/uses.py
@@ -179,15 +179,15 @@
         if use.asked > self._told.parts.get(use.worker, 0.0):
             self.machine.escrow.deny(f"{COLD}/{use.worker}", self.clock.now())
 
-    def _sending(self, worker: str, number: int) -> None:
+    def _sending(self, worker: str, retry: bool) -> None:
         now, retries = self.clock.now(), self.machine.retries
         if worker in self._told.parts:
             self._cold[worker] = (self._cold.get(worker, (0.0, False))[0], True)
-        if retries is not None and number:
+        if retries is not None and retry:
             retries.spend(now)
         elif retries is not None:
             retries.first(now)
-        self.counters["fleet.retries" if number else "fleet.firsts"] += 1
+        self.counters["fleet.retries" if retry else "fleet.firsts"] += 1
 
     def _limit(self, worker: str) -> Gradient:
         return self._limits.setdefault(worker, Gradient())
--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -491,8 +491,8 @@
     def _may_send(self, job):
         """Whether the rules allow a further attempt of this job at all."""
         late = job.deadline - self.now <= ANSWER_MARGIN_MS
-        most = job.most if self.shared.retries >= 1 else 1  # attempts: all retries of the fleet are bounded
-        if late or not job.open or job.out or len(job.attempts) >= most:
+        spent = self.shared.retries < 1 and job.is_tried()  # all retries of the fleet are bounded
+        if late or spent or not job.open or job.out or len(job.attempts) >= job.most:
             return False
         cls, ran = job.state.cls, job.may_have_run()
         if cls.effect is Effect.SAFE or not ran:
@@ -504,7 +504,7 @@
         due = self.now + job.run * w.slope + self.turn  # a missing key may take as long as a run
         attempt = Attempt(job, w, sample, self.now, due)
         w.unended[attempt] = None
-        self.shared.retries -= bool(job.attempts)
+        self.shared.retries -= job.is_tried()
         job.attempts.append(attempt)
         job.out += 1
         if w.own <= 0:
@@ -555,8 +555,7 @@
         if attempt.sent >= w.born:
             w.count(-attempt.ask, now)
         self._learn(attempt, outcome, event.elapsed_ms, now)
-        if event.report:
-            self._report(w, event.report)
+        self._report(w, event.report or {})
         job.open = job.open and not event.answered
         if job.open:
             self._after_failure(job, attempt, outcome)
@@ -669,12 +668,11 @@
         self._at(gap * (0.8 + 0.4 * self.rng.random()), self._probe_next)
 
     def _probe_ended(self, event):
-        if (w := self.workers.get(event.worker)) is None:
-            return
-        if event.outcome is Outcome.OK:
+        w = self.workers.get(event.worker)
+        if w and event.outcome is Outcome.OK:
             w.heard, w.mute = self.now, 0
             self._report(w, event.report or {})
-        elif event.outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT):
+        elif w and event.outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT):
             w.others, w.seen, w.mute = max(w.others, w.slots - w.own + 1), self.now, w.mute + 1
             if w.mute >= MUTE and self.now - w.heard > HEARD_MS:
                 self._strike(w)  # fallen silent: its jobs go elsewhere while they can be in time
--- a/molespur/net/host.py
+++ b/molespur/net/host.py
@@ -61,7 +61,7 @@
     ):
         self.most = most  # upstream requests, by the settings under which it was taken
         self.arrival, self.since, self.draw = arrival, deadline - arrival.time_left_ms, 1.0
-        self.last: Outcome | None = None  # of its upstream requests, that which ended last
+        self.last: Outcome | None = None  # of its upstream requests that were sent, that which ended last
         self.number, self.deadline, self.answer = number, deadline, answer
         self.attempts = []  # upstream requests in the order of their Send; None where none was made
         self.out, self.over, self.backstop = 0, False, None
@@ -81,7 +81,7 @@
         self._events, self._busy = deque(), False
         # for state that schedulers share (fleet/uses.py); None where they share none
         self.observe: Callable[[str, str, Outcome, float], None] | None = None
-        self.sending: Callable[[str, int], None] | None = None  # worker, which attempt of its stream
+        self.sending: Callable[[str, bool], None] | None = None  # worker, whether it is a retry
         self.answered: Callable[[Stream, Answer], None] | None = None
         self.probed: Callable[[str, dict[str, float]], None] | None = None
         self.draw: Callable[[str], float] | None = None  # of a job's name, from 0 to 1
@@ -119,7 +119,7 @@
         What an action sets off at once waits its turn: the module is never entered while it or its
         actions are under way, and events reach it in the order in which they happened.
         """
-        if not self._busy and self.clock.now() >= self.fresh_until:
+        if self.freshen is not None and not self._busy and self.clock.now() >= self.fresh_until:
             # guards against a process that was held (stopped, starved) going on with rights that are over
             self.fresh_until = float("inf")
             self.freshen()
@@ -198,7 +198,8 @@
     def ended(self, stream: Stream, number: int, elapsed_ms: float, result: Served | Failure) -> None:
         """The one outcome of an upstream request."""
         self.counters[f"sent.{result.outcome.name.lower()}"] += 1
-        stream.last = result.outcome
+        if result.outcome is not Outcome.MOOT:
+            stream.last = result.outcome
         stream.out -= 1
         if isinstance(result, Served) and not stream.over:
             self._finish(stream, result)
@@ -243,8 +244,8 @@
             self.progressed(stream, number, share)
 
         if self.sending is not None:
-            self.sending(action.worker, number)
-        if number:
+            self.sending(action.worker, stream.last is not None)
+        if stream.last is not None:
             self.counters[f"retries.after_{stream.last.name.lower()}"] += 1
         request = self.upstream.send(action.worker, stream.arrival.payload, limit, ended, progressed)
         stream.attempts.append(request)
--- a/molespur/records.py
+++ b/molespur/records.py
@@ -4,7 +4,7 @@
 from copy import copy
 from math import log
 
-from .interface import NEVER_RAN
+from .interface import NEVER_RAN, Outcome
 
 DEFAULT_SLOTS = 4.0  # until a report tells better
 LAG_MS = 500.0  # a report tells of about this long ago; own sends since are added
@@ -112,6 +112,9 @@
         self.attempts, self.out, self.open, self.tried = [], 0, True, ()
         self.sheddable, self.worth = state.sheddable, cls.worth
 
+    def is_tried(self):
+        return any(a.outcome is not Outcome.MOOT for a in self.attempts)
+
     def may_have_run(self):
         return [a for a in self.attempts if a.outcome not in NEVER_RAN]
 
