--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -17,6 +17,10 @@
 from molespur.scheduler import Scheduler
 
 LIST = '{"rev":%d,"all":%s,"targets":[{"uid":"w2","endpoint":"127.0.0.1:3002","az":"z","state":"%s"}]}'
+LEAVING = (
+    '{"rev":4,"all":true,"targets":[{"uid":"w1","endpoint":"127.0.0.1:3001","az":"z","state":"leaving"},'
+    '{"uid":"w2","endpoint":"127.0.0.1:3002","az":"z"}]}'
+)
 END = r"\r\n\r\n"
 POST = r"POST /lookup HTTP/1.1\r\nHost: x\r\n"
 CASES = {
@@ -65,7 +69,7 @@
         a expect 200 one
         w1 send r2 done two
         b expect 200 two
-        count upstream.waited 1
+        within 100
         count upstream.dialled 1""",
     "a client that leaves makes room for the request that waits": """
         budget 1
@@ -75,7 +79,27 @@
         a close
         w1 send r2 done two
         b expect 200 two
+        within 100
         count upstream.dialled 2""",
+    "so does one that leaves while its connection comes up": """
+        budget 1
+        w1 hang
+        a send lookup r1
+        b send lookup r2
+        w1 accept
+        a close
+        w1 expect r2
+        within 100""",
+    "requests that wait at a worker that is told to drain go elsewhere at once": f"""
+        d expect 0
+        budget 1
+        a send lookup r1
+        w1 expect r1
+        b send lookup r2
+        count upstream.waited 1
+        d send {LEAVING}
+        w2 expect r2
+        within 100""",
     "requests that wait use what the fleet's budget gives them anew, and go on when it gives nothing": """
         budget 1
         a send lookup r1
