--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -548,3 +548,14 @@
     assert d.workers["w1"].strikes == 1, "told again while it rests: no further strike"
     d.handle(8.0, io.SharedNews(bad=frozenset({"w0", "w1", "w2"})))
     assert d.avoided(9.0) == set(), "too many would be: none is"
+
+
+@pytest.mark.parametrize("outcome", [Outcome.MOOT, Outcome.RESET])
+def test_without_retries_left_only_what_was_never_sent_goes_on(outcome):
+    d = make()
+    news(d, entry("w0"), entry("w1"), entry("w2"))
+    d.handle(5.0, io.SharedNews(retries=0.0))
+    submit(d, 7, now=10.0)
+    actions = end(d, 7, outcome, 20.0)
+    assert bool(of(actions, io.Send)) is (outcome is Outcome.MOOT)
+    assert bool(of(actions, io.Refuse)) is (outcome is Outcome.RESET)
