Keep the pace of a crowd from starving the fleet, and its level from overshooting

Seen: on the test of a worker's connections (real processes) the fleet let in 7 jobs a second for 10 s and more where the worker bears 120: the crowd was found while the connections' budget had not been lent yet, the pace began at what was served then, and rose by 15 % of what is served each 2 s (shedding.py, Pace.judge and BAND). In virtual time 20 schedulers at 1.5 times the capacity turned away 0.3 to 0.9 of the lowest class in turn where 0.5 was right: jobs let in before a change were scaled up by the parts after it, and tries refused and sent again were counted as jobs (Pace.parts). A judge that had acted once kept its pace for the next crowd. Change: after a fall the pace rises by 3 %, doubled each round, at once by all where nothing was known; a fall goes to what is served; jobs are scaled by the parts in force when they were let in, refused tries count a fifth; rises of the level are halved; a judge that does not act follows the one that does.

--- a/molespur/fleet/shared.py
+++ b/molespur/fleet/shared.py
@@ -500,7 +500,7 @@
             else:
                 self._send(judge, LoadTell(self._seq, self.me, self.life, span, plain))
         said = self.judgements.told(SHED, now)
-        parts = self.judge.judge(now, members, None if said is None else said.age_ms)
+        parts = self.judge.judge(now, members, None if said is None else said.age_ms, self.shed(now))
         if parts is not None and (any(parts) or said is not None):
             self._queue_up("said", SHED, self.judgements.write(SHED, to_bytes(parts), now, unix_ms))
         now_shed = self.shed(now)
--- a/molespur/fleet/shedding.py
+++ b/molespur/fleet/shedding.py
@@ -6,9 +6,10 @@
 
 The pace starts at what the fleet was seen to serve, in time or late: the most of the last seconds, as BBR
 estimates a link's rate by the most that it was seen to carry.  While more than `BAD_HIGH` of the jobs let in
-end badly (late, refused, failed) it falls a step at a time, each after the last has shown (jobs may wait for
-seconds); while fewer than `BAD_LOW` do it rises; between the two it stands (hysteresis).  It never leaves a
-band round what is served, so that it can't starve the fleet by its own doing.
+end badly (late, refused, failed) it falls to a little less than what is served, a round at a time, since jobs
+may wait for seconds; while fewer than `BAD_LOW` do it rises, twice as far each round, so that a pace which
+is far too low (found while workers warmed, or were away) does not starve the fleet for long; between the two
+it stands (hysteresis).
 
 What is turned away is set so that what was let in becomes the pace, a step each `ACT_MS`, when the last one
 has shown.  It goes by the jobs let in, not by the tries asked for: clients that are turned away try again,
@@ -28,14 +29,16 @@
 from .sharing import Share
 
 BAD_HIGH, BAD_LOW = 0.10, 0.05  # of the jobs let in that ended
-FALL, RISE = 0.95, 1.03  # steps of the pace
-FALL_EACH_MS = 1_500.0  # a fall shows by then
-BAND = (0.92, 1.15)  # of what is served: the least and the most that the pace may be
+FALL, LEAST = 0.95, 0.90  # a fall of the pace, and the least that it may be of what is served
+RISE, RISE_MOST = 0.03, 1.0  # a rise of the pace after a fall, doubled at each further one, and the most
+ROUND_MS = 1_500.0  # a move of the pace shows by then
 SERVED_MS, MEAN_MS = 10_000.0, 2_000.0  # the most served is over so long, of means over so long
 CALM_MS = 3_000.0  # asked for less than the pace for so long, the fleet is no more in a crowd
 PART_MOST = 0.96  # of a class that is turned away: those let in tell how many there are
 ACT_MS = 1_500.0  # from one change of what is turned away to the next
 STEP_UP = 0.2  # of a priority at one change
+AGAIN = 0.8  # of the tries let in and refused, so many are taken to be of jobs that come again
+GONE = 0.6  # asked for so much less than just before, the crowd is going, and what was before is no guide
 FIRST_MS = 2_000.0  # of a crowd, in which changes come faster, up to the end of a priority
 LEAST_JOBS = 10  # fewer ended jobs than this say nothing
 LIFE_MS = 3_000.0  # of what the acting judge says, unless it says more
@@ -59,6 +62,12 @@
         return Load(self.offered + other.offered, self.shed + other.shed, self.good + other.good,
                     self.late + other.late, self.bad + other.bad)  # fmt: skip
 
+    @property
+    def badly(self) -> float:
+        """The part of the jobs let in that ended badly; 0 where too few ended to say."""
+        ended = self.good + self.late + self.bad
+        return (self.late + self.bad) / ended if ended >= LEAST_JOBS else 0.0
+
 
 class Pace:
     """The acting judge's state; `jobs_per_s` is None while nothing has to be turned away."""
@@ -66,11 +75,14 @@
     def __init__(self):
         self.jobs_per_s: float | None = None
         self._served: deque[tuple[float, float, float]] = deque()  # (when, jobs served, over how long in s)
-        self._lately: deque[list[float]] = deque(maxlen=2)  # jobs let in a second, by class
+        self._lately: deque[list[float]] = deque(maxlen=2)  # jobs asked for a second, by class
         self._parts: list[float] = []
+        self._in_force: list[float] = []  # the parts while the jobs that are told of now were let in
         self._level = 0.0
         self._acted_at = float("-inf")
-        self._fell_at = self._busy_at = self._began_at = float("-inf")
+        self._moved_at = self._busy_at = self._crowd_at = float("-inf")
+        self._began = float("inf")  # when anything was served first
+        self._rise, self._round = RISE, Load()  # what is told of since the pace moved
 
     def served_per_s(self, now: float) -> float:
         """The most that the fleet was seen to serve lately, as a mean over some judgements."""
@@ -82,46 +94,79 @@
             most = max(most, sum(jobs for jobs, _ in part) / sum(span for _, span in part))
         return most
 
-    def judge(self, now: float, loads: list[Load], seconds: float) -> None:
-        """Move the pace by what all members told of the last seconds."""
+    def _note(self, now: float, loads: list[Load], seconds: float) -> Load:
         all_ = sum(loads, Load())
         self._served.append((now, all_.good + all_.late, seconds))
-        served, ended = self.served_per_s(now), all_.good + all_.late + all_.bad
-        badly = (all_.late + all_.bad) / ended if ended >= LEAST_JOBS else 0.0
+        if all_.good + all_.late:
+            self._began = min(self._began, now)
+        return all_
+
+    def judge(self, now: float, loads: list[Load], seconds: float) -> None:
+        """Move the pace by what all members told of the last seconds."""
+        all_ = self._note(now, loads, seconds)
+        served = self.served_per_s(now)
         if self.jobs_per_s is None:
-            if badly > BAD_HIGH and served > 0:
-                self.jobs_per_s = served
-                self._fell_at = self._busy_at = self._began_at = now
+            if all_.badly > BAD_HIGH and served > 0:
+                self.jobs_per_s, self._round = served, Load()
+                # what was served says little where it is short: workers may just have come up, as we have
+                self._rise = RISE if now - self._began > 2 * MEAN_MS else RISE_MOST
+                self._moved_at = self._busy_at = self._crowd_at = now
             return
         if any(self._parts) or all_.offered / seconds > self.jobs_per_s:
             self._busy_at = now
         if now - self._busy_at > CALM_MS:
             self.jobs_per_s = None
-        elif badly > BAD_HIGH and now - self._fell_at >= FALL_EACH_MS:
-            self.jobs_per_s, self._fell_at = max(FALL * self.jobs_per_s, BAND[0] * served), now
+            return
+        self._round += all_
+        if now - self._moved_at < ROUND_MS:
+            return
+        badly, self._round, self._moved_at = self._round.badly, Load(), now
+        if badly > BAD_HIGH:
+            self.jobs_per_s = max(FALL * min(self.jobs_per_s, served), LEAST * served)
         elif badly < BAD_LOW:
-            self.jobs_per_s = max(min(RISE * self.jobs_per_s, BAND[1] * served), self.jobs_per_s)
+            self.jobs_per_s *= 1 + self._rise
+        self._rise = min(2 * self._rise, RISE_MOST) if badly < BAD_LOW else RISE
 
     def parts(self, now: float, loads: list[Load], seconds: float, priorities: list[int]) -> list[float]:
         """Of each class the part to turn away from now on, the lowest priority first."""
-        self._lately.append([(one.offered - one.shed) / seconds for one in loads])
+        # guards against parts that have just risen: few of the jobs told of were let in under them
+        before, self._in_force = self._in_force or [0.0] * len(loads), list(self._parts)
+        asked = [
+            (one.offered - one.shed - AGAIN * one.bad) / seconds / (1.0 - part)
+            for one, part in zip(loads, before, strict=True)
+        ]
+        if self._lately and sum(asked) < GONE * sum(self._lately[-1]):
+            self._lately.clear()
+        self._lately.append(asked)
         if self.jobs_per_s is None:
             self._parts, self._level, self._acted_at = [0.0] * len(loads), 0.0, now - ACT_MS
             return self._parts
-        let_in = [sum(found) / len(found) for found in zip(*self._lately, strict=True)]
-        jobs = [a / (1.0 - part) for a, part in zip(let_in, self._parts or [0.0] * len(loads), strict=True)]
+        jobs = [sum(found) / len(found) for found in zip(*self._lately, strict=True)]
         wanted = _level(jobs, sum(jobs) - self.jobs_per_s, priorities)
-        first = now - self._began_at <= FIRST_MS
+        first, gone = now - self._crowd_at <= FIRST_MS, wanted <= self._level / 2
         # a crowd that comes or goes is not waited for
-        if now - self._acted_at >= (ACT_MS / 3 if first or wanted <= self._level / 2 else ACT_MS):
+        if now - self._acted_at >= (ACT_MS / 3 if first or gone else ACT_MS):
             self._acted_at = now
-            # guards against jobs let in that were refused all the same and came again, counted as many
-            most = int(self._level) + 1.0 if first else self._level + STEP_UP
-            self._level = min(wanted, most)
+            if first:
+                self._level = min(wanted, int(self._level) + 1.0)
+            else:
+                # guards against jobs let in that were refused all the same and came again, counted as many
+                self._level = min(wanted, (wanted + self._level) / 2, self._level + STEP_UP)
             order = sorted(set(priorities))
             self._parts = [min(max(self._level - order.index(p), 0.0), PART_MOST) for p in priorities]
         return self._parts
 
+    def follow(self, now: float, loads: list[Load], seconds: float, parts: list[float], priorities) -> None:
+        """Another acts as judge: keep what it would take to go on where it stops."""
+        self._note(now, loads, seconds)
+        self._parts = self._in_force = parts
+        by_priority = {p: part for p, part in zip(priorities, parts, strict=True)}
+        self._level = sum(1.0 if part >= PART_MOST else part for part in by_priority.values())
+        self._lately.clear()
+        self._round, self._moved_at, self._busy_at, self._rise = Load(), now, now, RISE
+        served = self.served_per_s(now)
+        self.jobs_per_s = served if self._level and served else None
+
 
 def _level(jobs: list[float], over: float, priorities: list[int]) -> float:
     """How many priorities, the lowest first, make up `over` jobs a second: 1.5 is one and half the next."""
@@ -169,10 +214,12 @@
         self._told[member] = (order, now, span_ms, [Load(*one) for one in loads])
         return True
 
-    def judge(self, now: float, members: list[str], said_age_ms: float | None) -> list[float] | None:
+    def judge(
+        self, now: float, members: list[str], said_age_ms: float | None, said: tuple[float, ...] = ()
+    ) -> list[float] | None:
         """What is to be turned away of each class; None where we are not to say (now).
 
-        `said_age_ms` is how long ago this was said last, by anyone; None: not lately.
+        `said` is what is turned away, `said_age_ms` how long ago anyone said it last; None: not lately.
         """
         judges = self.judges(members)
         if self.me not in judges:
@@ -180,9 +227,6 @@
         every, known = self.every_ms(len(members)), set(members)
         kept = (item for item in self._told.items() if item[0] in known and now - item[1][1] < KEPT * every)
         self._told = dict(kept)
-        rank = judges.index(self.me)
-        if rank and said_age_ms is not None and said_age_ms < rank * LIFE_MS / 2:
-            return None
         sums = [Load()] * len(self.share.priorities)
         for _, _, span, loads in self._told.values():
             part = every / span
@@ -190,5 +234,10 @@
                 Load(*(round(part * x) for x in (b.offered, b.shed, b.good, b.late, b.bad))) for b in loads
             )
             sums = [a + b for a, b in zip(sums, scaled, strict=True)]
+        rank, priorities = judges.index(self.me), list(self.share.priorities)
+        if rank and said_age_ms is not None and said_age_ms < rank * LIFE_MS / 2:
+            parts = list(said) or [0.0] * len(priorities)
+            self.pace.follow(now, sums, every / 1000, parts, priorities)
+            return None
         self.pace.judge(now, sums, every / 1000)
-        return self.pace.parts(now, sums, every / 1000, list(self.share.priorities))
+        return self.pace.parts(now, sums, every / 1000, priorities)
--- a/tests/fleet/test_load.py
+++ b/tests/fleet/test_load.py
@@ -162,6 +162,16 @@
     assert parts == [0.0, 0.0], "a crowd that has gone is let in again within 2 s"
 
 
+def test_a_pace_found_while_nothing_worked_does_not_starve_the_fleet():
+    """Guards against a metastable state of our own: what is let in is all that can be seen to be served."""
+    pace = Pace()
+    crowd(pace, 6, 180.0, capacity=6.0)
+    assert pace.jobs_per_s < 15
+    _, let_in = crowd(pace, 15, 180.0, capacity=200.0, start=6_000.0)
+    assert let_in > 120.0
+    assert crowd(pace, 6, 180.0, capacity=200.0, start=21_000.0)[0] == [0.0, 0.0]
+
+
 def test_classes_of_one_priority_are_turned_away_alike_and_no_ended_jobs_say_nothing():
     parts, _ = crowd(Pace(), 20, 300.0, priorities=(1, 1))
     assert parts[0] == parts[1] > 0.5
@@ -189,9 +199,11 @@
                 )
                 assert took and not judges[judge].take(member, (1, order), float(now), 500.0, [(0,) * 5] * 2)
         said = judges[first].judge(float(now), members, 0.0)
-        assert judges[second].judge(float(now), members, LIFE_MS / 2 - 1) is None
-    assert said is not None and said[0] > 0.5
-    assert judges[second].judge(4000.0, members, LIFE_MS / 2) is not None
+        assert judges[second].judge(float(now), members, LIFE_MS / 2 - 1, tuple(said)) is None
+    assert said[0] > 0.5
+    assert judges[second].judge(4000.0, members, LIFE_MS / 2) == pytest.approx(said, abs=0.2), "goes on"
+    assert judges[second].judge(4500.0, members, 0.0, (0.0, 0.0)) is None
+    assert judges[second].pace.jobs_per_s is None, "what it did once is not kept for the next crowd"
     assert (
         judges[next(m for m in members if m not in (first, second, third))].judge(4000.0, members, None)
         is None
