--- a/tests/fleet/test_overload.py
+++ b/tests/fleet/test_overload.py
@@ -6,7 +6,8 @@
 from collections import Counter
 
 import pytest
-from test_shared import Rig
+from test_shared import ERR, Rig, cold_worker
+from test_shared import N as COLD_S
 
 from molespur.standins.fleet_load import Clients, FleetWorker
 from molespur.standins.members import ask
@@ -98,3 +99,20 @@
         late = [one for one in done if one.due > done[0].due + 4.0]
         assert good(late) > 0.7
         assert max(w.busiest(1.0)[0] for w in workers[3:]) < 2.5 * SLOTS * 1000 / WORK_MS
+
+
+def test_a_worker_that_restarts_cold_gets_no_more_than_it_bears_in_sum(tmp_path):
+    """Case 2: nine schedulers send to three workers; one dies, and is back cold."""
+    workers = [FleetWorker(f"w{i}", i, slots=4, work_ms=cold_worker().work_ms) for i in range(3)]
+    gone = workers[0]
+    with Rig(tmp_path, 9, workers, 38, filed=True) as rig:
+        rig.rates(12.0)
+        rig.until(gone, 0.5 * COLD_S)
+        gone.lost = True
+        time.sleep(1.0)
+        gone.lost, gone.born_ms, back = False, time.time() * 1000, rig.load.now()
+        rig.fleet.relist()
+        rig.until(gone, 0.6 * COLD_S, seconds=20.0)
+        rig.span(3.0)
+        most, by = gone.busiest(1.0, since=back)
+        assert most <= ERR * COLD_S and len(by) >= 5, by
