--- a/tests/fleet/test_shared.py
+++ b/tests/fleet/test_shared.py
@@ -173,7 +173,7 @@
     """Six schedulers, twelve connections: the sum over all holds through a burst, a kill and a partition."""
     worker = FleetWorker("w0", 0, slots=50, work_ms=100.0)
     with Rig(tmp_path, 6, [worker], 33, rules={}, shared={"connections": 12}) as rig:
-        until = time.monotonic() + 15  # witnesses that have just started lend nothing for the longest deadline
+        until = time.monotonic() + 15  # witnesses that have just started lend nothing for some seconds
         while min(rig.may(i, "conn/w0") for i in range(6)) < 1.0:
             assert time.monotonic() < until
             time.sleep(0.2)
