--- a/molespur/fleet/shared.py
+++ b/molespur/fleet/shared.py
@@ -569,7 +569,7 @@
     members = [*one.alive, one.me]
     lines = [f"shed {name} {part:.3f}" for name, part in zip(names, one.shed(now), strict=False)]
     lines += [f"judge {member} {rank}" for rank, member in enumerate(one.judge.judges(members))]
-    if one.judge.pace.jobs_per_s is not None:
+    if one.judge.acting and one.judge.pace.jobs_per_s is not None:
         lines.append(f"pace {one.judge.pace.jobs_per_s:.1f}")
     if one.retries is not None:
         earned = one.retries.earned_lately(now) / KEPT_S
--- a/molespur/fleet/shedding.py
+++ b/molespur/fleet/shedding.py
@@ -194,6 +194,7 @@
 
     def __init__(self, me: str, share: Share):
         self.me, self.share, self.pace = me, share, Pace()
+        self.acting = False  # what we say is in force, or will be
         # member -> (its life and telling, when heard, over how long, its loads)
         self._told: dict[str, tuple[tuple[int, int], float, float, list[Load]]] = {}
 
@@ -221,7 +222,7 @@
 
         `said` is what is turned away, `said_age_ms` how long ago anyone said it last; None: not lately.
         """
-        judges = self.judges(members)
+        judges, self.acting = self.judges(members), False
         if self.me not in judges:
             return None
         every, known = self.every_ms(len(members)), set(members)
@@ -239,5 +240,6 @@
             parts = list(said) or [0.0] * len(priorities)
             self.pace.follow(now, sums, every / 1000, parts, priorities)
             return None
+        self.acting = True
         self.pace.judge(now, sums, every / 1000)
         return self.pace.parts(now, sums, every / 1000, priorities)
--- a/tests/fleet/test_load.py
+++ b/tests/fleet/test_load.py
@@ -200,7 +200,7 @@
                 assert took and not judges[judge].take(member, (1, order), float(now), 500.0, [(0,) * 5] * 2)
         said = judges[first].judge(float(now), members, 0.0)
         assert judges[second].judge(float(now), members, LIFE_MS / 2 - 1, tuple(said)) is None
-    assert said[0] > 0.5
+    assert said[0] > 0.5 and judges[first].acting and not judges[second].acting
     assert judges[second].judge(4000.0, members, LIFE_MS / 2) == pytest.approx(said, abs=0.2), "goes on"
     assert judges[second].judge(4500.0, members, 0.0, (0.0, 0.0)) is None
     assert judges[second].pace.jobs_per_s is None, "what it did once is not kept for the next crowd"
--- a/tests/fleet/test_overload.py
+++ b/tests/fleet/test_overload.py
@@ -15,6 +15,7 @@
 SLOTS, WORK_MS, N = 2, 200.0, 6
 CAPACITY = N * SLOTS * 1000 / WORK_MS  # 60 jobs a second
 GOOD_MS = 1200.0
+MIX = (("lookup", 0.8), ("assessment", 0.2))  # at three times the capacity the higher class is 0.6 of it
 SITE = {
     "profiles": [
         {"name": "lookup", "aim": 1000.0, "deadline": 3000.0, "effect": "retryable", "worth": 1.0},
@@ -59,14 +60,14 @@
 def test_a_crowd_of_three_times_the_capacity_comes_and_goes(tmp_path, patient):
     """Cases 1, 4 and 6; the clients come back at once, or after Retry-After."""
     workers = [FleetWorker(f"w{i}", i, slots=SLOTS, work_ms=WORK_MS, queue=8) for i in range(N)]
-    clients = Clients((("lookup", 0.7), ("assessment", 0.3)), 3000, 4, patient)
+    clients = Clients(MIX, 3000, 4, patient)
     with Rig(tmp_path, N, workers, 35 + patient, rules={}, more=SITE, clients=clients) as rig:
         assert good(offer(rig, 0.6, 3.0)) > 0.95
         offer(rig, 3.0, 3.0)
         before = counters(rig)
         done = offer(rig, 3.0, 6.0)
         assert good(done) * 3.0 > 0.65, "of the capacity, in time"
-        assert good(done, "assessment") > 0.5 > 0.3 > good(done, "lookup"), "the lowest priority first"
+        assert good(done, "assessment") > 0.6 > 0.35 > good(done, "lookup"), "the lowest priority first"
         shares = [shed(rig, i).get("lookup", 0.0) for i in range(N)]
         assert min(shares) > 0.3 and max(shares) - min(shares) < 0.4, "all turn away alike"
         look = [sys.executable, "-m", "molespur", "fleet", "load", "--at", "{}:{}".format(*rig.fleet.ops(0))]
@@ -86,7 +87,7 @@
 def test_half_of_the_workers_lost_at_once_bring_no_storm(tmp_path):
     """Case 3: retries within the budget, and the rest of the workers serve what they can."""
     workers = [FleetWorker(f"w{i}", i, slots=SLOTS, work_ms=WORK_MS, queue=8) for i in range(N)]
-    clients = Clients((("lookup", 0.7), ("assessment", 0.3)), 3000, 4)
+    clients = Clients(MIX, 3000, 4)
     with Rig(tmp_path, N, workers, 37, rules={}, more=SITE, clients=clients) as rig:
         offer(rig, 0.5, 2.0)
         before = counters(rig)
--- a/tests/operations/test_figures.py
+++ b/tests/operations/test_figures.py
@@ -96,9 +96,9 @@
         return True
 
     async def client(self, number):
-        """Ten jobs one after the other; only with assessments is it ever out of patience."""
+        """Jobs one after the other; only with assessments is it ever out of patience."""
         peer = None
-        for count in range(10):
+        for count in range(25):
             if peer is None:
                 ours, theirs = memory_stream_pair()
                 peer = Peer(theirs, h11.CLIENT)
@@ -141,6 +141,7 @@
                 more = end[f"{name}.assessment"] - seen[f"{name}.assessment"]
                 assert 0 <= more <= left["assessment"]
             assert all(seen[f"{name}.lookup"] for name in ("passed", "dropped")) and left["assessment"]
+            # some eleven are to be expected; with ten jobs a client, four, about one run of CI in 25 had none
             assert seen["bad_gateway.assessment"] and end["known_records_workers"] == 3
             assert end["in_progress"] == 0
             nursery.cancel_scope.cancel()
