--- a/benchmarks/fleet_overload.py
+++ b/benchmarks/fleet_overload.py
@@ -1,6 +1,7 @@
 """Overload borne by the fleet as one, measured against each scheduler on its own, paired.
 
-    python -m benchmarks.fleet_overload [--virtual 6,20] [--probes 10,50,200] [--real 6] [--seeds 5] [--write]
+    python -m benchmarks.fleet_overload [--virtual 6,20] [--probes 10,50,200] [--real 6] [--restart 20]
+        [--seeds 5] [--write]
 
 Virtual: the decision module's instances before as many workers (2 slots, 100 ms a job, a queue of 8, reports
 by probes), clients that try again at once up to four times within their 2 s (or, `patient`, after
@@ -14,6 +15,8 @@
 Probes: the same with n schedulers before 20 workers at a low load: probes of one worker a second.
 
 Real: six processes of `python -m molespur serve` before stand-in workers, behind the fault line, the same.
+Restart: 108 jobs a second of 50 ms before three workers of 4 slots; one dies for a second and is back cold
+for good, with half of its slots; what arrives in its busiest second, of what those can do.
 """
 
 import argparse
@@ -220,6 +223,40 @@
     return lines
 
 
+def restart(n: int, net: int, shares: bool) -> str:
+    """A worker dies under n schedulers and is back cold: what reaches it in its busiest second after."""
+    workers = [FleetWorker(f"w{i}", i, slots=4, work_ms=50.0) for i in range(3)]
+    gone, bound = workers[0], 4 * 0.5 * 1000 / 50.0  # the slots that it has while cold
+    profiles = [{"name": "lookup", "aim": 1000.0, "deadline": 3000.0, "effect": "retryable"}]
+    rules = {"cold": 1e9, "startCapacity": 0.5, "overloadFactor": 2.0, "tipAfter": 1000.0}
+    settings = SETTINGS | {"profiles": profiles, "rules": rules}
+    shared = {"enabled": shares, "witnesses": ["m0", "m1", "m2"]}
+    with tempfile.TemporaryDirectory() as place, FleetLoad(n, net, workers, 50_000) as load:
+        made = Members(Path(place), n, net=net, fleet={}, faultline=True, settings=settings, known=load.known,
+                       tables={"shared": shared}, filed=True)  # fmt: skip
+        made.open_line(seed=n)
+        try:
+            made.start_all()
+            for i in range(n):
+                made.ready(i, 60)
+            made.wait_agreed(60)
+            time.sleep(8)
+            for i in range(n):
+                load.rates[i] = 108.0 / n
+            time.sleep(4)
+            gone.lost = True
+            time.sleep(1)
+            gone.lost, gone.born_ms, back = False, time.time() * 1000, load.now()
+            made.relist()
+            time.sleep(25)
+            most, by = gone.busiest(1.0, since=back)
+            end = load.now()
+            used = gone.arrivals(end - 8, end) / 8 / bound
+        finally:
+            made.end()
+    return f"| {n} | {'fleet' if shares else 'alone'} | {most / bound:.2f} | {len(by)} | {used:.2f} |"
+
+
 def _attempts(made) -> int:
     """Upstream requests of all schedulers so far (each stream's tries at workers)."""
     found = 0
@@ -236,11 +273,12 @@
     parser.add_argument("--virtual", default="6,20")
     parser.add_argument("--probes", default="10,50,200")
     parser.add_argument("--real", default="6")
+    parser.add_argument("--restart", default="20")
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--jobs", type=int, default=5)
     parser.add_argument("--write", action="store_true")
     args = parser.parse_args()
-    parts = ("virtual", "probes", "real")
+    parts = ("virtual", "probes", "real", "restart")
     sizes = {name: [int(x) for x in getattr(args, name).split(",") if x] for name in parts}
     text = ""
     with ProcessPoolExecutor(args.jobs) as pool:
@@ -257,6 +295,15 @@
         for k, n in enumerate(sizes["real"]):
             lines += real(n, 54 + 2 * k, False) + real(n, 55 + 2 * k, True)
         text += "## Real processes\n\n" + "\n".join(lines) + "\n"
+    if sizes["restart"]:
+        lines = [
+            "| schedulers | | busiest second after the restart, of the bound | schedulers in it"
+            " | used, last 8 s |",
+            "| --- | --- | --- | --- | --- |",
+        ]
+        for k, n in enumerate(sizes["restart"]):
+            lines += [restart(n, 58 + 2 * k, False), restart(n, 59 + 2 * k, True)]
+        text += "\n## A worker restarts cold, real processes\n\n" + "\n".join(lines) + "\n"
     print(text)
     if args.write:
         page = OUT.read_text() if OUT.exists() else ""
