--- a/tests/fleet/test_overload.py
+++ b/tests/fleet/test_overload.py
@@ -103,11 +103,12 @@
 
 
 def test_a_worker_that_restarts_cold_gets_no_more_than_it_bears_in_sum(tmp_path):
-    """Case 2: nine schedulers send to three workers; one dies, and is back cold."""
+    """Case 2: nine schedulers, four of them send; a worker dies and is back cold.  Four of nine static shares
+    would be 0.44 of what it bears."""
     workers = [FleetWorker(f"w{i}", i, slots=4, work_ms=cold_worker().work_ms) for i in range(3)]
     gone = workers[0]
     with Rig(tmp_path, 9, workers, 38, filed=True) as rig:
-        rig.rates(12.0)
+        rig.rates(27.0, range(4))
         rig.until(gone, 0.5 * COLD_S)
         gone.lost = True
         time.sleep(1.0)
@@ -116,4 +117,4 @@
         rig.until(gone, 0.6 * COLD_S, seconds=20.0)
         rig.span(3.0)
         most, by = gone.busiest(1.0, since=back)
-        assert most <= ERR * COLD_S and len(by) >= 5, by
+        assert most <= ERR * COLD_S and len(by) >= 3, by
