Send nothing on for a client that left, whatever lies unread before its close

Idle clients fill the descriptors, so a request and its close stand in the listener's queue together.

Cause: Downstream._serve_one took the stream before it looked whether bytes or the close stood behind the request; Downstream._answer stopped reading once 16 KiB had come ahead, and never learnt of the close; Host.client_gone left attempts that wait for their connection to the module, which calls off nothing where settings forbid cancelling. Ruled out: clients told of in time but sent on by the module (a client gone closes its job at once).

Change: what stands behind a request is read before it is taken; all that comes while an answer is awaited is read, 128 KiB kept (counted with the bodies' memory), up to 1 MiB thrown away, then 413; an attempt not yet written is withdrawn with its stream, whatever may be called off. A half-close counts as leaving, as before: the socket does not tell.

--- a/molespur/net/downstream.py
+++ b/molespur/net/downstream.py
@@ -14,7 +14,8 @@
 from .upstream import BREAKS, has_come, is_quiet
 
 log = logs.get(__name__)
-AHEAD_MOST = 16 * 1024  # read while an answer is awaited; clients send one request at a time
+AHEAD_MOST = 128 * 1024  # kept of what a client sends while its answer is awaited; more is thrown away
+FLOOD_MOST = 1 << 20  # sent ahead by one client, kept or not: beyond that it is told so and closed
 FIRST_MS = 2_000.0  # for the first job to arrive whole, counted from connecting: until then nothing is proven
 READ_MS = 2_000.0  # for a later one to arrive whole once it has begun
 WRITE_MS = 2_000.0  # for a client to take its answer
@@ -43,7 +44,8 @@
         self.head = b""  # what has come of a request until its head is whole
         self.since = now  # when it was opened, or last told something without having brought a job
         self.proven = False  # it has brought a job
-        self.held = 0  # bytes of the body that it has brought and that is still needed
+        self.held = 0  # bytes of the body that it has brought and that is still needed, and those ahead of it
+        self.overrun = False  # some of what it sent ahead was thrown away: nothing more is read off it
 
 
 class Downstream:
@@ -136,8 +138,9 @@
         try:
             with link.scope:
                 while await self._serve_one(link):
-                    self._let_go(link)
                     link.http.start_next_cycle()
+                    self._let_go(link)
+                    self._hold(link, len(link.http.trailing_data[0]))
                     link.since = self.host.clock.now()
         except BREAKS:
             pass  # the client is gone, which its stream has been told
@@ -153,6 +156,10 @@
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
+    def _hold(self, link: Link, size: int) -> None:
+        link.held += size
+        self.memory -= size
+
     def _let_go(self, link: Link) -> None:
         self.memory += link.held
         link.held = 0
@@ -204,12 +211,18 @@
             problem.__traceback__ = None
             await self._reject(link, Rejection(problem.error_status_hint, str(problem)))
             return False
+        if await self._has_left(link):
+            self.counters["in.client_gone"] += 1
+            return False
         link.proven = True
         self.fresh.pop(link, None)
         self._thin_out()
         self.ids.add(arrival.payload.request_id)
         try:
             answer = await self._answer(link, arrival)
+        except Rejection as problem:
+            await self._reject(link, problem)
+            return False
         finally:
             self.ids.discard(arrival.payload.request_id)
         if answer is None:
@@ -217,7 +230,7 @@
         await self._tell(link, answer)
         # once, and only here: what a client that has left was to be told counts under nothing
         self.counters[end_of(ENDED[type(answer)], arrival.job_class)] += 1
-        return link.http.our_state is h11.DONE and link.http.their_state is h11.DONE
+        return link.http.our_state is h11.DONE and link.http.their_state is h11.DONE and not link.overrun
 
     # -- Reading ---------------------------------------------------------------------------------
 
@@ -275,8 +288,7 @@
         link.head, body = b"", bytearray()
         while type(event := await self._next_event(link)) is h11.Data:
             body += event.data
-            link.held += len(event.data)
-            self.memory -= len(event.data)
+            self._hold(link, len(event.data))
             if len(body) > BODY_MOST:
                 raise Rejection(413, "the body is too large")
             if self.memory < 0:
@@ -292,7 +304,12 @@
     # -- Answering -------------------------------------------------------------------------------
 
     async def _answer(self, link: Link, arrival: Arrival):
-        """The stream's final answer, or None if the client leaves first."""
+        """The stream's final answer, or None if the client leaves first.  Raises Rejection on a flood.
+
+        All that comes is read, kept or not: a close or reset stands behind the bytes sent before it, and
+        a client that has left must not be sent on.  A half-close counts as leaving, for the socket does
+        not tell the two apart until something is written.
+        """
         answers, waiting = [], trio.CancelScope()
 
         def answer(final):
@@ -300,29 +317,46 @@
             waiting.cancel()
 
         stream = self.host.take(arrival, answer)
+        ahead = 0
         with waiting:
-            ahead = 0
-            while not answers:
-                if ahead > AHEAD_MOST:
-                    await trio.sleep_forever()
-                data = await self._listen_for_close(link)
+            while not answers and ahead <= FLOOD_MOST:
+                data = await self._read_ahead(link)
                 if not data:
                     break
                 ahead += len(data)
         if not answers and stream is not None:
             self.host.client_gone(stream)
+            if ahead > FLOOD_MOST:
+                raise Rejection(413, "too much was sent before the answer")
         return answers[0] if answers else None
 
-    async def _listen_for_close(self, link: Link) -> bytes:
-        """What the client sends while it waits: the next request's start, or nothing if it has left."""
+    async def _read_ahead(self, link: Link) -> bytes:
+        """What the client sends while it waits: the next requests, or nothing if it has left."""
         try:
             data = await link.stream.receive_some(16384)
         except BREAKS:
             return b""
-        if data:
+        if len(link.http.trailing_data[0]) + len(data) > AHEAD_MOST or self.memory < len(data):
+            link.overrun = True  # guards the memory: the connection can carry nothing more after its answer
+        if not link.overrun:
             link.http.receive_data(data)
+            self._hold(link, len(data))
         return data
 
+    async def _has_left(self, link: Link) -> bool:
+        """Whether the client has closed behind the request that was just read.
+
+        Guards against sending on for a client that left while its request stood in the listener's queue, or
+        behind an earlier one.
+        """
+        ahead = 0
+        while not is_quiet(link.stream) and ahead <= AHEAD_MOST:
+            data = await self._read_ahead(link)
+            if not data:
+                return True
+            ahead += len(data)
+        return False
+
     async def _tell(self, link: Link, answer) -> None:
         if isinstance(answer, Served):
             await self._respond(link, 200, answer.result)
--- a/molespur/net/host.py
+++ b/molespur/net/host.py
@@ -318,6 +318,11 @@
         stream.over = True
         self.open -= 1
         stream.backstop.cancel()
+        for request in stream.attempts:
+            if request is not None:
+                # guards against one that waits for its connection being sent once it comes up, for nobody;
+                # this is no calling off, so it does not ask whether the settings allow that
+                request.withdraw()
 
     def _forget(self, stream: Stream) -> None:
         """Drop a stream once it is answered and all its upstream requests are in."""
--- a/molespur/net/upstream.py
+++ b/molespur/net/upstream.py
@@ -142,6 +142,11 @@
     def fail(self, cause: Cause, detail: str = "", report=None) -> None:
         self.settle(Failure(self.stage, cause, detail, report))
 
+    def withdraw(self) -> None:
+        """Its stream is over: if nothing of it is written yet, nothing will be."""
+        if self.stage is Stage.CONNECTING:
+            self.abandon(Cause.NOT_SENT)
+
     def abandon(self, cause: Cause) -> None:
         """Stop waiting: closes the connection, which is how the upstream host learns of it."""
         if self.over:
