End each client connection by one lingering close, and answer what was read before it

After an ordinary last answer, a drain or thinning the connection was closed at once, so bytes that crossed the close reset the answer (net/downstream.py, serve). In a drain the answer closed the connection over requests that had been read ahead. Host.end_all answered what was open, but what came after it was sent on and cut off. Service.gone cancelled the waits of connections just taken from the listener's queue, and an unproven one was closed without a look at whether its request had come.

Change: all orderly ends go through _close_lingering (half-close, throw away for 1 s at most, 0.1 s at the end, close); Connection: close is not said while requests are read ahead; after the end a stream is refused at once; connections taken last get 0.1 s for their first request.

--- a/molespur/net/downstream.py
+++ b/molespur/net/downstream.py
@@ -22,7 +22,7 @@
 CLOSING_MS = 100.0  # an idle connection that goes is kept for this long, for a request that crosses its close
 CUT_MS = 800.0  # for a request to be whole once connections close: a later one would be too young at the end
 KEEP_MS = 75_000.0  # an idle connection that has brought a job is kept for this long
-LINGER_MS = 1_000.0  # after an error, for the client to read it and stop sending
+LINGER_MS = 1_000.0  # after the last answer, for the client to read it and stop sending
 LINGER_LEAST, LINGER_MOST = 1 << 20, 1 << 26  # bytes thrown away meanwhile: by any, and by LINGERERS at once
 LINGERERS = 2
 KEPT_SHARE = 0.75  # of the connections that clients hold for jobs: where more are open, idle ones are closed
@@ -68,6 +68,7 @@
         # the stance that the process takes, set by Service
         self.up = False  # the answer to those who ask whether to send clients here
         self.closing = False  # connections are closed after each answer, and as soon as they are idle
+        self.ended = False  # all that is open has been answered, and what still comes is at once
         self._accepting, self._room, self._lingerers = trio.CancelScope(), trio.Event(), 0
         self._nursery = None
         self.resize(most, usual, memory)
@@ -122,11 +123,17 @@
 
     async def empty(self) -> None:
         """Come back once no connection is left: all that was taken is answered."""
+        for link in self.idle:
+            link.waiting.cancel()
+        # those that came last may bring their first request just now
+        self.wheel.after(CLOSING_MS, self._wait_no_longer)
+        while self.links:
+            await self._a_link_less()
+
+    def _wait_no_longer(self) -> None:
         for link in self.links:
             if link.waiting:
                 link.waiting.cancel()
-        while self.links:
-            await self._a_link_less()
 
     async def serve(self, stream) -> None:
         """Serve one connection until either side closes it."""
@@ -142,6 +149,8 @@
                     self._let_go(link)
                     self._hold(link, len(link.http.trailing_data[0]))
                     link.since = self.host.clock.now()
+                self._let_go(link)
+                await self._close_lingering(link)
         except BREAKS:
             pass  # the client is gone, which its stream has been told
         except Exception:
@@ -265,12 +274,12 @@
             self.idle.pop(link, None)
             if waited.cancelled_caught:
                 # guards against the loss of a request that has come while we were too busy to read it
-                if not link.proven or is_quiet(link.stream):
+                if is_quiet(link.stream):
                     return None, None
                 await self._receive(link)
         limit_ms = READ_MS if link.proven else FIRST_MS - (self.host.clock.now() - link.since)
         if self.closing:
-            limit_ms = min(limit_ms, CUT_MS)
+            limit_ms = min(limit_ms, CLOSING_MS if self.ended else CUT_MS)
         with self.wheel.limit(limit_ms) as link.reading:
             try:
                 return await self._read_rest(link)
@@ -344,13 +353,13 @@
         return data
 
     async def _has_left(self, link: Link) -> bool:
-        """Whether the client has closed behind the request that was just read.
+        """Whether the client has closed behind the request that was just read.  Nothing is read at the end.
 
         Guards against sending on for a client that left while its request stood in the listener's queue, or
         behind an earlier one.
         """
         ahead = 0
-        while not is_quiet(link.stream) and ahead <= AHEAD_MOST:
+        while not self.ended and not is_quiet(link.stream) and ahead <= AHEAD_MOST:
             data = await self._read_ahead(link)
             if not data:
                 return True
@@ -377,20 +386,20 @@
             await self._respond(link, problem.status, f"{problem}\n".encode(), close=True)
             if problem.job_class in self.host.classes:
                 self.counters[end_of(DROPPED, problem.job_class)] += 1
-            await self._linger(link)
 
-    async def _linger(self, link: Link) -> None:
-        """Throw away what still comes, within bounds.
+    async def _close_lingering(self, link: Link) -> None:
+        """The one orderly close: stop sending, then throw away what still comes, within bounds.
 
-        Guards against a reset that overtakes the error: the kernel sends one if a connection is closed with
-        bytes unread, and the client, still sending its body, never sees what it was told.
+        Guards against a reset that overtakes the last answer: the kernel sends one if a connection is closed
+        with bytes unread.  What is read from here on is never served: the client, who sees the end, sends it
+        again elsewhere.
         """
         self.fresh.pop(link, None)
         self.leaving[link] = None
         seen, more = 0, False
         try:
             await link.stream.send_eof()
-            with self.wheel.limit(LINGER_MS):
+            with self.wheel.limit(CLOSING_MS if self.ended else LINGER_MS):
                 while (data := await link.stream.receive_some(65536)) and seen < LINGER_MOST:
                     seen += len(data)
                     if seen > LINGER_LEAST and not more:
@@ -403,7 +412,8 @@
 
     async def _respond(self, link: Link, status: int, body: bytes, headers=(), close: bool = False) -> None:
         headers = [*headers, ("Content-Length", str(len(body)))]
-        if close or self.closing:
+        # in a drain, what was read ahead of this answer is answered too
+        if close or (self.closing and not link.http.trailing_data[0]) or link.overrun:
             headers.append(("Connection", "close"))
         http = link.http
         head = http.send(h11.Response(status_code=status, headers=headers))
--- a/molespur/net/host.py
+++ b/molespur/net/host.py
@@ -77,6 +77,7 @@
         self.upstream = self.cluster = None  # set by connect
         self.streams: dict[int, Stream] = {}
         self.open = 0  # streams still owed an answer
+        self.finished = False  # no stream is begun any more: the program is about to end
         self._next = 1
         self._events, self._busy = deque(), False
         # for state that schedulers share (fleet/uses.py); None where they share none
@@ -151,7 +152,8 @@
     def take(self, arrival: Arrival, answer: Callable[[Answer], None]) -> Stream | None:
         """Take a stream in; its answer may come before this returns.  None if too many are open."""
         self.counters["in.streams"] += 1
-        if self.open >= self.max_streams:
+        if self.open >= self.max_streams or self.finished:
+            # at the end guards against a stream that begins after all others were answered, to be cut off
             self.counters["in.turned_away"] += 1
             answer(Refused(self.settings.pause_ms))
             return None
@@ -292,6 +294,7 @@
 
         Guards against streams that are cut off unanswered when we are killed.
         """
+        self.finished = True
         for stream in [s for s in self.streams.values() if not s.over]:
             self.counters["answered.at_the_end"] += 1
             self._finish(stream, Failed() if stream.attempts else Refused())
--- a/molespur/net/service.py
+++ b/molespur/net/service.py
@@ -39,7 +39,7 @@
         if stance.phase is not before.phase:
             log.info("service.phase", now=stance.phase.value, before=before.phase.value)
         self.downstream.up = stance.up
-        self.downstream.closing = stance.closing
+        self.downstream.closing, self.downstream.ended = stance.closing, stance.ended
         if stance.closing and not before.closing:
             self.downstream.close_idle()
         if stance.keeping is not before.keeping:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -12,6 +12,7 @@
 from sockets import chunk, done, listing, on_loopback, request, settings_with, settle
 
 from molespur.interface import Lifecycle
+from molespur.lifecycle import Told
 from molespur.net import downstream
 
 SLOW_DIAL = settings_with(limits={"dialTimeout": 5000.0})
@@ -109,6 +110,115 @@
     assert site.scheduler.host.open == 0
 
 
+# -- The end of a connection ----------------------------------------------------------------------
+
+
+async def serve_one(site, client, name, worker=None):
+    """One job through and through; the worker's connection."""
+    await client.send(request(name))
+    worker = worker or await site.workers[0].accept()
+    await worker.read(b"\r\n\r\nhi")
+    await worker.send(done(name))
+    await client.read(f"made of {name}".encode())
+    return worker
+
+
+@on_loopback
+async def test_bytes_that_cross_the_last_answer_do_not_reset_it(site):
+    """They come after all was read and before the close, which would turn them into a reset."""
+    a = await site.client()
+    respond = site.scheduler.downstream._respond
+
+    async def crossed(*given, **more):
+        await respond(*given, **more)
+        await a.send(request("r2"))
+
+    site.scheduler.downstream._respond = crossed
+    await a.send(request("r1", Connection="close"))
+    worker = await site.workers[0].accept()
+    await worker.read(b"hi")
+    await worker.send(done("r1"))
+    assert (await a.read_to_end()).endswith(b"made of r1")
+    assert await worker.quiet() and not await site.workers[0].called()
+    assert site.counters["in.streams"] == 1
+
+
+@on_loopback
+async def test_an_idle_connection_is_shut_before_it_is_closed_and_what_crosses_that_is_not_served(site):
+    a = await site.client()
+    worker = await serve_one(site, a, "r1")
+    site.scheduler.service.tell(Told.STOP)
+    await site.pass_ms(2550)
+    await a.send(request("r2"))
+    assert await a.read_to_end() == b""
+    assert site.counters["in.streams"] == 1
+    a.close()
+    await settle()
+    assert not site.scheduler.downstream.links
+    assert await worker.quiet() and not await site.workers[0].called()
+
+
+@on_loopback
+async def test_what_was_read_before_the_last_answer_of_a_drain_is_answered_too(site):
+    a = await site.client()
+    await a.send(request("r1") + request("r2") + request("r3")[:40])
+    worker = await site.workers[0].accept()
+    await worker.read(b"\r\n\r\nhi")
+    site.scheduler.service.tell(Told.STOP)
+    await site.pass_ms(2600)
+    await worker.send(done("r1"))
+    await a.read(b"made of r1")
+    await worker.read(b"\r\n\r\nhi")
+    await worker.send(done("r2"))
+    await a.read(b"made of r2")
+    await site.pass_ms(850)  # the third never comes whole
+    assert b" 503 " in await a.read_to_end()
+    a.close()
+    await site.ended.wait()
+    assert site.counters["answered.served"] == 2
+
+
+@on_loopback
+async def test_what_begins_after_the_end_is_refused_at_once(site):
+    a = await site.client()
+    await a.send(request("r1") + request("r2"))
+    worker = await site.workers[0].accept()
+    await worker.read(b"\r\n\r\nhi")
+    site.scheduler.service.tell(Told.STOP)
+    await site.pass_ms(3450)
+    answers = await a.read_to_end()
+    assert answers.count(b"HTTP/1.1 502 ") == 1 and answers.count(b"HTTP/1.1 503 ") == 1
+    a.close()
+    await site.ended.wait()
+    assert site.counters["sent.requests"] == 1
+
+
+@on_loopback
+async def test_who_connected_just_before_the_listener_closed_is_served(site):
+    site.scheduler.service.tell(Told.STOP)
+    await site.pass_ms(2450)
+    with socket.create_connection(site.address) as late:
+        await site.pass_ms(100)
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(site.address)
+        late.sendall(request("r1"))
+        worker = await site.workers[0].accept()
+        await worker.read(b"\r\n\r\nhi")
+        await worker.send(done("r1"))
+        late.settimeout(5)
+        assert b"made of r1" in late.recv(65536)
+
+
+@on_loopback
+async def test_small_answers_are_not_held_back_on_either_side(site):
+    a = await site.client()
+    await serve_one(site, a, "r1")
+    (link,) = site.scheduler.downstream.links
+    (host,) = site.scheduler.upstream.hosts.values()
+    for stream in (link.stream, host.idle[0].stream):
+        assert stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
 # -- The watch on discovery -----------------------------------------------------------------------
 
 PUSHED = settings_with(discovery="automatic")
