Tell workers the time left as a request is written, and keep accept errors quiet

Accept errors of a process without descriptors were logged 100 times a second, and a reset connection cost a wait of 10 ms (net/listening.py); now one line and waits up to 0.1 s, and no wait for the latter.

With pushed lists the watch is asked for at once at start: what the agent has counts as told from then on.

--- a/molespur/net/discovery.py
+++ b/molespur/net/discovery.py
@@ -53,7 +53,6 @@
         self.nursery, self.dial, self.address = nursery, dial, config.discovery
         self.rev = config.known.rev
         self.rng = Random(config.seed ^ 0xD15C)
-        self.spread_ms = min(EACH_MS * config.settings.balancers, EACH_MOST_MS)
         self._scope, self._whole = None, False
         self._failed = 0  # calls in a row since a watch that told something
 
@@ -122,8 +121,11 @@
 
     async def _rest(self) -> None:
         """Wait before asking: a fleet that lost its watches at once must not ask in step."""
+        settings = self.cluster.host.settings
+        # lists that are pushed come from an agent of our own, and what it has counts as told from the start
+        spread_ms = min(EACH_MS * settings.balancers, EACH_MOST_MS) if settings.subscribes else 0.0
         least = AGAIN_MS * 2 ** min(self._failed - 1, 10) if self._failed > 1 else 0.0
-        most = min(max(self.spread_ms, least), AGAIN_MOST_MS)
+        most = min(max(spread_ms, least), AGAIN_MOST_MS)
         with self.wheel.limit(most * (1 + self.rng.random()) / 2 if least else most * self.rng.random()):
             await trio.sleep_forever()
 
--- a/molespur/net/listening.py
+++ b/molespur/net/listening.py
@@ -10,6 +10,7 @@
 
 log = logs.get(__name__)
 BACKLOG = 1024
+ACCEPT_AGAIN_S, ACCEPT_AGAIN_MOST_S = 0.01, 0.1  # without descriptors
 BIND_S = 5.0  # the address may still be held by the process before us
 
 
@@ -34,14 +35,22 @@
 async def next_connection(listener, event: str):
     """The next connection; one that was reset before it was taken is logged and passed over.
 
-    Guards against a loop that dies of it.
+    Guards against a loop that dies of it, and against one that spins, and floods the log, where the process
+    has no descriptor left (the reserves are there so that it has).
     """
+    wait_s = ACCEPT_AGAIN_S
     while True:
         try:
             return await listener.accept()
         except OSError as problem:
-            log.warning(event, why=str(problem))
-            await trio.sleep(0.01)
+            if problem.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                log.warning(event, why=str(problem))
+                await trio.lowlevel.checkpoint()
+                continue
+            if wait_s == ACCEPT_AGAIN_S:
+                log.warning(event, why=str(problem))
+            await trio.sleep(wait_s)
+            wait_s = min(2 * wait_s, ACCEPT_AGAIN_MOST_S)
 
 
 async def open_listener(address: tuple[str, int], key: str, shared: bool = False) -> trio.SocketListener:
--- a/molespur/net/upstream.py
+++ b/molespur/net/upstream.py
@@ -122,8 +122,8 @@
 class UpstreamRequest:
     """One attempt at a stream.  Its one outcome is told when it is known, not when the connection is done."""
 
-    def __init__(self, payload, limit_ms: float, ended: Callable, progressed: Callable):
-        self.payload, self.limit_ms = payload, limit_ms
+    def __init__(self, payload, until: float, ended: Callable, progressed: Callable):
+        self.payload, self.until = payload, until  # clock time at which it is given up
         self.progressed, self._ended = progressed, ended
         self.stage, self.scope, self.heard = Stage.CONNECTING, trio.CancelScope(), False
 
@@ -350,9 +350,10 @@
 
     # -- Upstream requests -----------------------------------------------------------------------
 
-    def send(self, uid: str, payload: Payload, limit_ms: float, ended, progressed) -> UpstreamRequest:
-        """Start an upstream request; its outcome comes through ended, never before this returns."""
-        request = UpstreamRequest(payload, limit_ms, ended, progressed)
+    def send(self, uid: str, payload: Payload, until: float, ended, progressed) -> UpstreamRequest:
+        """Start an upstream request, given up at clock time until; its outcome comes through ended, never
+        before this returns."""
+        request = UpstreamRequest(payload, until, ended, progressed)
         self.nursery.start_soon(self._run, request, self.hosts.get(uid))
         return request
 
@@ -391,13 +392,18 @@
                 await self._release(connection)
 
     async def _exchange(self, request: UpstreamRequest, connection: Connection) -> None:
+        # as it is written, not as it was decided: its connection may have come up late
+        left = int(request.until - self.clock.now())
+        if left <= 0:
+            request.fail(Cause.NOT_SENT, "its time was up before it could be written")
+            return
         request.stage = Stage.WRITING
         payload, http = request.payload, connection.http
         host, port = connection.host.address
         headers = [
             (b"Host", f"{host}:{port}".encode()),
             *(pair for pair in payload.headers if pair[0].lower() not in HOP_BY_HOP | OURS_TO_SAY),
-            (b"X-Timeout-Ms", str(max(int(request.limit_ms), 1)).encode()),
+            (b"X-Timeout-Ms", str(left).encode()),
             (b"Content-Length", str(len(payload.body)).encode()),
         ]
         head = http.send(h11.Request(method=payload.method, target=payload.target, headers=headers))
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,114 @@
+"""Idle clients fill the descriptors while discovery is down: watch, workers and answers get theirs."""
+
+import contextlib
+import errno
+import os
+import resource
+import socket
+import subprocess
+import sys
+import types
+
+import pytest
+import trio
+from processes import ROOT, Site, pair, until
+from sockets import done, on_loopback, request
+from trio.testing import MockClock
+
+from molespur.net.listening import next_connection
+
+LIMIT = 128
+
+
+@pytest.fixture
+def site(tmp_path):
+    site = Site(tmp_path)
+    yield site
+    site.end()
+
+
+def descriptors(program):
+    return len(os.listdir(f"/proc/{program.pid}/fd"))
+
+
+def test_watch_workers_and_answers_keep_their_descriptors(site, tmp_path):
+    file = tmp_path / "config.json"
+    file.write_text(file.read_text().replace('"sockets": 384', f'"sockets": {LIMIT}'))
+    discovery = file.read_text().partition('"discovery": "')[2].partition('"')[0]
+
+    def limit():
+        resource.setrlimit(resource.RLIMIT_NOFILE, (LIMIT, LIMIT))
+
+    program = subprocess.Popen(
+        [sys.executable, "-m", "molespur"], cwd=ROOT, env=site.env, stderr=site.log, preexec_fn=limit
+    )
+    site.programs.append(program)
+    until(site.up)
+    with contextlib.ExitStack() as idle:
+        for _ in range(3 * LIMIT):
+            idle.enter_context(socket.create_connection(pair(site.listen), 5))
+        until(lambda: descriptors(program) >= LIMIT // 3)
+        with socket.create_server(pair(discovery)) as listener:
+            listener.settimeout(5)
+            call, _ = listener.accept()
+            with call:
+                assert b"watch=1" in call.recv(65536)
+                # an answer that ends: the next call is out while idle clients go on coming
+                for _ in range(LIMIT):
+                    idle.enter_context(socket.create_connection(pair(site.listen), 5))
+            call, _ = listener.accept()
+            with call, socket.create_connection(pair(site.listen), 5) as client:
+                assert b"watch=1" in call.recv(65536)
+                client.sendall(request("r1"))
+                assert client.recv(65536).startswith(b"HTTP/1.1 200 ")
+        assert descriptors(program) < LIMIT
+    assert program.poll() is None
+    site.log.flush()
+    assert "accept_failed" not in (tmp_path / "log").read_text()
+
+
+def test_a_process_without_descriptors_neither_spins_nor_floods_its_log(caplog):
+    calls = []
+
+    class Full:
+        async def accept(self):
+            calls.append(trio.current_time())
+            if trio.current_time() < 2:
+                raise OSError(errno.EMFILE, "too many")
+            return "one"
+
+    clock = MockClock(autojump_threshold=0)
+    assert trio.run(next_connection, Full(), "in.accept_failed", clock=clock) == "one"
+    assert len(calls) < 30
+    assert len(caplog.records) == 1
+
+
+def test_a_connection_that_was_reset_before_it_was_taken_costs_no_wait():
+    left = [OSError(errno.ECONNABORTED, "reset")] * 5
+
+    async def accept():
+        if left:
+            raise left.pop()
+        return "one"
+
+    listener, clock = types.SimpleNamespace(accept=accept), MockClock(autojump_threshold=0)
+
+    async def main():
+        return await next_connection(listener, "in.accept_failed"), trio.current_time()
+
+    one, at = trio.run(main, clock=clock)
+    assert (one, at) == ("one", 0)
+
+
+@on_loopback(sockets=80)
+async def test_a_crowd_of_idle_clients_does_not_keep_a_request_waiting(site):
+    """They ask once and stay, or say nothing."""
+    idle = [await site.client() for _ in range(80)]
+    a = await site.client()
+    await a.send(request("r1"))
+    worker = await site.workers[0].accept()
+    await worker.read(b"\r\n\r\nhi")
+    await worker.send(done("r1"))
+    await a.read(b"made of r1")
+    assert len(idle) == 80
+    assert len(site.scheduler.downstream.links) <= site.scheduler.downstream.most
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -110,6 +110,51 @@
     assert site.scheduler.host.open == 0
 
 
+# -- Attempts -------------------------------------------------------------------------------------
+
+
+@on_loopback(workers=2, wire=SLOW_DIAL)
+async def test_a_worker_is_told_the_time_that_is_left_as_the_request_is_written(site):
+    """Its connection comes up 1.2 s after the attempt was decided."""
+    gate, dial = trio.Event(), site.scheduler.upstream.dial
+
+    async def held(address):
+        await gate.wait()
+        return await dial(address)
+
+    site.scheduler.upstream.dial = held
+    a = await site.client()
+    await a.send(request("r1", left=3000))
+    await site.pass_ms(1200)
+    gate.set()
+    worker = await site.workers[await_first(site)].accept()
+    head = await worker.read(b"\r\n\r\n")
+    told = int(head.lower().partition(b"x-timeout-ms:")[2].split()[0])
+    assert 1750 <= told <= 1800
+
+
+@on_loopback(wire=SLOW_DIAL)
+async def test_nothing_is_written_once_the_time_is_up(site):
+    gate, dial = trio.Event(), site.scheduler.upstream.dial
+
+    async def held(address):
+        stream = await dial(address)
+        with trio.CancelScope(shield=True):
+            await gate.wait()
+        return stream
+
+    site.scheduler.upstream.dial = held
+    a = await site.client()
+    await a.send(request("r1", left=500))
+    worker = await site.workers[0].accept()
+    await site.pass_ms(550)
+    gate.set()
+    await settle()
+    assert b" 503 " in await a.read(b"\r\n\r\n")
+    assert await worker.read_to_end() == b""
+    assert site.counters["upstream_tries"] == 0
+
+
 # -- The end of a connection ----------------------------------------------------------------------
 
 
