--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -38,6 +38,15 @@
     return wire
 
 
+def profiles_with(**changes):
+    """The scenarios' classes, each with what is given under its name replaced; None drops it.
+
+    Each class has all keys, as the platform writes them.
+    """
+    wire = [{"group": "all", "keyTtl": 5000.0} | one for one in settings_with()["profiles"]]
+    return [one | (changes.get(one["name"]) or {}) for one in wire if changes.get(one["name"], 1) is not None]
+
+
 class Wire:
     """The test's end of one connection."""
 
@@ -164,6 +173,17 @@
         await settle()
         return Wire(sock)
 
+    async def reload(self, path, **parts):
+        """SIGHUP, with these parts of the settings other than now; a name given None is dropped."""
+        wire = {k: v for k, v in settings_with(**parts).items() if v is not None}
+        listed = {"rev": 1, "all": True, "targets": []}
+        file = {"listen": "{}:{}".format(*self.address), "settings": wire, "known": listed}
+        file |= {"discovery": f"127.0.0.1:{self.discovery.port}", "seed": "7"}
+        path.write_text(json.dumps(file))
+        self.scheduler.reload.environ = {"LB_CONFIG": str(path)}
+        self.scheduler.reload()
+        await settle()
+
     async def pass_ms(self, ms: float):
         """Let time pass, in steps, each of which is carried out before the next."""
         while ms > 0:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -5,11 +5,13 @@
 
 import contextlib
 import json
+import pathlib
 import socket
+import tempfile
 
 import pytest
 import trio
-from sockets import chunk, done, listing, on_loopback, request, settings_with, settle
+from sockets import chunk, done, listing, on_loopback, profiles_with, request, settings_with, settle
 
 from molespur.interface import Lifecycle
 from molespur.lifecycle import Told
@@ -394,3 +396,101 @@
         assert life(site) is Lifecycle.DRAINING
 
     play()
+
+
+# -- Other settings while a request is under way --------------------------------------------------
+
+UNSAFE, SAFE = {"effect": "fragile"}, {"effect": "retryable"}
+KEYED = {"effect": "dedup", "group": "all", "keyTtl": 9000.0}
+
+
+@pytest.mark.parametrize("reloads", [1, 2])
+@pytest.mark.parametrize(
+    ("taken", "then", "again"),
+    [
+        (SAFE, UNSAFE, True),
+        (UNSAFE, SAFE, False),
+        (UNSAFE, KEYED, False),
+        (KEYED, UNSAFE, True),
+        (KEYED, KEYED | {"keyTtl": 1.0}, True),
+        (KEYED | {"keyTtl": 100.0}, KEYED, False),
+        (SAFE, None, True),
+        (UNSAFE, None, False),
+    ],
+    ids=str,
+)
+def test_a_request_keeps_the_class_it_was_taken_with(tmp_path, taken, then, again, reloads):
+    """Its worker breaks the connection under it: whether it may go again is its own class's to say."""
+
+    @on_loopback(workers=2, wire=settings_with(profiles=profiles_with(lookup=taken)))
+    async def play(site):
+        a = await site.client()
+        await a.send(request("r1"))
+        first = await site.workers[at := await_first(site)].accept()
+        await first.read(b"\r\n\r\nhi")
+        await site.reload(tmp_path / "file", profiles=profiles_with(lookup=then))
+        if reloads == 2:
+            # the class comes back under the same name, then goes or changes once more
+            await site.reload(tmp_path / "file", profiles=profiles_with(lookup={"aim": 1.0} | taken))
+            await site.pass_ms(100)
+            await site.reload(tmp_path / "file", profiles=profiles_with(lookup=then))
+        await site.pass_ms(1600)
+        first.close()
+        await settle()
+        if again:
+            second = await site.workers[1 - at].accept()
+            await second.read(b"\r\n\r\nhi")
+            await second.send(done("r1"))
+            await a.read(b"made of r1")
+        else:
+            # a repeat is harmless where all workers know the key, so that one may be told to come again
+            status = b" 503 " if taken["effect"] == "dedup" else b" 502 "
+            assert status in await a.read(b"\r\n")
+            assert not await site.workers[1 - at].called()
+        assert site.counters["loads"] == (3 if reloads == 2 else 1)
+
+    play()
+
+
+@on_loopback(workers=2, wire=settings_with(profiles=profiles_with()))
+async def test_a_request_keeps_its_attempts_its_deadline_and_its_tenants_rules(site):
+    a = await site.client()
+    await a.send(request("r1"))
+    first = await site.workers[at := await_first(site)].accept()
+    await first.read(b"\r\n\r\nhi")
+    with tempfile.TemporaryDirectory() as folder:
+        short = profiles_with(lookup={"deadline": 800.0, "aim": 100.0}, assessment={"deadline": 800.0})
+        file = pathlib.Path(folder) / "file"
+        await site.reload(file, profiles=short, limits={"tryLimit": 1}, realms=[], overShareWorth=0.0)
+    await site.pass_ms(2000)
+    first.close()
+    second = await site.workers[1 - at].accept()
+    head = await second.read(b"\r\n\r\n")
+    assert int(head.lower().partition(b"x-timeout-ms:")[2].split()[0]) > 2900
+    await second.send(done("r1"))
+    await a.read(b"made of r1")
+    # one that is taken now goes by the new ones
+    await a.send(request("r2"))
+    await site.pass_ms(850)
+    assert b" 503 " in await a.read(b"\r\n")
+
+
+@on_loopback(workers=2, wire=settings_with(profiles=profiles_with()))
+async def test_a_reload_in_a_drain_changes_nothing_in_what_is_under_way(site):
+    a = await site.client()
+    await a.send(request("r1"))
+    first = await site.workers[at := await_first(site)].accept()
+    await first.read(b"\r\n\r\nhi")
+    site.scheduler.service.tell(Told.STOP)
+    await site.pass_ms(500)
+    with tempfile.TemporaryDirectory() as folder:
+        await site.reload(pathlib.Path(folder) / "file", profiles=profiles_with(lookup=None))
+        await site.pass_ms(2100)
+        await site.reload(pathlib.Path(folder) / "file", profiles=profiles_with(lookup=UNSAFE))
+    first.close()
+    second = await site.workers[1 - at].accept()
+    await second.read(b"\r\n\r\nhi")
+    await second.send(done("r1"))
+    assert b"made of r1" in await a.read_to_end()
+    a.close()
+    await site.ended.wait()
