--- a/molespur/net/downstream.py
+++ b/molespur/net/downstream.py
@@ -45,6 +45,7 @@
         self.since = now  # when it was opened, or last told something without having brought a job
         self.proven = False  # it has brought a job
         self.held = 0  # bytes of the body that it has brought and that is still needed, and those ahead of it
+        self.hurried = False  # its descriptor is wanted: it does not linger where nothing is unread
         self.overrun = False  # some of what it sent ahead was thrown away: nothing more is read off it
 
 
@@ -88,6 +89,8 @@
         with self._accepting:
             while True:
                 while len(self.links) >= self.most + OVERFLOW:
+                    # guards against a crowd that waits in the listener's queue for others to linger
+                    self._make_room()
                     await self._a_link_less()
                 nursery.start_soon(self.serve, await next_connection(listener, "in.accept_failed"))
 
@@ -181,6 +184,7 @@
             for link in group:
                 self.counters["in.shed"] += 1
                 del group[link]
+                link.hurried = True
                 # an idle one has only its wait cancelled: what it has read by then is served first
                 (link.waiting if group is self.idle else link.scope).cancel()
                 return
@@ -395,6 +399,8 @@
         again elsewhere.
         """
         self.fresh.pop(link, None)
+        if link.hurried and is_quiet(link.stream):
+            return
         self.leaving[link] = None
         seen, more = 0, False
         try:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -108,14 +108,18 @@
         sock, _ = await self.sock.accept()
         return Wire(sock)
 
-    async def called(self) -> bool:
-        """Whether a connection waits to be taken."""
+    async def called(self, keep: list | None = None) -> bool:
+        """Whether a connection waits to be taken; it is kept in a list, if one is given, or closed."""
         await settle()
         try:
             sock, _ = self.listener.accept()
         except BlockingIOError:
             return False
-        sock.close()
+        if keep is None:
+            sock.close()
+        else:
+            sock.setblocking(False)
+            keep.append(Wire(trio.socket.from_stdlib_socket(sock)))
         return True
 
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -12,7 +12,7 @@
 import pytest
 import trio
 from processes import ROOT, Site, pair, until
-from sockets import done, on_loopback, request
+from sockets import done, on_loopback, request, settle
 from trio.testing import MockClock
 
 from molespur.net.listening import next_connection
@@ -100,15 +100,31 @@
     assert (one, at) == ("one", 0)
 
 
-@on_loopback(sockets=80)
-async def test_a_crowd_of_idle_clients_does_not_keep_a_request_waiting(site):
-    """They ask once and stay, or say nothing."""
-    idle = [await site.client() for _ in range(80)]
-    a = await site.client()
-    await a.send(request("r1"))
-    worker = await site.workers[0].accept()
-    await worker.read(b"\r\n\r\nhi")
-    await worker.send(done("r1"))
-    await a.read(b"made of r1")
-    assert len(idle) == 80
-    assert len(site.scheduler.downstream.links) <= site.scheduler.downstream.most
+async def serve(site, client, name, workers):
+    await client.send(request(name))
+    if await site.workers[0].called(keep=workers):
+        await settle()
+    while True:
+        for worker in workers:
+            if not await worker.quiet():
+                await worker.read(b"\r\n\r\nhi")
+                await worker.send(done(name))
+                return await client.read(f"made of {name}".encode())
+
+
+@pytest.mark.parametrize("asked", [False, True], ids=["said nothing", "asked once"])
+def test_a_crowd_of_idle_clients_does_not_keep_a_request_waiting(asked):
+    """Not for a moment: the clock stands still."""
+
+    @on_loopback(sockets=80)
+    async def play(site):
+        idle, workers = [], []
+        for i in range(60):
+            idle.append(await site.client())
+            if asked:
+                await serve(site, idle[-1], f"i{i}", workers)
+        a = await site.client()
+        await serve(site, a, "r1", workers)
+        assert len(site.scheduler.downstream.links) <= site.scheduler.downstream.most
+
+    play()
