--- a/molespur/lifecycle.py
+++ b/molespur/lifecycle.py
@@ -73,7 +73,9 @@
                 # what the platform counts from: settings that change after it change nothing in it
                 self.stopped, self._stop_ms = now, self.stop_ms
         elif told is Told.SUCCESSOR:
-            self.handed = now if self.handed is None else self.handed
+            # a listener that was left stays left: what comes of the successor after that changes nothing
+            if self.handed is None and self.stance(now).accepting:
+                self.handed = now
         elif told is Told.ALONE:
             # a listener that was left can't be taken up again: then the stop goes on as it was
             if self.stance(now).accepting:
--- /dev/null
+++ b/tests/test_stream_machine.py
@@ -0,0 +1,239 @@
+"""State machines driven at random: how streams and attempts end, and how the process does."""
+
+import heapq
+
+from helpers import CLASSES, entry
+from hypothesis import settings as run_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from molespur import Dispatcher, Settings
+from molespur import interface as io
+from molespur.interface import Lifecycle, NewsMode
+from molespur.lifecycle import Process, Told
+from molespur.net.counters import Counters
+from molespur.net.failure import Cause, Failure, Served, Stage
+from molespur.net.host import Arrival, Host
+from molespur.net.upstream import UpstreamRequest
+
+RESULTS = [
+    Served(b"it"), Failure(Stage.CONNECTING, Cause.BROKEN), Failure(Stage.CONNECTING, Cause.NOT_SENT),
+    Failure(Stage.SENT, Cause.BROKEN), Failure(Stage.SENT, Cause.TIMED_OUT),
+    Failure(Stage.ANSWERING, Cause.ERROR), Failure(Stage.ANSWERING, Cause.TURNED_AWAY),
+    Failure(Stage.ANSWERING, Cause.MALFORMED), Failure(Stage.ANSWERING, Cause.LOST),
+]  # fmt: skip
+
+
+class Time:
+    """Clock and wheel in one: calls come when time is made to pass."""
+
+    def __init__(self):
+        self.at, self.calls, self.serial = 1000.0, [], 0
+
+    def now(self):
+        return self.at
+
+    def after(self, delay_ms, call, *args):
+        self.serial += 1
+        timer = Timer()
+        heapq.heappush(self.calls, (self.at + max(delay_ms, 1.0), self.serial, timer, call, args))
+        return timer
+
+    def go_on(self, ms):
+        end = self.at + ms
+        while self.calls and self.calls[0][0] <= end:
+            self.at, _, timer, call, args = heapq.heappop(self.calls)
+            if not timer.off:
+                call(*args)
+        self.at = end
+
+
+class Timer:
+    off = False
+
+    def cancel(self):
+        self.off = True
+
+
+class Upstream:
+    """Takes attempts; the machine ends them."""
+
+    keeping = True
+
+    def __init__(self, machine):
+        self.machine, self.out = machine, []
+
+    def send(self, worker, payload, until, ended, progressed):
+        stream = self.machine.streams[payload]
+        assert not stream.answers and not stream.gone, "sent for a stream that is over"
+        assert self.machine.lives.get(worker) is Lifecycle.IN_SERVICE, "sent to a worker not in service"
+        assert not self.machine.host.finished, "sent after the end"
+        stream.attempts += 1
+        attempt = Attempt(self, stream)
+
+        def told(result):
+            attempt.ended(result, ended)
+
+        attempt.request = UpstreamRequest(payload, until, told, progressed)
+        self.out.append(attempt)
+        return attempt.request
+
+    def probe(self, worker, ended):
+        ended(io.Outcome.OK, {"x0": 2.0})
+
+
+class Attempt:
+    def __init__(self, upstream, stream):
+        self.upstream, self.stream, self.outcomes = upstream, stream, 0
+
+    def ended(self, result, tell):
+        self.outcomes += 1
+        assert self.outcomes == 1, "two outcomes of one attempt"
+        self.upstream.out.remove(self)
+        self.stream.ended += 1
+        tell(result)
+
+
+class Client:
+    """What the machine knows of one stream."""
+
+    def __init__(self, job_class, deadline):
+        self.job_class, self.deadline, self.answers, self.gone = job_class, deadline, [], False
+        self.attempts = self.ended = 0
+
+
+class Streams(RuleBasedStateMachine):
+    @initialize(cancel=st.booleans(), attempts=st.integers(1, 4))
+    def begin(self, cancel, attempts):
+        self.time, self.streams = Time(), {}
+        self.lives = {f"w{i}": Lifecycle.IN_SERVICE for i in range(3)}
+        self.given = Settings(classes=CLASSES, max_attempts=attempts, may_cancel=cancel, may_probe=True)
+        self.host = Host(Dispatcher(self.given, 1), self.time, self.time, Counters(), self.given, 20)
+        self.upstream = Upstream(self)
+        self.host.connect(self.upstream, self)
+        self.host.deliver(io.Started())
+        entries = tuple(entry(name) for name in self.lives)
+        self.host.deliver(io.FleetNews(NewsMode.COMPLETE, entries))
+
+    # the cluster, as the host asks it
+    def lifecycle(self, worker):
+        return self.lives.get(worker)
+
+    def watch(self):
+        pass
+
+    @rule(job_class=st.sampled_from([c.name for c in CLASSES]), left=st.sampled_from([30.0, 200.0, 3000.0]))
+    def take(self, job_class, left):
+        if job_class not in self.host.classes:
+            return
+        name = len(self.streams)
+        client = self.streams[name] = Client(job_class, self.time.at + left)
+        client.stream = self.host.take(Arrival(job_class, left, name), client.answers.append)
+        assert client.stream is not None or len(client.answers) == 1
+
+    def one_out(self, data):
+        return data.draw(st.sampled_from(self.upstream.out))
+
+    @precondition(lambda self: self.upstream.out)
+    @rule(data=st.data(), result=st.sampled_from(RESULTS))
+    def end(self, data, result):
+        attempt = self.one_out(data)
+        attempt.request.stage = result.stage if isinstance(result, Failure) else Stage.ANSWERING
+        attempt.request.settle(result)
+        attempt.request.settle(result)  # a second word changes nothing
+
+    @precondition(lambda self: self.upstream.out)
+    @rule(data=st.data(), stage=st.sampled_from([Stage.WRITING, Stage.SENT, Stage.ANSWERING]))
+    def come_on(self, data, stage):
+        request = self.one_out(data).request
+        request.stage = max(request.stage, stage)
+
+    @precondition(lambda self: any(not s.gone and not s.answers for s in self.streams.values()))
+    @rule(data=st.data())
+    def leave(self, data):
+        waiting = [s for s in self.streams.values() if not s.gone and not s.answers]
+        client = data.draw(st.sampled_from(waiting))
+        client.gone = True
+        self.host.client_gone(client.stream)
+        # whatever the settings forbid: what is not written is withdrawn
+        left = [a.request.stage for a in self.upstream.out if a.stream is client]
+        assert Stage.CONNECTING not in left
+        self.host.client_gone(client.stream)
+
+    @rule(ms=st.sampled_from([1.0, 20.0, 300.0, 2000.0]))
+    def wait(self, ms):
+        self.time.go_on(ms)
+
+    @rule(worker=st.sampled_from(["w0", "w1", "w2"]), life=st.sampled_from(list(Lifecycle)))
+    def tell(self, worker, life):
+        self.lives[worker] = life
+        self.host.deliver(io.FleetNews(NewsMode.PARTIAL, (entry(worker, life=life),)))
+
+    @rule(classes=st.sets(st.sampled_from(range(len(CLASSES))), min_size=1), attempts=st.integers(1, 4))
+    def reload(self, classes, attempts):
+        kept = tuple(CLASSES[i] for i in sorted(classes))
+        self.host.retune(Settings(classes=kept, max_attempts=attempts, may_cancel=self.given.may_cancel))
+
+    @rule()
+    def finish(self):
+        self.host.end_all()
+
+    @invariant()
+    def one_answer(self):
+        for client in self.streams.values():
+            assert len(client.answers) + client.gone <= 1
+            assert client.attempts <= 4
+            if self.time.at > client.deadline + 45:
+                assert client.gone or client.answers, "unanswered after its time"
+
+    def teardown(self):
+        self.host.end_all()
+        assert all(s.gone or len(s.answers) == 1 for s in self.streams.values())
+        for attempt in list(self.upstream.out):
+            attempt.request.settle(Failure(Stage.SENT, Cause.BROKEN))
+        assert all(s.ended == s.attempts for s in self.streams.values())
+        assert not self.host.streams and self.host.open == 0
+        self.time.go_on(10_000)
+        assert not self.host.dispatcher.jobs
+
+
+class Ends(RuleBasedStateMachine):
+    """The process's life: whatever it is told, and whenever."""
+
+    def __init__(self):
+        super().__init__()
+        self.process, self.now, self.before = Process(), 0.0, None
+
+    @rule(told=st.sampled_from(list(Told)), longest=st.sampled_from([500.0, 2200.0, 6000.0]))
+    def tell(self, told, longest):
+        self.process.longest_ms = longest
+        why = self.process.tell(self.now, told)
+        assert (why is not None) == (
+            self.process.stopped is not None and told in (Told.EVACUATE, Told.ACTIVATE)
+        )
+
+    @rule(ms=st.sampled_from([1.0, 99.0, 500.0, 2500.0]))
+    def wait(self, ms):
+        self.now += ms
+
+    @invariant()
+    def holds(self):
+        stance, before = self.process.stance(self.now), self.before
+        assert stance.until > self.now
+        assert not (stance.up and not stance.accepting)
+        assert stance.accepting or stance.closing  # who is not taken on is not kept either
+        assert not stance.ended or not stance.accepting
+        if before is not None:
+            assert not before.ended or stance.ended
+            assert before.accepting or not stance.accepting  # a listener that was left stays left
+        if self.process.stopped is not None:
+            # ended well before SIGKILL, however the settings change after SIGTERM
+            assert stance.ended == (self.now >= self.process.stopped + self.process._stop_ms)
+        self.before = stance
+
+
+quick = run_settings(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True)
+TestStreams = Streams.TestCase
+TestStreams.settings = quick
+TestEnds = Ends.TestCase
+TestEnds.settings = quick
