Let a job that hangs not pass for a crowd, so that one scheduler does not refuse all

Ruled out: jobs at workers that have left (those at listed ones hang as well), margins (0), cold budgets (used 136 of 147 workers). Change: jobs overdue by more than four mean runs do not count there.

Test: two of three cases fail without the change.

--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -42,6 +42,7 @@
 FAULTS = 3.0  # failures at which a worker is rested, each finished job halving their count
 MUTE, HEARD_MS = 2, 300.0  # probes in a row and time without a word after which a worker has fallen silent
 EJECT_MS, MAX_STRIKES = 2000.0, 4  # first rest of a failing worker, which doubles up to so many strikes
+HANGS = 4.0  # mean runs by which an overdue job is no sign of a crowd: it, or its worker, hangs
 PANIC_SHARE = 0.5  # with fewer healthy workers than this share, ejection is ignored
 HELD_COST_MS = 1.0  # least time between goes through the held queue for each job in it
 HOLD_SHARE = 0.1  # held jobs are tried again after this share of a mean run, and when a slot of ours frees
@@ -61,8 +62,7 @@
         self.rng, self.classes, self.quota = Random(seed), {}, {}
         self._retuned(io.Retuned(settings))
         self.homes, self.workers, self.live, self.pools, self.jobs, self.held = {}, {}, [], {}, {}, []
-        self.timers, self.armed, self.serial = [], float("inf"), 0
-        self.coef, self.buckets = {}, {}
+        self.timers, self.armed, self.serial, self.coef, self.buckets = [], float("inf"), 0, {}, {}
         self.wait_coef, self.miss_coef, self.const = 1.0, 1.0, 0.0
         self.turn = sum(c.median for c in self.classes.values()) / len(self.classes)
         self.rho = [0.3, 0.0]  # usual load of a slot by others: on warm workers, and on cold ones
@@ -85,8 +85,7 @@
         low = {c: c.priority == lowest for c in s.classes}
         self.classes = {c.name: old.get(c.name, ClassState(c, low[c])).under(c, low[c]) for c in s.classes}
         self.subset = max(int(s.cpu_per_request_us), 2) if s.cpu_per_request_us else SUBSET
-        self.many = max(s.balancers - FEW, 0)  # dispatchers over a few
-        self.ask_all = ASK_EACH_MS * s.balancers
+        self.many, self.ask_all = max(s.balancers - FEW, 0), ASK_EACH_MS * s.balancers  # many: over a few
         self.ask_first = min(self.ask_all, ASK_WITHIN * s.must_ask_in_ms or self.ask_all)
         rates = {t.name: t.quota_per_s / s.balancers for t in s.tenants if t.quota_per_s}
         self.quota = {name: [r, *self.quota.get(name, (0, r, 0.0))[1:]] for name, r in rates.items()}
@@ -312,7 +311,8 @@
             healthy = pool  # guards against ejecting the whole fleet for a fault that is not its own
         unsafe, left = job.state.cls.effect is not Effect.SAFE, job.aim_at - now
         jobs = self.jobs.values() if self.many else ()  # guards against crowds that no report shows
-        overdue = [max(now - a.due, 0.0) for j in jobs for a in j.attempts if a.outcome is None]
+        waits = [max(now - a.due, 0.0) for j in jobs for a in j.attempts if a.outcome is None]
+        overdue = [o for o in waits if o < HANGS * self.turn]  # one that hangs is no crowd
         slip = 2 * sum(overdue) / max(len(overdue), 1)  # a wait under way is half over, on the mean
         found, near_free, margins = [], False, {}
         if job.sheddable and any(m for m, _ in self.margins.values()):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -159,3 +159,15 @@
         total = sum(w for jobs in sent for at, w in jobs if end_at - window < at <= end_at)
         assert total < 0.75 * d.s.cold_multiple * able
         assert total > 0.5 * able
+
+
+@pytest.mark.parametrize(("many", "since", "sent"), [(1, 4000.0, 1), (3, 4000.0, 1), (3, 1150.0, 0)])
+def test_jobs_that_hang_are_no_crowd_but_jobs_that_wait_are_one(many, since, sent):
+    """Guards against a scheduler that refuses all for as long as its one job hangs, and so has no other."""
+    d, now = make(seed=3, balancers=MANY), 5000.0
+    news(d, *(entry(f"w{n}") for n in range(12)))
+    for w in d.workers.values():
+        w.learn_slots(4)
+    for n in range(many):
+        submit(d, n, "unsafe", now=now - since, work_hint_ms=100.0)
+    assert len(of(submit(d, 1000, now=now, work_hint_ms=100.0), io.Send)) == sent
