--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -20,7 +20,9 @@
 PAGE = f"""# What a fleet asks of discovery
 
 The module's askings, which only the simulator follows: the real scheduler asks by `net/discovery.py`
-([acceptance](acceptance.md)). By `python -m benchmarks.fleet`: dispatchers as they are, on one clock without sockets, and a discovery that
+([acceptance](acceptance.md)).
+
+By `python -m benchmarks.fleet`: dispatchers as they are, on one clock without sockets, and a discovery that
 answers calls in turn, 20 waiting at most and 2 s at most. *start*: all start at once. *lost*: all lose their
 watch at once. *away*: the same, and discovery is away for 5 s. *latest_s*: when the last of them asked for
 the first time. *half_s* and *all_s*: when half and all of them watch, *never* if not
