Move the pace of asking to a pure part, and let calls that end soon be rarer

Found on reading the change once more: - the waits before asking discovery were a rule in I/O code; they are net/asking.py now, with tests of their own; - a watch that told something set them back, so that a discovery that answers and hangs up at once was asked at every tick (pushed) or every 30 ms; now only a watch that stood for 3 s does.

--- a/molespur/net/discovery.py
+++ b/molespur/net/discovery.py
@@ -9,17 +9,12 @@
 from .. import logs
 from ..config import ConfigError, Target
 from ..interface import NewsMode
+from .asking import CALL_MS, SILENCE_MS, Asking
 from .cluster import Placed
 from .upstream import BREAKS, dial_tcp
 from .values import Values
 
 log = logs.get(__name__)
-# A change counts as told 6 s after discovery had it and could be reached, a silent watch 6 s after it
-# fell silent.  So the silence, the wait before asking again and the call together have to stay below that.
-SILENCE_MS = 3000.0  # an empty line comes every 2 s: without it the watch is taken for broken
-CALL_MS = 1500.0  # for a connection, and for the answer to begin
-EACH_MS, EACH_MOST_MS = 5.0, 1000.0  # of asking for each scheduler, so that a fleet does not ask all at once
-AGAIN_MS, AGAIN_MOST_MS = 100.0, 1500.0  # least wait after a failed call, which doubles up to the most
 VALUE_MOST = 1024 * 1024  # far more than a fleet of thousands; guards against a value without end
 LOGGED = 50  # faulty entries logged one by one
 
@@ -52,9 +47,9 @@
         self.cluster, self.wheel, self.clock, self.counters = cluster, wheel, clock, counters
         self.nursery, self.dial, self.address = nursery, dial, config.discovery
         self.rev = config.known.rev
-        self.rng = Random(config.seed ^ 0xD15C)
+        self.asking = Asking(Random(config.seed ^ 0xD15C))
         self._scope, self._whole = None, False
-        self._failed = 0  # calls in a row since a watch that told something
+        self._told_since: float | None = None  # since when the call that is out has told something
 
     def start(self) -> None:
         """Keep a watch from now on."""
@@ -66,7 +61,7 @@
     def _open(self) -> None:
         if self._scope is not None:
             self._scope.cancel()
-        self._scope, self._failed = trio.CancelScope(), 0
+        self._scope, self.asking.failed = trio.CancelScope(), 0
         self.nursery.start_soon(self._keep, self._scope)
 
     def move(self, address: tuple[str, int]) -> None:
@@ -113,22 +108,16 @@
         """Watch, and ask again whenever that ends, until given up for another."""
         with scope:
             while True:
-                await self._rest()
+                # a fleet that lost its watches at once must not ask in step
+                with self.wheel.limit(self.asking.wait_ms(self.cluster.host.settings)):
+                    await trio.sleep_forever()
+                self._told_since = None
                 why = await self._call()
-                self._failed += 1
+                since = self._told_since
+                self.asking.ended(self.clock.now() - since if since is not None else 0.0)
                 self.counters["cluster.errors"] += 1
                 log.info("cluster.watch_ended", why=why)
 
-    async def _rest(self) -> None:
-        """Wait before asking: a fleet that lost its watches at once must not ask in step."""
-        settings = self.cluster.host.settings
-        # lists that are pushed come from an agent of our own, and what it has counts as told from the start
-        spread_ms = min(EACH_MS * settings.balancers, EACH_MOST_MS) if settings.subscribes else 0.0
-        least = AGAIN_MS * 2 ** min(self._failed - 1, 10) if self._failed > 1 else 0.0
-        most = min(max(spread_ms, least), AGAIN_MOST_MS)
-        with self.wheel.limit(most * (1 + self.rng.random()) / 2 if least else most * self.rng.random()):
-            await trio.sleep_forever()
-
     async def _call(self) -> str:
         """Ask and follow the answer until it ends; say why it did."""
         stream = None
@@ -180,17 +169,16 @@
             elif type(event) is h11.Data:
                 whole, line_ended = values.feed(bytes(event.data))
                 # by whole values and lines, not by bytes: half a line that stays half is silence too
-                if whole or line_ended:
+                self._heed(whole)
+                if whole or line_ended:  # an empty line: nothing has changed, which is an answer too
                     until = self.clock.now() + SILENCE_MS
-                self._heed(whole, line_ended)
+                    self._told_since = self._told_since or self.clock.now()
 
-    def _heed(self, whole: list[bytes], line_ended: bool) -> None:
+    def _heed(self, whole: list[bytes]) -> None:
         for value in whole:
             told = _decode_told(value)
             if self._whole and not told.all:
                 # guards against changes to a list that we do not hold
                 raise ValueError("changes, where the whole list was asked for")
             self._take(told)
-            self._whole, self._failed = False, 0
-        if line_ended:
-            self._failed = 0  # nothing has changed since the list we hold, which is an answer too
+            self._whole = False
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -76,12 +76,12 @@
         """Whether nothing has come and the connection stands."""
         await settle()
         try:
-            data = self.sock._sock.recv(65536, socket.MSG_PEEK)
+            self.sock._sock.recv(65536, socket.MSG_PEEK)
         except BlockingIOError:
             return not self.text
         except ConnectionResetError:
-            return False
-        return not data and False
+            pass
+        return False
 
     def half_close(self):
         self.sock.shutdown(socket.SHUT_WR)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -70,17 +70,23 @@
     return int(host.uid[1:]) - 1
 
 
+def hold_dials(site):
+    """Connections to workers come up only once the event that is returned is set."""
+    gate, dial = trio.Event(), site.scheduler.upstream.dial
+
+    async def held(address):
+        await gate.wait()
+        return await dial(address)
+
+    site.scheduler.upstream.dial = held
+    return gate
+
+
 @pytest.mark.parametrize("wire", [SLOW_DIAL, NO_CANCEL], ids=["cancelling", "no cancelling"])
 def test_nothing_is_sent_once_the_client_left_while_its_attempt_waited_for_a_connection(wire):
     @on_loopback(wire=wire)
     async def play(site):
-        gate, dial = trio.Event(), site.scheduler.upstream.dial
-
-        async def held(address):
-            await gate.wait()
-            return await dial(address)
-
-        site.scheduler.upstream.dial = held
+        gate = hold_dials(site)
         a = await site.client()
         await a.send(request("r1"))
         a.close()
@@ -118,13 +124,7 @@
 @on_loopback(workers=2, wire=SLOW_DIAL)
 async def test_a_worker_is_told_the_time_that_is_left_as_the_request_is_written(site):
     """Its connection comes up 1.2 s after the attempt was decided."""
-    gate, dial = trio.Event(), site.scheduler.upstream.dial
-
-    async def held(address):
-        await gate.wait()
-        return await dial(address)
-
-    site.scheduler.upstream.dial = held
+    gate = hold_dials(site)
     a = await site.client()
     await a.send(request("r1", left=3000))
     await site.pass_ms(1200)
@@ -137,24 +137,51 @@
 
 @on_loopback(wire=SLOW_DIAL)
 async def test_nothing_is_written_once_the_time_is_up(site):
-    gate, dial = trio.Event(), site.scheduler.upstream.dial
-
-    async def held(address):
-        stream = await dial(address)
-        with trio.CancelScope(shield=True):
-            await gate.wait()
-        return stream
-
-    site.scheduler.upstream.dial = held
+    """Less than the millisecond that could be told is left, and the timer of the attempt is not due yet."""
+    gate = hold_dials(site)
     a = await site.client()
     await a.send(request("r1", left=500))
-    worker = await site.workers[0].accept()
-    await site.pass_ms(550)
+    await site.pass_ms(499.6)
     gate.set()
-    await settle()
-    assert b" 503 " in await a.read(b"\r\n\r\n")
+    worker = await site.workers[0].accept()
     assert await worker.read_to_end() == b""
     assert site.counters["upstream_tries"] == 0
+    assert b" 503 " in await a.read(b"\r\n\r\n")
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "a line": (HEAD, chunk(b"x" * 60_000)),
+    "a head": (b"HTTP/1.1 200 OK\r\nX-A: ", b"y" * 60_000),
+    "words before it": (b"", b"HTTP/1.1 102 Wait\r\n\r\n" * 2000),
+    "what follows it": (HEAD + chunk(b'{"id":"r1","state":"done","result":"it"}\n'), chunk(b"z" * 60_000)),
+}
+
+
+@pytest.mark.parametrize("form", ENDLESS)
+def test_an_answer_without_end_is_closed_and_costs_bounded_memory_and_time(form):
+    @on_loopback(wire=settings_with(limits={"tryLimit": 1}))
+    async def play(site):
+        a = await site.client()
+        await a.send(request("r1", left=1000))
+        worker = await site.workers[0].accept()
+        await worker.read(b"\r\n\r\nhi")
+        begin, more = ENDLESS[form]
+        with contextlib.suppress(trio.BrokenResourceError):
+            await worker.send(begin)
+            for _ in range(4):
+                await worker.send(more)
+            await site.pass_ms(1050)
+            for _ in range(4):
+                await worker.send(more)
+        with pytest.raises(trio.BrokenResourceError):
+            for _ in range(8):
+                await worker.send(more)
+        status = b" 200 " if form == "what follows it" else b" 503 "
+        assert status in await a.read(b"\r\n")
+        assert site.scheduler.upstream.count == 0
+
+    play()
 
 
 # -- The end of a connection ----------------------------------------------------------------------
@@ -343,6 +370,20 @@
     play()
 
 
+@pytest.mark.parametrize("wire", [PUSHED, settings_with()], ids=["pushed", "asked for"])
+def test_a_discovery_that_answers_and_hangs_up_is_not_asked_as_fast_as_it_does_so(wire):
+    @on_loopback(wire=wire)
+    async def play(site):
+        for _ in range(40):
+            await site.pass_ms(50)
+            while await site.discovery.called(keep=(calls := [])):
+                await calls[0].send(HEAD + chunk(listing(2, site.entry(0), all=True) + b"\n"))
+                calls[0].close()
+        assert 3 <= site.counters["cluster.calls"] <= 8
+
+    play()
+
+
 @pytest.mark.parametrize("pieces", ["whole", "bytes"])
 @pytest.mark.parametrize("indent", [None, 2])
 def test_lists_come_in_every_form(indent, pieces):
