Count the time of a request sent ahead from its last byte, not from the answer before it

Ruled out: the listener's queue, late connections. Lines at fault: net/downstream.py, _read_ahead kept the bytes but not when they came; _since_it_came looked at the queue alone. Change: a connection notes when its bytes came (10 ms apart at least, so that it is bounded), and a request's time counts from its last. Test over a loopback socket: fails without the change (5,000 ms told 800 ms after it came). Test changed: the one of a drain's last answer sent both requests 2.6 s before the first was answered; a module that has just seen a job take 2.6 s rightly refuses the second, with 2.4 s left. Now they come 0.2 s before; the same crossing, as strict.

--- a/molespur/net/downstream.py
+++ b/molespur/net/downstream.py
@@ -1,6 +1,7 @@
 """The clients' side: HTTP requests become streams, final answers become responses."""
 
 import re
+from collections import deque
 from dataclasses import replace
 
 import h11
@@ -29,6 +30,7 @@
 KEPT_SHARE = 0.75  # of the connections that clients hold for jobs: where more are open, idle ones are closed
 REST_MS = 20.0  # for one connection out of the listener's queue
 OVERFLOW = 16  # connections beyond the bound that are taken only to be told so
+CAME_MS = 10.0  # what comes within so long of each other has come at one time: bounds what is kept of it
 LOGGED = 50  # rejections logged one by one; guards the log and the CPU against floods of them
 ENDED = {Served: PASSED, Refused: DROPPED, Failed: BAD_GATEWAY}
 _starts_request = re.compile(rb"[A-Z]{1,16}( |$)").match
@@ -48,8 +50,25 @@
         self.held = 0  # bytes of the body that it has brought and that is still needed, and those ahead of it
         self.asked_since: float | None = None  # the earliest that a request may have come which waited for us
         self.hurried = False  # its descriptor is wanted: it does not linger where nothing is unread
+        self._came = deque([(0, now)])  # when so many bytes had come in all, of those not asked about yet
+        self._count = 0  # bytes that have come and went to `http`
         self.overrun = False  # some of what it sent ahead was thrown away: nothing more is read off it
 
+    def take(self, data: bytes, now: float) -> None:
+        """Bytes have come, at this time."""
+        self._count += len(data)
+        if now - self._came[-1][1] < CAME_MS:
+            now = self._came.pop()[1]
+        self._came.append((self._count, now))
+        self.http.receive_data(data)
+
+    def asked_at(self) -> float:
+        """When the last byte came of the request that was read last; later ones may lie behind it."""
+        whole = self._count - len(self.http.trailing_data[0])
+        while self._came[0][0] < whole:
+            self._came.popleft()
+        return self._came[0][1]
+
 
 class Downstream:
     """Takes connections in, bounded, and serves them until told to close.
@@ -257,15 +276,18 @@
         return link.http.our_state is h11.DONE and link.http.their_state is h11.DONE and not link.overrun
 
     def _since_it_came(self, link: Link, arrival: Arrival) -> Arrival:
-        """The same with the time that is left, for a request that stood in the listener's queue.
+        """The same with the time that is left, for a request that waited for an earlier one's answer, or in
+        the listener's queue.
 
-        Guards against telling workers more than is left to the client.  How long it stood there is not known,
-        only since when the queue was not empty; so no more than half of its time is taken for gone.
+        Guards against telling workers more than is left to the client, and against answers after its time.
+        How long it stood in the queue is not known, only since when that was not empty; so no more than half
+        of its time is taken for gone there.
         """
-        if link.asked_since is None:
-            return arrival
-        stood, link.asked_since = self.host.clock.now() - link.asked_since, None
-        return replace(arrival, time_left_ms=arrival.time_left_ms - min(stood, arrival.time_left_ms / 2))
+        now, left = self.host.clock.now(), arrival.time_left_ms
+        if link.asked_since is not None:
+            stood, link.asked_since = now - link.asked_since, None
+            left -= min(stood, left / 2)
+        return replace(arrival, time_left_ms=min(left, arrival.time_left_ms - (now - link.asked_at())))
 
     # -- Reading ---------------------------------------------------------------------------------
 
@@ -273,7 +295,7 @@
         data = await link.stream.receive_some(16384)
         if link.http.their_state is h11.IDLE:
             link.head += data
-        link.http.receive_data(data)
+        link.take(data, self.host.clock.now())
 
     async def _next_event(self, link: Link):
         while (event := link.http.next_event()) is h11.NEED_DATA:
@@ -374,7 +396,7 @@
         if len(link.http.trailing_data[0]) + len(data) > AHEAD_MOST or self.memory < len(data):
             link.overrun = True  # guards the memory: the connection can carry nothing more after its answer
         if not link.overrun:
-            link.http.receive_data(data)
+            link.take(data, self.host.clock.now())
             self._hold(link, len(data))
         return data
 
