Let a connection rest after an answer that names no request, so that no second one passes

A second refusal or error names no request; on a connection that is used again at once it passes for the answer to the next one, and a refusal says of that one that it never ran, so that a keyed or unsafe job could be sent twice. Ruled out: second answers with lines (told by their id), those that come before the connection is used again (is_quiet). Lines at fault: net/upstream.py, _kept took any idle connection at once. Change: after an answer other than 200, to a job or a probe, a connection rests 50 ms; others are taken, or one is opened. Tests over loopback sockets: an error and a refusal, each followed by a second; both fail without the change.

--- a/molespur/net/upstream.py
+++ b/molespur/net/upstream.py
@@ -18,6 +18,9 @@
 log = logs.get(__name__)
 LINE_MOST = 64 * 1024  # no body is larger, so no line is
 TAIL_MS = 500.0  # for the rest of an answer whose last line is in, before its connection is closed instead
+# A connection rests for so long after an answer that names no request (a refusal, an error): a second one that
+# comes some milliseconds late would pass for the answer to the next request, and say of it that it never ran.
+REST_MS = 50.0
 PROBE_MS = 200.0  # a probe is answered beside the queue: one that takes longer tells nothing
 # of the idle time held to be safe, at a break and at each use that went well
 STALE_CUT, FRESH_GAIN = 0.8, 1.05
@@ -86,7 +89,8 @@
     def __init__(self, stream, host):
         self.stream, self.host = stream, host
         self.http = h11.Connection(h11.CLIENT)
-        self.idle_since = 0.0
+        self.idle_since = self.rests_until = 0.0
+        self.nameless = False  # its last answer said nothing that names a request
         self.stood_ms: float | None = None  # how long it had been idle when it was taken up again
 
     async def next_event(self):
@@ -96,6 +100,8 @@
             if not data and self.http.their_state is h11.SEND_RESPONSE:
                 raise trio.BrokenResourceError("closed before an answer")
             self.http.receive_data(data)
+        if type(event) is h11.Response:
+            self.nameless = event.status_code != 200
         return event
 
 
@@ -254,8 +260,8 @@
     def _kept(self, host: UpstreamHost) -> Connection | None:
         """An idle connection that may still be used."""
         now = self.clock.now()
-        while host.idle:
-            connection = host.idle.pop()
+        for connection in [c for c in reversed(host.idle) if c.rests_until <= now]:
+            host.idle.remove(connection)
             connection.stood_ms = now - connection.idle_since
             if connection.stood_ms < self.usable_ms and is_quiet(connection.stream):
                 self.counters["upstream.reused"] += 1
@@ -343,6 +349,7 @@
         if kept and http.our_state is h11.DONE and http.their_state is h11.DONE:
             http.start_next_cycle()
             connection.idle_since = self.clock.now()
+            connection.rests_until = connection.idle_since + REST_MS * connection.nameless
             host.idle.append(connection)
         else:
             await self._close(connection)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -169,6 +169,49 @@
     assert b" 503 " in await a.read(b"\r\n\r\n")
 
 
+@pytest.mark.parametrize("status", [b"500 No", b"503 No\r\nX-Not-Processed: 1"], ids=["error", "refusal"])
+def test_a_second_answer_that_names_no_request_is_not_taken_for_the_next_ones(status):
+    """It comes when the connection could have been used again: the next attempt must not be on it."""
+    answer = b"HTTP/1.1 " + status + b"\r\nContent-Length: 0\r\n\r\n"
+    short = {"aim": 100.0}  # so that a refused attempt is soon tried again
+    quick = settings_with(profiles=profiles_with(lookup=short, assessment=short))
+
+    @on_loopback(wire=quick)
+    async def play(site):
+        a = await site.client()
+        await a.send(request("r1"))
+        first = await site.workers[0].accept()
+        await first.read(b"\r\n\r\nhi")
+        await first.send(answer)
+        await site.pass_ms(40)
+        second = await site.workers[0].accept()
+        await second.read(b"\r\n\r\nhi")
+        await first.send(answer)
+        await second.send(done("r1"))
+        await a.read(b"made of r1")
+        assert site.counters["sent.requests"] == 2
+        # after its rest it is seen to have said too much, and closed
+        await site.pass_ms(100)
+        await a.send(request("r2"))
+        await second.read(b"\r\n\r\nhi")
+
+    play()
+
+
+@on_loopback(workers=1)
+async def test_a_connection_that_was_refused_on_is_used_again_once_it_has_rested(site):
+    a = await site.client()
+    await a.send(request("r1"))
+    worker = await site.workers[0].accept()
+    await worker.read(b"\r\n\r\nhi")
+    await worker.send(b"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
+    await site.pass_ms(2000)
+    await worker.read(b"\r\n\r\nhi")
+    await worker.send(done("r1"))
+    await a.read(b"made of r1")
+    assert site.counters["upstream.dialled"] == 1
+
+
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 ENDLESS = {
     "a line": (HEAD, chunk(b"x" * 60_000)),
