--- a/molespur/net/upstream.py
+++ b/molespur/net/upstream.py
@@ -18,7 +18,7 @@
 log = logs.get(__name__)
 LINE_MOST = 64 * 1024  # no body is larger, so no line is
 TAIL_MS = 500.0  # for the rest of an answer whose last line is in, before its connection is closed instead
-# A connection rests for so long after an answer that names no request (a refusal, an error): a second one that
+# A connection rests so long after an answer that names no request (a refusal, an error): a second one that
 # comes some milliseconds late would pass for the answer to the next request, and say of it that it never ran.
 REST_MS = 50.0
 PROBE_MS = 200.0  # a probe is answered beside the queue: one that takes longer tells nothing
