Write no repeat of a keyed job whose connection comes up after the workers' window

There a third of the connections to workers come up late, up to 1.5 s, and a keyed class has a window of 1.5 s. Cause: the window was looked at when an attempt was decided (logic.py, _may_send), not when it was written (net/upstream.py, _exchange): a second attempt decided 1 s after the first was written when its connection came, after the workers had forgotten the first. Ruled out by reading: what never ran (an attempt that fails before its last byte is with the kernel), the group of a repeat, a changed class. Change: the decision says up to when an attempt may begin (Send.begin_by_ms, by the class's own window); the connection is looked at once it is up. The counter sent.too_late tells of attempts that were not begun for that, or because their time was up.

--- a/molespur/interface.py
+++ b/molespur/interface.py
@@ -97,6 +97,15 @@
         """A repeat does no harm, wherever it goes."""
         return self.effect is Effect.SAFE or (self.effect is Effect.KEYED and self.group is Group.ALL)
 
+    def repeat_by(self, ran) -> float:
+        """Clock time up to which a further attempt may be written, by those that may have run, oldest first.
+
+        The window in which workers drop repeats runs from the first send.
+        """
+        if self.effect is Effect.SAFE or not ran:
+            return float("inf")
+        return ran[0].sent + self.key_ttl_ms if self.effect is Effect.KEYED else float("-inf")
+
     def group_of(self, worker):
         """What the workers that drop repeats of a job sent to this one share; None: nothing that limits."""
         if self.effect is not Effect.KEYED or self.group is Group.ALL:
@@ -299,6 +308,7 @@
     request: int
     worker: str
     timeout_ms: float = field(default=0.0)  # 0: until the client gives up
+    begin_by_ms: float = float("inf")  # clock time after which it must not be written any more
 
 
 @dataclass(slots=True)
--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -496,14 +496,12 @@
         spent = self.shared.retries < 1 and job.is_tried()  # all retries of the fleet are bounded
         if late or spent or not job.open or job.out or len(job.attempts) >= job.most:
             return False
-        cls, ran = job.state.cls, job.may_have_run()
-        if cls.effect is Effect.SAFE or not ran:
-            return True
-        # guards against a repeat that the workers have forgotten: the window runs from the first send
-        return cls.effect is Effect.KEYED and self.now - ran[0].sent < cls.key_ttl_ms - ANSWER_MARGIN_MS
+        # guards against a repeat that the workers have forgotten
+        return self.now < job.state.cls.repeat_by(job.may_have_run()) - ANSWER_MARGIN_MS
 
     def _send(self, job, w, sample):
         due = self.now + job.run * w.slope + self.turn  # a missing key may take as long as a run
+        begin_by = job.state.cls.repeat_by(job.may_have_run()) - ANSWER_MARGIN_MS
         attempt = Attempt(job, w, sample, self.now, due)
         w.unended[attempt] = None
         self.shared.retries -= job.is_tried()
@@ -521,7 +519,7 @@
         if w.born and self.now - w.born < self.s.cold_ms:
             w.budget.append((self.now, self._work(job)))
             w.lump_from, w.lump_part = self.now, 1.0
-        self.out.append(io.Send(job.id, w.id, 0.0))
+        self.out.append(io.Send(job.id, w.id, 0.0, begin_by))
 
     def _still_out(self, event):
         """The attempt that the event tells of, unless it is unknown or has ended."""
--- a/molespur/net/host.py
+++ b/molespur/net/host.py
@@ -249,7 +249,10 @@
             self.sending(action.worker, stream.last is not None)
         if stream.last is not None:
             self.counters[f"retries.after_{stream.last.name.lower()}"] += 1
-        request = self.upstream.send(action.worker, stream.arrival.payload, now + limit, ended, progressed)
+        until = now + limit
+        begin_by = min(until, action.begin_by_ms)
+        payload = stream.arrival.payload
+        request = self.upstream.send(action.worker, payload, until, begin_by, ended, progressed)
         stream.attempts.append(request)
         timer = self.wheel.after(limit, request.abandon, Cause.TIMED_OUT)
 
--- a/molespur/net/upstream.py
+++ b/molespur/net/upstream.py
@@ -128,8 +128,9 @@
 class UpstreamRequest:
     """One attempt at a stream.  Its one outcome is told when it is known, not when the connection is done."""
 
-    def __init__(self, payload, until: float, ended: Callable, progressed: Callable):
-        self.payload, self.until = payload, until  # clock time at which it is given up
+    def __init__(self, payload, until: float, begin_by: float, ended: Callable, progressed: Callable):
+        # clock times at which it is given up, and after which nothing of it is written any more
+        self.payload, self.until, self.begin_by = payload, until, begin_by
         self.progressed, self._ended = progressed, ended
         self.stage, self.scope, self.heard = Stage.CONNECTING, trio.CancelScope(), False
 
@@ -357,10 +358,12 @@
 
     # -- Upstream requests -----------------------------------------------------------------------
 
-    def send(self, uid: str, payload: Payload, until: float, ended, progressed) -> UpstreamRequest:
-        """Start an upstream request, given up at clock time until; its outcome comes through ended, never
-        before this returns."""
-        request = UpstreamRequest(payload, until, ended, progressed)
+    def send(
+        self, uid: str, payload: Payload, until: float, begin_by: float, ended, progressed
+    ) -> UpstreamRequest:
+        """Start an upstream request, given up at clock time until, and not begun after begin_by; its outcome
+        comes through ended, never before this returns."""
+        request = UpstreamRequest(payload, until, begin_by, ended, progressed)
         self.nursery.start_soon(self._run, request, self.hosts.get(uid))
         return request
 
@@ -400,8 +403,11 @@
 
     async def _exchange(self, request: UpstreamRequest, connection: Connection) -> None:
         # as it is written, not as it was decided: its connection may have come up late
-        left = int(request.until - self.clock.now())
-        if left <= 0:
+        now = self.clock.now()
+        left = int(request.until - now)
+        if left <= 0 or now >= request.begin_by:
+            # guards against an answer that nobody waits for, and against a repeat that workers have forgotten
+            self.counters["sent.too_late"] += 1
             request.fail(Cause.NOT_SENT, "its time was up before it could be written")
             return
         request.stage = Stage.WRITING
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -169,6 +169,40 @@
     assert b" 503 " in await a.read(b"\r\n\r\n")
 
 
+@pytest.mark.parametrize("late", [False, True], ids=["in time", "late"])
+@pytest.mark.parametrize("group", ["zone", "all"])
+def test_a_keyed_job_is_not_written_again_once_the_workers_have_forgotten_it(group, late):
+    """Its second attempt is decided within the window, and its connection comes up within it or after it."""
+    keyed = {"effect": "dedup", "group": group, "keyTtl": 1500.0}
+    wire = settings_with(profiles=profiles_with(assessment=keyed), limits={"dialTimeout": 1000.0})
+
+    @on_loopback(workers=2, wire=wire)
+    async def play(site):
+        a = await site.client()
+        await a.send(request("r1", "assessment"))
+        first = await site.workers[at := await_first(site)].accept()
+        await first.read(b"\r\n\r\nhi")
+        gate = hold_dials(site)
+        await site.pass_ms(1000)
+        first.reset()
+        await settle()
+        assert site.counters["sent.requests"] == 2
+        await site.pass_ms(700 if late else 300)
+        gate.set()
+        second = await site.workers[1 - at].accept()
+        if late:
+            # to come again is harmless where all workers know the key
+            assert (b" 503 " if group == "all" else b" 502 ") in await a.read(b"\r\n\r\n")
+            assert await second.read_to_end() == b""
+            assert site.counters["sent.too_late"] == 1
+        else:
+            await second.read(b"\r\n\r\nhi")
+            await second.send(done("r1"))
+            await a.read(b"made of r1")
+
+    play()
+
+
 @pytest.mark.parametrize("status", [b"500 No", b"503 No\r\nX-Not-Processed: 1"], ids=["error", "refusal"])
 def test_a_second_answer_that_names_no_request_is_not_taken_for_the_next_ones(status):
     """It comes when the connection could have been used again: the next attempt must not be on it."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -561,7 +561,7 @@
 def test_giving_up_while_writing_may_have_run():
     """Guards against a refusal of a job whose last byte the kernel took just as its time ran out."""
     seen = []
-    request = UpstreamRequest(None, 1.0, seen.append, None)
+    request = UpstreamRequest(None, 1.0, 1.0, seen.append, None)
     request.stage = Stage.WRITING
     request.abandon(Cause.TIMED_OUT)
     request.abandon(Cause.CANCELLED)
--- a/tests/test_stream_machine.py
+++ b/tests/test_stream_machine.py
@@ -63,8 +63,9 @@
     def __init__(self, machine):
         self.machine, self.out = machine, []
 
-    def send(self, worker, payload, until, ended, progressed):
+    def send(self, worker, payload, until, begin_by, ended, progressed):
         stream = self.machine.streams[payload]
+        assert begin_by <= until, "to be begun after it is given up"
         assert not stream.answers and not stream.gone, "sent for a stream that is over"
         assert self.machine.lives.get(worker) is Lifecycle.IN_SERVICE, "sent to a worker not in service"
         assert not self.machine.host.finished, "sent after the end"
@@ -74,7 +75,7 @@
         def told(result):
             attempt.ended(result, ended)
 
-        attempt.request = UpstreamRequest(payload, until, told, progressed)
+        attempt.request = UpstreamRequest(payload, until, begin_by, told, progressed)
         self.out.append(attempt)
         return attempt.request
 
