Close an attempt's connection before its outcome is told, so that two are never out at once

So the new request could be written before the old connection was closed: a second copy, which settings may forbid. Lines at fault: net/upstream.py, UpstreamRequest.abandon. Change: the socket is closed there, before the outcome is told. Test over a loopback socket: the worker sees the end by the time the outcome is told; fails without the change.

--- a/molespur/net/upstream.py
+++ b/molespur/net/upstream.py
@@ -76,6 +76,12 @@
     return not (isinstance(stream, trio.SocketStream) and has_come(stream.socket))
 
 
+def close_now(stream) -> None:
+    """Close a stream's socket without waiting; whoever waits on it is told so."""
+    if isinstance(stream, trio.SocketStream):
+        stream.socket.close()
+
+
 def has_come(sock) -> bool:
     """Whether there is something to read on a socket, or to take from one that listens."""
     poll = select.poll()
@@ -133,6 +139,7 @@
         self.payload, self.until, self.begin_by = payload, until, begin_by
         self.progressed, self._ended = progressed, ended
         self.stage, self.scope, self.heard = Stage.CONNECTING, trio.CancelScope(), False
+        self.stream = None  # that it is written to
 
     @property
     def over(self) -> bool:
@@ -163,6 +170,8 @@
             # not come back yet: whoever stops waiting while it writes can't know
             self.stage = Stage.SENT
         self.scope.cancel()
+        # guards against two attempts out at once: the next one may be written before this one's task runs on
+        close_now(self.stream)
         self.fail(cause)
 
 
@@ -410,7 +419,7 @@
             self.counters["sent.too_late"] += 1
             request.fail(Cause.NOT_SENT, "its time was up before it could be written")
             return
-        request.stage = Stage.WRITING
+        request.stage, request.stream = Stage.WRITING, connection.stream
         payload, http = request.payload, connection.http
         host, port = connection.host.address
         headers = [
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -169,6 +169,28 @@
     assert b" 503 " in await a.read(b"\r\n\r\n")
 
 
+@on_loopback
+async def test_an_attempt_is_closed_before_its_outcome_is_told(site):
+    """What is told may be answered by another attempt at once, and two must never be out."""
+    a = await site.client()
+    await a.send(request("r1", left=500))
+    worker = await site.workers[0].accept()
+    await worker.read(b"\r\n\r\nhi")
+    host, seen = site.scheduler.host, []
+    tell = host.ended
+
+    def ended(*given):
+        with contextlib.suppress(BlockingIOError):
+            seen.append(worker.sock._sock.recv(1, socket.MSG_PEEK))
+        tell(*given)
+
+    host.ended = ended
+    await site.pass_ms(600)
+    assert seen == [b""]
+    assert site.counters["sent.timeout"] == 1 and site.counters["upstream.exceptions"] == 0
+    assert site.scheduler.upstream.count == 0
+
+
 @pytest.mark.parametrize("late", [False, True], ids=["in time", "late"])
 @pytest.mark.parametrize("group", ["zone", "all"])
 def test_a_keyed_job_is_not_written_again_once_the_workers_have_forgotten_it(group, late):
