--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -39,6 +39,15 @@
     assert quick < 0.75 < slow
 
 
+def test_a_lone_job_is_within_its_tenants_share_at_one_of_many():
+    """At 200 dispatchers a share of 20 jobs a second is one in 10 s at each: its first is not over it."""
+    classes = (JobClass("low", 1000.0, 5000.0), JobClass("high", 1000.0, 5000.0, priority=1))
+    d = make(classes=classes, balancers=200, tenants=(Tenant("t", 20.0),), over_share_worth=0.1)
+    news(d, entry("w"))
+    submit(d, 1, "high", tenant="t", work_hint_ms=50.0)
+    assert not d.jobs[1].sheddable
+
+
 def test_own_unfinished_jobs_lengthen_the_forecast():
     d = make()
     news(d, entry("w"))
