Hold a few jobs in a tenant's bucket where a share is spread over many schedulers

Ruled out: a depth of four jobs at any number of schedulers; test_over_share_jobs_yield_first failed on it (2 jobs a second at a lone scheduler, which sees all there is, are exact), so few schedulers keep one second, and at least a job. At fault: logic.py, _within_share (level bounded by the rate alone) and _retuned (first level). Change: the bucket's depth is one second's share, at least a job, and at least four jobs at one of many (over eight).

--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -53,6 +53,7 @@
 ASK_EACH_MS, ASK_WITHIN = 200.0, 0.8  # time for each dispatcher's asking; share of the longest time unasked
 PROBE_SPEND = 0.003  # score points that probes may cost for each request
 PROBE_MS = (300.0, 2000.0)  # least time between probes of one worker, most between any two
+SHARE_JOBS = 4.0  # jobs of a tenant that chance may bring at once to one of many dispatchers
 
 
 class Dispatcher:
@@ -88,7 +89,7 @@
         self.many, self.ask_all = max(s.balancers - FEW, 0), ASK_EACH_MS * s.balancers  # many: over a few
         self.ask_first = min(self.ask_all, ASK_WITHIN * s.must_ask_in_ms or self.ask_all)
         rates = {t.name: t.quota_per_s / s.balancers for t in s.tenants if t.quota_per_s}
-        self.quota = {name: [r, *self.quota.get(name, (0, r, 0.0))[1:]] for name, r in rates.items()}
+        self.quota = {t: [r, *self.quota.get(t, (0, float("inf"), 0.0))[1:]] for t, r in rates.items()}
 
     def handle(self, now, event):
         """Take one event at time now (ms) and return the actions it calls for, in order."""
@@ -390,9 +391,10 @@
             self._hold(job)
 
     def _within_share(self, bucket):
-        """Token bucket of a tenant's share at this dispatcher, one second deep."""
+        """Token bucket of a tenant's share at this dispatcher: one second deep, or for a few jobs."""
         rate, level, at = bucket
-        level = min(level + (self.now - at) * rate / 1000, rate)
+        deep = max(rate, SHARE_JOBS if self.many else 1.0)  # guards against a share spread too thin for a job
+        level = min(level + (self.now - at) * rate / 1000, deep)
         bucket[1], bucket[2] = level - 1 if level >= 1 else level, self.now
         return level >= 1
 
