Ask a few workers before a job with time is sent, where many schedulers meet each too seldom

A scheduler has one job in two seconds and 24 workers, and probes one each 1.3 s, so what it knows of a worker is half a minute old. At fault: logic.py, _submitted and _try_send, which send on what the last probe in turn told, and _probe_ended, which counted two probes that were out at once as two silences in a row. Change: one of many (over eight) dispatchers asks six workers and holds the job until all have answered, a tenth of its time or of a mean run at most; then it chooses among those that said something, and homes of its key, and else as before.

--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -18,11 +18,10 @@
 DRAW_SCALE = 0.14  # a worker whose forecast is this share longer than the best gets 1/e of its weight
 CROSSING = 15.0  # headroom that a zone crossing costs in the draw: times its price, times the allowed time
 SUBSET = 24  # workers of the own subset where a request's CPU, at one for each microsecond, sets no limit
-EXPLORE = 0.01  # share of jobs drawn from the missing tier, so that recovered workers are found
 HOME_MATCH = 0.9, 0.5  # key match of a worker that is one of the key's homes, or would be the next
 HOT = 4.0  # further homes of a key for each fair share of one worker that it makes up of all jobs
 WARM_MATCH = 0.8  # key match above which a worker counts as warm for the key
-WARM_EXPLORE = 0.02  # share of jobs that pass over the warm filter, so that keys get second homes
+EXPLORE, WARM_EXPLORE = 0.01, 0.02  # shares of jobs that try out the missing tier, and second homes of keys
 BUCKET_CAP = 16  # samples kept of each bucket: a rare regime is remembered, a common one stays recent
 REFIT_MS, REFIT_JOBS = 2000.0, 30  # least time and jobs between refits, each as dear as thirty forecasts
 RECENCY = 0.95  # weight of a sample against the next newer one of its bucket
@@ -30,12 +29,9 @@
 CLIP = (2.0, 3.0)  # most forecasts a run counts for, without and with a size hint: tails say little
 PACE_GAIN = 0.04  # weight of one finish in a worker's own pace: a hint errs by more than workers differ
 PACE_KEPT, HEAT_KEPT = 0.8, 0.9  # shares of a worker's pace and of a key's count kept at each refit
-MARGIN_UP, MARGIN_DOWN = 0.1, 0.005  # for a late job and one in time; the higher, the faster it falls
-CLASS_GAIN = 0.05  # weight of one job in its class's share in time
-MARGIN_MOST = 3.0  # mean runs
-ROOM_LEAST = 0.5  # slots over what a worker has that it may always be sent: the count is an estimate
-ROOM_REGAINED = 0.02  # queue room a full worker is given back for each job it serves
-RHO_GAIN = 0.05  # weight of one report in the usual load by others
+MARGIN_UP, MARGIN_DOWN, MARGIN_MOST = 0.1, 0.005, 3.0  # for a late job, one in time, at all; mean runs
+ROOM_LEAST, ROOM_REGAINED = 0.5, 0.02  # queue room of a full worker at least; given back for each job served
+RHO_GAIN = CLASS_GAIN = 0.05  # weight of a report in the usual load, of a job in its class's share in time
 JOB_REST = 0.05  # mean runs a job waits after its second full answer; doubles with each further one
 ALIKE, FEW = 1 / 5, 8  # jobs that an own one beyond the mean stands for, for each dispatcher over a few
 LAG_KEPT_MS = 2000.0  # time after which a wait that a job met there counts 1/e
@@ -54,6 +50,7 @@
 PROBE_SPEND = 0.003  # score points that probes may cost for each request
 PROBE_MS = (300.0, 2000.0)  # least time between probes of one worker, most between any two
 SHARE_JOBS = 4.0  # jobs of a tenant that chance may bring at once to one of many dispatchers
+ASK_FIRST, SAID_MS = 6, 1000.0  # workers asked before a job is sent; what they say is up to about so old
 
 
 class Dispatcher:
@@ -81,11 +78,10 @@
 
     def _retuned(self, event):
         """Go by these settings, and keep what was learnt of the classes and tenants that stay."""
-        s = self.s = event.settings
-        lowest, old = min(c.priority for c in s.classes), self.classes
-        low = {c: c.priority == lowest for c in s.classes}
+        s, old = event.settings, self.classes
+        low = {c: c.priority == min(other.priority for other in s.classes) for c in s.classes}
         self.classes = {c.name: old.get(c.name, ClassState(c, low[c])).under(c, low[c]) for c in s.classes}
-        self.subset = max(int(s.cpu_per_request_us), 2) if s.cpu_per_request_us else SUBSET
+        self.s, self.subset = s, max(int(s.cpu_per_request_us), 2) if s.cpu_per_request_us else SUBSET
         self.many, self.ask_all = max(s.balancers - FEW, 0), ASK_EACH_MS * s.balancers  # many: over a few
         self.ask_first = min(self.ask_all, ASK_WITHIN * s.must_ask_in_ms or self.ask_all)
         rates = {t.name: t.quota_per_s / s.balancers for t in s.tenants if t.quota_per_s}
@@ -143,8 +139,7 @@
                 worker = self.workers[entry.worker] = Worker(entry, self.now, self.rng.random())
             elif entry.born_ms > worker.born:
                 worker.forget(entry, self.now)
-            worker.power = entry.power
-            worker.list_ok = entry.lifecycle is Lifecycle.IN_SERVICE
+            worker.power, worker.list_ok = entry.power, entry.lifecycle is Lifecycle.IN_SERVICE
         self.live = [w for w in self.workers.values() if w.list_ok]
         others = max(len({w.zone for w in self.live}) - 1, 1)
         self.live.sort(key=lambda w: w.rank / others if w.zone == self.s.zone else w.rank)
@@ -321,10 +316,9 @@
             levels = self.margins.items()
             margins = {k: m * self.turn * max(0.0, 1 - worth / than) for k, (m, than) in levels if m and than}
         for w in healthy:
-            if w in job.tried or w.full_until > now or (w.slots_known and ask > w.slots):
+            full = w.full_until > now or (w.slots_known and ask > w.slots)
+            if full or w in job.tried or (unsafe and w.probation):  # harmless jobs try out what failed lately
                 continue
-            if unsafe and w.probation:
-                continue  # a worker that failed lately is tried out with harmless jobs
             if w.born and now - w.born < self.s.cold_ms and not self._cold_allows(w, job):
                 continue
             wait, over = self._wait(w, ask)
@@ -344,10 +338,8 @@
         if claim and self.rng.random() >= WARM_EXPLORE:
             found = warm
         tier = [f for f in found if f[0] <= left]
-        meets = bool(tier)
-        if not meets:
-            tier = found
-        elif len(tier) < len(found) and not unsafe and self.rng.random() < EXPLORE:
+        meets, tier = bool(tier), tier or found
+        if len(tier) < len(found) and not unsafe and self.rng.random() < EXPLORE:
             tier = [f for f in found if f[0] > left]
         crossing = CROSSING * self.s.cross_zone_price * job.allowed * near_free
         costs = [f[0] + crossing * (f[1].zone != self.s.zone) for f in tier]
@@ -387,9 +379,19 @@
         self.heat_all += 1
         if job.deadline - self.now <= ANSWER_MARGIN_MS or self.shared.sheds(event):
             self._give_up(job)
-        elif not self._try_send(job):
+        elif self._asks_first(job) or not self._try_send(job):
             self._hold(job)
 
+    def _asks_first(self, job):
+        """Whether it waits for what a few workers say, which one of many dispatchers meets too seldom."""
+        few = [w for w in self._pool(job)[: self.subset] if self.s.may_probe and w.eject_until <= self.now]
+        wait = HOLD_SHARE * min(self.turn, job.aim_at - self.now, job.deadline - self.now)
+        if few and self.many and self.shared.probes is None and min(wait, job.allowed - SAID_MS) > 0:
+            job.asked = {w: self._probe(w) for w in self.rng.sample(few, min(ASK_FIRST, len(few)))}
+            job.not_before += wait
+            self._at(wait, self._try_send, job)
+        return bool(job.asked)
+
     def _within_share(self, bucket):
         """Token bucket of a tenant's share at this dispatcher: one second deep, or for a few jobs."""
         rate, level, at = bucket
@@ -403,15 +405,15 @@
         if self.now < job.not_before or not self._may_send(job):
             return False
         pool = self._pool(job)
-        # guards against meeting each worker too seldom to know it: a dispatcher keeps to its lowest ranks
-        few = pool[: self.subset]
+        # guards against meeting each worker too seldom to know it: those that have said, or the lowest ranks
+        few = [w for w in pool if job.asked.get(w) and not job.attempts] or pool[: self.subset]
         if job.key is not None and len(pool) > len(few):
             # guards against homes that most dispatchers never look at, so that a key is fetched everywhere
-            few += [w for w in pool[self.subset :] if w.id in self._homes(job.key)]
+            few += [w for w in pool if w.id in self._homes(job.key) and w not in few]
         choice = self._choose(job, few)
-        if (choice is None or not choice[2]) and len(pool) > self.subset:
+        if (choice is None or not choice[2]) and len(pool) > len(few):
             # guards against a subset that is full or failing while others have room
-            choice = self._choose(job, self.rng.sample(pool, self.subset)) or choice
+            choice = self._choose(job, self.rng.sample(pool, min(self.subset, len(pool)))) or choice
         if choice is None:
             return False
         w, sample, meets, time = choice
@@ -466,8 +468,7 @@
         self.held.sort(key=lambda j: (j.aim_at < now, -self._density(j, favour), j.id))
         waiting, stuck = [], set()
         for job in self.held:
-            # what fails for one job of a class fails for the next
-            like = (job.state.cls.name, job.ask, job.key, job.aim_at < now)
+            like = (job.state.cls.name, job.ask, job.key, job.aim_at < now)  # what fails once fails for all
             if like in stuck or not self._try_send(job):
                 waiting.append(job)
                 if now >= job.not_before:
@@ -485,8 +486,7 @@
         """Nothing more is owed: call off what is still out, and forget the job once it is all in."""
         job.open = False
         for attempt in job.attempts:
-            if attempt.outcome is None:
-                self._cancel(attempt)
+            self._cancel(attempt)
         if not job.out:
             self.jobs.pop(job.id, None)
 
@@ -514,10 +514,7 @@
             self._rest(w)  # one at a time while it is full
         w.count(job.ask, self.now)
         if job.key is not None:
-            w.keys.pop(job.key, None)
-            w.keys[job.key] = None
-            if len(w.keys) > KEYS_KEPT:
-                del w.keys[next(iter(w.keys))]
+            w.keys = dict.fromkeys([*(key for key in w.keys if key != job.key), job.key][-KEYS_KEPT:])
         if w.born and self.now - w.born < self.s.cold_ms:
             w.budget.append((self.now, self._work(job)))
             w.lump_from, w.lump_part = self.now, 1.0
@@ -542,7 +539,7 @@
                 w.others, w.seen = min(max(w.others, 0.0), room), self.now
 
     def _cancel(self, attempt):
-        if self.s.may_cancel and not attempt.cancelled:
+        if self.s.may_cancel and not attempt.cancelled and attempt.outcome is None:
             attempt.cancelled = True
             self.out.append(io.Cancel(attempt.job.id, attempt.number))
 
@@ -590,11 +587,10 @@
             w.pace = min(max(w.pace + PACE_GAIN * min(max(ratio, -1.5), 1.5), -0.7), 2.5)
             self._set_slope(w)
         elif outcome is Outcome.FULL:
-            w.heard = now
             w.room = max(min(w.room, self._wait(w, attempt.ask)[1]), ROOM_LEAST)
             w.others, w.seen = max(w.others, w.slots - w.own + w.room), now
             self._rest(w)
-            w.fulls = min(w.fulls + 1, 3)
+            w.heard, w.fulls = now, min(w.fulls + 1, 3)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.TIMEOUT):
             if outcome is not Outcome.TIMEOUT or w.heard <= attempt.sent:  # never heard of again
                 # guards against resting workers for single breaks, as lossy networks have them
@@ -655,14 +651,16 @@
 
     # -- Probes and timers -----------------------------------------------------------------------
 
+    def _probe(self, w):
+        w.probed = self.now
+        self.out.append(io.Probe(w.id))
+
     def _probe_next(self):
         """Probe the worker longest unprobed, as often as the price is worth."""
         mine = self.shared.probes
         few = self.live[: self.subset] if mine is None else [w for w in self.live if w.id in mine]
         if few:
-            w = min(few, key=lambda v: v.probed)
-            w.probed = self.now
-            self.out.append(io.Probe(w.id))
+            self._probe(min(few, key=lambda v: v.probed))
         priced = (self.now - self.born) / max(self.arrivals, 1) * self.s.probe_price / PROBE_SPEND
         gap = max(min(priced, PROBE_MS[1]), PROBE_MS[0] / max(len(few), 1))
         self._at(gap * (0.8 + 0.4 * self.rng.random()), self._probe_next)
@@ -673,20 +671,25 @@
             w.heard, w.mute = self.now, 0
             self._report(w, event.report or {})
         elif w and event.outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT):
-            w.others, w.seen, w.mute = max(w.others, w.slots - w.own + 1), self.now, w.mute + 1
+            w.mute += self.now - event.elapsed_ms >= w.seen  # two out at once are one silence
+            w.others, w.seen = max(w.others, w.slots - w.own + 1), self.now
             if w.mute >= MUTE and self.now - w.heard > HEARD_MS:
                 self._strike(w)  # fallen silent: its jobs go elsewhere while they can be in time
                 for attempt in w.unended:
                     if attempt.job.open and attempt.sent >= w.heard - HEARD_MS:
                         self._cancel(attempt)
+        for job in [j for j in self.held if w in j.asked]:
+            job.asked[w] = event.outcome is Outcome.OK
+            if None not in job.asked.values():
+                job.not_before = self.now
+                self._try_send(job)
 
     def _at(self, delay, call, *args):
         self.serial += 1
         heappush(self.timers, (self.now + delay, self.serial, call, args))
 
     def _fired(self, _event):
-        if self.armed <= self.now + 0.5:
-            self.armed = float("inf")
+        self.armed = float("inf") if self.armed <= self.now + 0.5 else self.armed
         while self.timers and self.timers[0][0] <= self.now:
             _, _, call, args = heappop(self.timers)
             call(*args)
--- a/molespur/records.py
+++ b/molespur/records.py
@@ -25,9 +25,8 @@
         """Start anew: a first sight, or the process has restarted."""
         self.zone, self.kind, self.cell, self.power = entry.zone, entry.kind, entry.cell, entry.power
         self.born, self.list_ok = entry.born_ms, True
-        self.own = self.own_avg = 0.0
-        self.own_avg_at = self.heard = now
-        self.others, self.seen = 0.0, -1e9
+        self.own = self.own_avg = self.others = 0.0
+        self.own_avg_at, self.heard, self.seen = now, now, -1e9
         self.unended = {}  # own attempts there -> None, oldest first
         self.lag, self.lag_at = 0.0, now  # by how much the last that ended was overdue
         self.pace = 0.0  # log of observed over forecast run time
@@ -109,7 +108,7 @@
         self.allowed = cls.aim_ms + cls.aim_stretch * self.run  # time to be in, from its first try
         self.aim_at = now + min(self.allowed, cls.deadline_ms) - gone
         self.deadline, self.not_before = now + left, now
-        self.attempts, self.out, self.open, self.tried = [], 0, True, ()
+        self.attempts, self.out, self.open, self.tried, self.asked = [], 0, True, (), {}  # asked: who said
         self.sheddable, self.worth = state.sheddable, cls.worth
 
     def is_tried(self):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,7 +5,7 @@
 
 from molespur import Dispatcher
 from molespur import interface as io
-from molespur.interface import NewsMode, Outcome
+from molespur.interface import Lifecycle, NewsMode, Outcome
 from molespur.records import Job
 from molespur.standins.fleet import Discovery, drive
 
@@ -71,6 +71,129 @@
     assert len(calls) == 1
 
 
+def asked_first(left=5000.0, run=300.0, key=None, **changes):
+    """A dispatcher with ten workers, and whom it probes and sends to for a job that comes at 2 ms."""
+    d = make(**({"balancers": MANY, "may_probe": True} | changes))
+    news(d, *(entry(f"w{n}") for n in range(10)))
+    out = submit(d, 1, left=left, work_hint_ms=run, key=key)
+    return d, [probe.worker for probe in of(out, io.Probe)], [send.worker for send in of(out, io.Send)]
+
+
+def say(d, now, worker, free):
+    """A worker says that it has slots free, or many jobs waiting; what is done then, up to the next tick."""
+    report = {"free_slots": 4.0 * free, "queue": 40.0 * (not free)}
+    out = d.handle(now, io.ProbeEnded(worker, Outcome.OK, 1.0, report))
+    return out + d.handle(now + 1, io.TimerFired("due"))
+
+
+@pytest.mark.parametrize("free", range(6))
+def test_one_of_many_asks_a_few_workers_first_and_sends_to_the_one_that_is_free(free):
+    """Its probes in turn tell of each worker too seldom: without asking it sends blindly."""
+    d, asked, sent = asked_first()
+    assert len(set(asked)) == 6 and not sent
+    for w in d.live:  # by what others saw, all are crowded
+        w.others, w.seen = 12.0, 2.0
+    for n, worker in enumerate(asked):
+        assert not of(out := say(d, 3.0 + 2 * n, worker, n == free), io.Send) or n == 5
+    assert [send.worker for send in of(out, io.Send)] == [asked[free]]
+
+
+def test_a_job_goes_to_a_worker_that_has_said_something_rather_than_to_one_that_is_guessed_at():
+    """Guards against guesses that look as good as a worker's word: most workers are guessed at."""
+    for seed in range(12):
+        d, asked, _ = asked_first(seed=seed)
+        for n, worker in enumerate(asked[:5]):
+            assert not of(say(d, 3.0 + 2 * n, worker, True), io.Send)
+        failed = io.ProbeEnded(asked[5], Outcome.ERROR, 1.0)
+        out = d.handle(14.0, failed) + d.handle(15.0, io.TimerFired("due"))
+        assert [send.worker in asked[:5] for send in of(out, io.Send)] == [True]
+
+
+def test_where_all_that_said_something_are_crowded_others_are_looked_at():
+    d, asked, _ = asked_first()
+    out = [one for n, worker in enumerate(asked) for one in say(d, 3.0 + 2 * n, worker, False)]
+    assert [send.worker in asked for send in of(out, io.Send)] == [False]
+
+
+def test_a_worker_that_drains_after_it_has_said_something_gets_nothing():
+    """Guards rule 3."""
+    d, asked, _ = asked_first()
+    for n, worker in enumerate(asked[:5]):
+        say(d, 3.0 + 2 * n, worker, n == 0)
+    d.handle(14.0, io.FleetNews(NewsMode.PARTIAL, (entry(asked[0], life=Lifecycle.DRAINING),)))
+    out = say(d, 15.0, asked[5], False)
+    assert [send.worker not in asked for send in of(out, io.Send)] == [True]
+
+
+def test_the_home_of_a_key_is_looked_at_beside_those_that_said_something():
+    """Guards against a key that is fetched anew by whoever has said that it is free."""
+    found = []
+    for seed in range(12):
+        d, asked, _ = asked_first(key=5, seed=seed)
+        d.heat, d.heat_all = {5: 0.1}, 100.0
+        (home,) = [w for w, match in d._homes(5).items() if match > 0.8]
+        for n, worker in enumerate(asked):
+            out = say(d, 3.0 + 2 * n, worker, True)
+        found += [of(out, io.Send)[0].worker == home] * (home not in asked)
+    assert len(found) >= 3 and all(found)
+
+
+@pytest.mark.parametrize("second, rested", [(150.0, False), (220.0, True)], ids=["at once", "in a row"])
+def test_two_probes_that_are_out_at_once_are_one_silence(second, rested):
+    """Guards against a worker that is held for mute, and its jobs called off, since two jobs asked it at once."""
+    d, _, _ = asked_first()
+    for began in (10.0, second):
+        d.handle(began + 200.0, io.ProbeEnded("w0", Outcome.TIMEOUT, 200.0))
+    assert d.workers["w0"].probation is rested
+
+
+def test_a_job_waits_for_workers_that_say_nothing_for_a_tenth_of_its_time_or_of_a_mean_run():
+    d, asked, sent = asked_first()
+    turn, now = d.turn, 2.0
+    while not sent:
+        now += 4.0
+        sent = of(d.handle(now, io.TimerFired("due")), io.Send)
+    assert 0.1 * turn <= now - 2.0 <= 0.1 * turn + 8.0
+    assert len(asked) == 6
+
+
+def test_a_job_that_has_little_time_waits_little_for_what_workers_say():
+    """With 60 ms left, of which 40 are for its answer, it must not wait for a tenth of a mean run."""
+    d, asked, sent = asked_first(left=60.0)
+    assert len(asked) == 6 and not sent
+    assert of(d.handle(9.0, io.TimerFired("due")), io.Send)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"balancers": 8}, {"may_probe": False}, {"run": 100.0}],
+    ids=["a few dispatchers", "no probes allowed", "a job with less time than reports are old"],
+)
+def test_where_asking_tells_nothing_a_job_is_sent_at_once(changes):
+    _, asked, sent = asked_first(**changes)
+    assert not asked and len(sent) == 1
+
+
+def test_nothing_is_sent_for_a_client_that_left_while_workers_were_asked():
+    d, asked, _ = asked_first()
+    assert not of(d.handle(3.0, io.ClientGone(1)), io.Send)
+    for n, worker in enumerate(asked):
+        assert not of(say(d, 4.0 + 2 * n, worker, True), io.Send)
+    assert not d.jobs
+
+
+def test_a_job_whose_askings_are_cut_short_by_its_deadline_is_still_answered():
+    """Guards rule 1: also where no worker says anything and none can be sent to."""
+    d, _, _ = asked_first()
+    for w in d.live:
+        w.full_until = 1e9
+    now, answers = 2.0, []
+    while now < 5100.0 and not answers:
+        now += 4.0
+        answers = of(d.handle(now, io.TimerFired("due")), io.Refuse)
+    assert answers and now <= 5002.0
+
+
 def test_own_jobs_that_are_overdue_tell_of_a_queue_that_no_report_shows():
     """A full worker reports no free slots, whether none or a hundred wait."""
     d = make(seed=3, balancers=MANY)
