Take a job that is done without a result for malformed, so that no answer is made up

At fault: net/upstream.py, _Line.result's default and _line. Change: without a result the answer is malformed: it may have run, and the connection is closed. Loopback test, seen to fail without it.

--- a/molespur/net/upstream.py
+++ b/molespur/net/upstream.py
@@ -52,7 +52,7 @@
     id: str
     state: str
     share: float | None = None
-    result: msgspec.Raw = msgspec.Raw(b'""')
+    result: msgspec.Raw = msgspec.Raw()  # empty: there is none
     load: dict | None = None
 
 
@@ -478,6 +478,9 @@
             raise ValueError(f"a line for {line.id!r}")
         report = report_from(line.load)
         if line.state == DONE:
+            if not bytes(line.result):
+                # guards against serving a stream with what no upstream host has made for it
+                raise ValueError("done, without a result")
             request.settle(Served(result_bytes(line.result), report))
         elif line.state == FAILED:
             request.fail(Cause.ERROR, "the job failed", report)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -317,6 +317,18 @@
     play()
 
 
+@on_loopback(wire=settings_with(limits={"tryLimit": 1}))
+async def test_a_job_that_is_done_without_a_result_is_not_served(site):
+    """Guards against an answer that no worker has made; it may have run all the same."""
+    a = await site.client()
+    await a.send(request("r1"))
+    worker = await site.workers[0].accept()
+    await worker.read(b"hi")
+    await worker.send(HEAD + chunk(b'{"id":"r1","state":"done"}\n'))
+    assert b" 503 " in await a.read(b"\r\n")
+    assert site.counters["sent.reset"] == 1 and not await worker.quiet()
+
+
 # -- The end of a connection ----------------------------------------------------------------------
 
 
