Let the test of a held loop take its times inside the loop, so that it can't be late itself

Seen by rereading: the hold's begin was taken on the test's thread, up to some milliseconds before the loop was held, and a beat may lie between. Now the loop tells both ends, and the next beat is waited for, bounded. Same crossing, as strict.

--- a/tests/fleet/test_shared.py
+++ b/tests/fleet/test_shared.py
@@ -146,13 +146,19 @@
 
 
 def test_workers_know_when_their_loop_was_held():
+    def hold():
+        begin = trio.current_time()
+        time.sleep(0.3)
+        return begin, trio.current_time()
+
     with FleetLoad(1, 40, [worker := cold_worker()]) as load:
         load.now()
-        begin = load.now()
-        trio.from_thread.run_sync(time.sleep, 0.3, trio_token=load._token)
-        end = load.now()
-        time.sleep(0.1)
-    assert any(since <= begin + 0.02 and until >= end for since, until in worker.held)
+        begin, end = trio.from_thread.run_sync(hold, trio_token=load._token)
+        for _ in range(500):  # until its next beat
+            if worker.held and worker.held[-1][1] >= end:
+                break
+            time.sleep(0.01)
+    assert any(since <= begin and until >= end for since, until in worker.held)
 
 
 def test_rights_of_a_killed_or_paused_holder_come_back_in_time_and_are_not_spent_twice(tmp_path):
