Let holds of a loop not lead back to one another, so that a slow loop sees bursts

Found by rereading: FleetWorker.sent_since followed holds that touch each other back to the first. Where each beat of the loop takes over 50 ms, all arrivals would have counted as sent at the start, and the check of a burst could not fail. Change: an arrival goes back to the begin of the holds that contain it, no further.

--- a/molespur/standins/fleet_load.py
+++ b/molespur/standins/fleet_load.py
@@ -57,11 +57,12 @@
         return sum(begin <= at < end and (members is None or who in members) for at, who in self.arrived)
 
     def sent_since(self, at: float) -> float:
-        """The earliest that a request may have come which was read at this time."""
-        for begin, end in reversed(self.held):
-            if begin <= at <= end:
-                at = begin
-        return at
+        """The earliest that a request may have come which was read at this time.
+
+        Between two holds the loop has read, so that one hold does not lead back to the one before it: a loop
+        that is always slow would take no burst for one.
+        """
+        return min((begin for begin, end in self.held if begin <= at <= end), default=at)
 
     def busiest(self, window_s: float, since: float = 0.0) -> tuple[int, Counter]:
         """The most arrivals that surely lie in one window, and by member.
--- a/tests/fleet/test_shared.py
+++ b/tests/fleet/test_shared.py
@@ -138,6 +138,8 @@
         (READ_LATE, [], 95),  # not known to be late
         ([1.0 + n / 256 for n in range(80)], [(2.0, 2.5)], 80),  # a burst before it was held
         ([1.5] * 80, [(1.0, 1.5)], 80),  # all in less than a window, whenever it was
+        # always slow, with 128 a second: nearly all of them surely lie in one window
+        ([1 + n / 128 for n in range(256)], [(n / 16, n / 16 + 0.125) for n in range(48)], 119),
     ],
 )
 def test_what_the_test_reads_late_is_no_burst_and_a_burst_is_one(arrived, held, most):
