--- a/molespur/cli/serve.py
+++ b/molespur/cli/serve.py
@@ -2,7 +2,7 @@
 
 import click
 
-from .. import __main__ as program
+from .. import program
 from .options import with_settings
 
 
--- /dev/null
+++ b/molespur/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions, split by concern."""
--- /dev/null
+++ b/molespur/policy/tracking.py
@@ -0,0 +1,116 @@
+"""What one scheduler knows of a worker: its own unfinished work there, reports, prefixes sent, failures."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import Enum
+from math import log
+
+LAG_MS = 400.0  # a report tells of about this long ago
+REPORT_KEPT_MS = 1500.0  # age at which a report counts half
+FAULTS, FIRST_REST_MS, LONGEST_REST_MS = 2.0, 1000.0, 6000.0
+PACE_GAIN, PACE_LEAST, PACE_MOST = 0.06, -0.7, 2.3
+
+
+class Part(Enum):
+    """The part that a worker plays for a request; the model has a pace for each."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"  # with the prompt's memory handed over
+    DIRECT = "direct"  # reads the prompt itself
+    PLAIN = "plain"  # a service without model workers
+
+
+@dataclass(slots=True)
+class Report:
+    """Load of a worker by its own word."""
+
+    at: float = float("-inf")
+    active: int = 0
+    queued: int = 0
+    kv_used: float = 0.0
+    kv_total: float = 0.0
+
+
+@dataclass(slots=True)
+class Rest:
+    """Failures of a worker, and until when it is spared for them."""
+
+    faults: float = 0.0
+    until: float = float("-inf")
+    length_ms: float = FIRST_REST_MS
+
+
+@dataclass(eq=False, slots=True)
+class WorkerTrack:
+    """One worker as one scheduler sees it."""
+
+    id: str
+    address: str
+    zone: str
+    phase: str
+    slots: int
+    usable: bool = True
+    silent: bool = False
+    capacity_tokens: float = 0.0
+    reading: float = 0.0  # prompt tokens of own unfinished calls that are to be read there
+    running: int = 0  # own unfinished runs there
+    unfinished: OrderedDict = field(default_factory=OrderedDict)  # key -> when it should be over
+    report: Report = field(default_factory=Report)
+    prefixes: OrderedDict = field(default_factory=OrderedDict)  # part id -> tokens, least lately sent first
+    prefix_tokens: float = 0.0
+    rest: Rest = field(default_factory=Rest)
+    pace: dict = field(default_factory=dict)  # part -> log of observed over forecast time
+    heard_at: float = float("-inf")
+
+    def matched(self, parts):
+        """Tokens of the leading parts that were lately sent there."""
+        total = 0.0
+        for part_id, tokens in parts:
+            if part_id not in self.prefixes:
+                break
+            total += tokens
+        return total
+
+    def remember(self, parts):
+        """These parts are there now; those unused longest give way."""
+        for part_id, tokens in parts:
+            if part_id in self.prefixes:
+                self.prefixes.move_to_end(part_id)
+            else:
+                self.prefixes[part_id] = tokens
+                self.prefix_tokens += tokens
+        while self.prefix_tokens > max(self.capacity_tokens, 1.0) and self.prefixes:
+            self.prefix_tokens -= self.prefixes.popitem(last=False)[1]
+
+    def others(self, now):
+        """Requests of other schedulers there, by the last report and its age."""
+        reported = self.report.active + self.report.queued
+        trust = REPORT_KEPT_MS / (REPORT_KEPT_MS + max(now - self.report.at - LAG_MS, 0.0))
+        return max(reported - len(self.unfinished), 0.0) * trust
+
+    def overdue(self, now):
+        """By how much the oldest unfinished call there is late."""
+        if not self.unfinished:
+            return 0.0
+        return max(now - next(iter(self.unfinished.values())), 0.0)
+
+    def resting(self, now):
+        """Whether it is spared now for its failures."""
+        return self.rest.until > now
+
+    def failed(self, now, weight=1.0):
+        """A call there has failed; several in a row let it rest, twice as long each time."""
+        self.rest.faults += weight
+        if self.rest.faults >= FAULTS and not self.resting(now):
+            self.rest.until = now + self.rest.length_ms
+            self.rest.length_ms = min(2 * self.rest.length_ms, LONGEST_REST_MS)
+            self.rest.faults = FAULTS / 2  # the next failure after its rest counts at once
+
+    def served(self, now, part, forecast, elapsed):
+        """A call there has gone well."""
+        self.heard_at = now
+        self.rest.faults /= 2
+        self.rest.length_ms = max(self.rest.length_ms / 2, FIRST_REST_MS)
+        ratio = log(max(elapsed, 1.0) / max(forecast, 1.0))
+        pace = self.pace.get(part, 0.0) + PACE_GAIN * min(max(ratio, -1.5), 1.5)
+        self.pace[part] = min(max(pace, PACE_LEAST), PACE_MOST)
--- /dev/null
+++ b/molespur/system/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""One replica group: the Raft consensus algorithm without I/O."""
--- /dev/null
+++ b/molespur/system/consensus/replica.py
@@ -0,0 +1,744 @@
+"""A replica of one group: the Raft consensus algorithm as a pure state machine.
+
+Events go in through `Replica.handle(now, event)`, actions come out in order.  Times are milliseconds
+on a steady clock.  The caller carries actions out: it writes `Persist` records in order and answers
+each with `Persisted`; the messages that a record carries may leave only after it is on the disk.
+
+The algorithm is Raft (Ongaro, 2014) with pre-vote, check-quorum, leader leases, learners, single-step
+membership change and leadership transfer.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+
+from ..rpc import molespur_pb2 as pb
+
+HEARTBEAT_MS = 150.0
+ELECTION_MS = (700.0, 1300.0)  # a follower campaigns after a silence drawn from this range
+LEASE_MS = 0.8 * ELECTION_MS[0]  # a leader heard by a majority this lately is the only one
+RETRY_APPEND_MS = 600.0  # an append without an answer is sent again after this time
+ENTRIES_PER_APPEND = 64
+BYTES_PER_APPEND = 1 << 20
+
+
+class Role(Enum):
+    """The states of a replica."""
+
+    OUTSIDER = "outsider"  # no membership is known: neither votes nor campaigns
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+# -- Events ----------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclass(slots=True)
+class Received:
+    """A message of another replica has arrived."""
+
+    message: pb.ConsensusMessage
+
+
+@dataclass(slots=True)
+class Propose:
+    """Append a command, if this replica leads; answered by `Proposed` or `NotLeader`."""
+
+    data: bytes
+
+
+@dataclass(slots=True)
+class Persisted:
+    """The record of this sequence number, and all before it, are on the disk."""
+
+    sequence: int
+
+
+@dataclass(slots=True)
+class TransferLeadership:
+    """Hand the lead to the most advanced voter that was heard of lately."""
+
+
+@dataclass(slots=True)
+class ChangeMembership:
+    """Append another membership; at most one voter may differ."""
+
+    membership: pb.Membership
+
+
+@dataclass(slots=True)
+class Compact:
+    """Drop the log up to an applied index, whose state is given."""
+
+    index: int
+    state: bytes
+
+
+Event = Tick | Received | Propose | Persisted | TransferLeadership | ChangeMembership | Compact
+
+# -- Actions ---------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Send:
+    """Send a message to a member."""
+
+    member: pb.Member
+    message: pb.ConsensusMessage
+
+
+@dataclass(slots=True)
+class HardState:
+    """What a replica must not forget: its term and its vote in it."""
+
+    term: int = 0
+    vote: str = ""
+
+
+@dataclass(slots=True)
+class Snapshot:
+    """The state after an index, which stands for the log up to it."""
+
+    index: int = 0
+    term: int = 0
+    membership: pb.Membership = field(default_factory=pb.Membership)
+    state: bytes = b""
+
+
+@dataclass(slots=True)
+class Persist:
+    """Write to the disk: hard state, a snapshot, and entries.
+
+    `truncate_from`: the index from which on earlier entries are dropped before these are written.
+    """
+
+    hard_state: HardState
+    truncate_from: int | None = None
+    entries: Sequence[pb.LogEntry] = ()
+    snapshot: Snapshot | None = None
+    release: list[Send] = field(default_factory=list)
+    sequence: int = 0
+
+
+@dataclass(slots=True)
+class Proposed:
+    """The proposal has this place in the log; it counts once an entry of this term is applied there."""
+
+    index: int
+    term: int
+
+
+@dataclass(slots=True)
+class NotLeader:
+    """The proposal was not taken."""
+
+
+@dataclass(slots=True)
+class Apply:
+    """This entry is committed; entries come in order, each once."""
+
+    entry: pb.LogEntry
+
+
+@dataclass(slots=True)
+class Restore:
+    """Replace the state machine by this snapshot."""
+
+    snapshot: Snapshot
+
+
+@dataclass(slots=True)
+class RoleChanged:
+    """The replica has another role, or knows another leader."""
+
+    role: Role
+    leader: pb.Member | None
+
+
+Action = Send | Persist | Proposed | NotLeader | Apply | Restore | RoleChanged
+
+
+@dataclass(slots=True)
+class Progress:
+    """What a leader knows of another replica."""
+
+    match: int = 0
+    next: int = 1
+    heard_at: float = 0.0
+    acknowledged_send: float = 0.0  # send time of the newest append that it has answered
+    waiting_since: float | None = None  # an append with entries, or a snapshot, is out since then
+    waiting_for: int = 0  # the last index that it holds
+
+
+@dataclass(slots=True)
+class Unsynced:
+    """A record that is being written, and what will be durable once it is."""
+
+    sequence: int
+    index: int
+    term: int
+
+
+class Replica:
+    """One replica of one group."""
+
+    def __init__(
+        self,
+        group: str,
+        replica_id: str,
+        random: Random,
+        hard_state: HardState | None = None,
+        snapshot: Snapshot | None = None,
+        entries: Sequence[pb.LogEntry] = (),
+        now: float = 0.0,
+    ):
+        self.group, self.id, self.random = group, replica_id, random
+        self.hard_state = hard_state or HardState()
+        self.snapshot = snapshot or Snapshot()
+        self.entries = list(entries)
+        self.durable_index = self.last_index
+        self.commit_index = self.applied_index = self.snapshot.index
+        self.memberships: list[tuple[int, pb.Membership]] = [(self.snapshot.index, self.snapshot.membership)]
+        for entry in self.entries:
+            self._note_membership(entry)
+        self.role, self.leader_id = Role.OUTSIDER, ""
+        self.progress: dict[str, Progress] = {}
+        self.votes: set[str] = set()
+        self.leader_heard_at = float("-inf")
+        self.transfer_to = ""
+        self.now = now
+        self.heartbeat_at = now
+        self._actions: list[Action] = []
+        self._persist: Persist | None = None
+        self._unsynced: list[Unsynced] = []
+        self._sequence = 0
+        self.durable_term = self.hard_state.term
+        self.led_since = self.transfer_until = now
+        self._set_role(Role.FOLLOWER if self.membership.members else Role.OUTSIDER)
+        self._reset_election()
+        self._actions.clear()
+
+    # -- What can be read ----------------------------------------------------------------------
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry of the log."""
+        return self.entries[-1].index if self.entries else self.snapshot.index
+
+    @property
+    def membership(self) -> pb.Membership:
+        """The newest membership in the log, committed or not."""
+        return self.memberships[-1][1]
+
+    @property
+    def membership_committed(self) -> bool:
+        """Whether the newest membership is committed."""
+        return self.memberships[-1][0] <= self.commit_index
+
+    def member(self, replica_id: str) -> pb.Member | None:
+        """The member of this identity."""
+        return next((m for m in self.membership.members if m.replica_id == replica_id), None)
+
+    def voters(self) -> list[str]:
+        """Identities of the members that vote."""
+        return [m.replica_id for m in self.membership.members if m.voter]
+
+    def is_voter(self) -> bool:
+        """Whether this replica votes."""
+        return self.id in self.voters()
+
+    def leader_silence(self, now: float) -> float:
+        """Time since the leader was heard of; 0 at a leader with a lease."""
+        if self.role is Role.LEADER:
+            return max(now - self._quorum_heard_at(now), 0.0)
+        return now - self.leader_heard_at
+
+    def has_lease(self, now: float) -> bool:
+        """Whether this leader may answer reads: no other can lead now, and it has applied all before it."""
+        if self.role is not Role.LEADER or self.transfer_to:
+            return False
+        own_term_committed = self._term_at(self.commit_index) == self.hard_state.term
+        return own_term_committed and now - self._quorum_heard_at(now) < LEASE_MS
+
+    # -- The one entrance ----------------------------------------------------------------------
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Take one event at time now (ms) and return the actions it calls for, in order."""
+        self.now, self._actions, self._persist = now, [], None
+        match event:
+            case Tick():
+                self._tick()
+            case Received(message):
+                self._received(message)
+            case Propose(data):
+                self._propose(pb.COMMAND, data)
+            case Persisted(sequence):
+                self._persisted(sequence)
+            case TransferLeadership():
+                self._transfer()
+            case ChangeMembership(membership):
+                self._change_membership(membership)
+            case Compact(index, state):
+                self._compact(index, state)
+        if self._persist is not None:
+            self._sequence += 1
+            self._persist.sequence = self._sequence
+            self._unsynced.append(Unsynced(self._sequence, self.last_index, self.hard_state.term))
+            self._actions.append(self._persist)
+        return self._actions
+
+    # -- Log -----------------------------------------------------------------------------------
+
+    def _entry(self, index: int) -> pb.LogEntry | None:
+        position = index - self.snapshot.index - 1
+        return self.entries[position] if 0 <= position < len(self.entries) else None
+
+    def _term_at(self, index: int) -> int | None:
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        entry = self._entry(index)
+        return entry.term if entry else None
+
+    def _note_membership(self, entry: pb.LogEntry) -> None:
+        if entry.kind == pb.MEMBERSHIP:
+            self.memberships.append((entry.index, pb.Membership.FromString(entry.data)))
+
+    def _append(self, entries: Sequence[pb.LogEntry]) -> None:
+        """Put entries at the end of the log, replacing all from the first one's index on."""
+        first = entries[0].index
+        keep = first - self.snapshot.index - 1
+        if keep < len(self.entries):
+            del self.entries[keep:]
+            self.memberships = [m for m in self.memberships if m[0] < first]
+            self.durable_index = min(self.durable_index, first - 1)
+            for record in self._unsynced:
+                record.index = min(record.index, first - 1)
+        self.entries.extend(entries)
+        for entry in entries:
+            self._note_membership(entry)
+        record = self._write()
+        record.truncate_from = first
+        record.entries = list(entries)
+
+    def _write(self) -> Persist:
+        """The record of this event's changes, which holds the hard state as it is now."""
+        if self._persist is None:
+            self._persist = Persist(self.hard_state)
+        self._persist.hard_state = HardState(self.hard_state.term, self.hard_state.vote)
+        return self._persist
+
+    # -- Roles ---------------------------------------------------------------------------------
+
+    def _set_role(self, role: Role, leader: str = "") -> None:
+        """The one place where the role changes."""
+        changed = (role, leader) != (self.role, self.leader_id)
+        self.role, self.leader_id = role, leader
+        if role is not Role.LEADER:
+            self.transfer_to = ""
+            self.progress = {}
+        if role is not Role.CANDIDATE and role is not Role.PRE_CANDIDATE:
+            self.votes = set()
+        if changed:
+            self._actions.append(RoleChanged(role, self.member(leader)))
+
+    def _reset_election(self) -> None:
+        low, high = ELECTION_MS
+        self.election_at = self.now + low + (high - low) * self.random.random()
+
+    def _adopt_term(self, term: int) -> None:
+        self.hard_state.term, self.hard_state.vote = term, ""
+        self._write()
+        self._follow("")
+
+    def _follow(self, leader: str) -> None:
+        known = bool(self.membership.members)
+        self._set_role(Role.FOLLOWER if known else Role.OUTSIDER, leader)
+
+    def _majority(self, identities) -> bool:
+        voters = self.voters()
+        return sum(v in identities for v in voters) * 2 > len(voters)
+
+    def _quorum_heard_at(self, now: float) -> float:
+        """Send time of the newest append that a majority of the voters, this one included, has answered."""
+        times = [
+            now if v == self.id else self.progress[v].acknowledged_send if v in self.progress else float("-inf")
+            for v in self.voters()
+        ]
+        return sorted(times, reverse=True)[len(times) // 2] if times else float("-inf")
+
+    # -- Time ----------------------------------------------------------------------------------
+
+    def _tick(self) -> None:
+        if self.role is Role.LEADER:
+            if min(self.now - self._quorum_heard_at(self.now), self.now - self.led_since) > ELECTION_MS[1]:
+                self._follow("")  # check-quorum: a leader that no majority answers steps down
+                self._reset_election()
+            elif self.now >= self.heartbeat_at:
+                self._broadcast()
+            if self.transfer_to and self.now >= self.transfer_until:
+                self._follow("")  # its successor may lead without this replica knowing
+        elif self.role is not Role.OUTSIDER and self.now >= self.election_at:
+            self._reset_election()
+            if self.is_voter():
+                self._campaign(pre_vote=True)
+
+    def _campaign(self, pre_vote: bool, transfer: bool = False) -> None:
+        if pre_vote:
+            self._set_role(Role.PRE_CANDIDATE)
+            term = self.hard_state.term + 1
+        else:
+            self.hard_state.term += 1
+            self.hard_state.vote = self.id
+            term = self.hard_state.term
+            self._write()
+            self._set_role(Role.CANDIDATE)
+        self.votes = {self.id}
+        self._reset_election()
+        for member in self.membership.members:
+            if member.voter and member.replica_id != self.id:
+                message = self._message(member.replica_id, term)
+                message.vote_request.pre_vote = pre_vote
+                message.vote_request.last_index = self.last_index
+                message.vote_request.last_term = self._term_at(self.last_index) or 0
+                message.vote_request.leadership_transfer = transfer
+                # a candidate's own vote is on its disk before it asks for others'
+                self._send(member, message, after_write=not pre_vote)
+        if pre_vote:
+            self._count_votes()
+
+    def _count_votes(self) -> None:
+        if not self._majority(self.votes):
+            return
+        if self.role is Role.PRE_CANDIDATE:
+            self._campaign(pre_vote=False)
+        elif self.role is Role.CANDIDATE and self.durable_term >= self.hard_state.term:
+            self._lead()
+
+    def _lead(self) -> None:
+        self._set_role(Role.LEADER, self.id)
+        self.led_since = self.now
+        self.progress = {
+            m.replica_id: Progress(next=self.last_index + 1, heard_at=self.now)
+            for m in self.membership.members
+            if m.replica_id != self.id
+        }
+        self._propose(pb.NOOP, b"")
+
+    # -- Messages ------------------------------------------------------------------------------
+
+    def _message(self, receiver: str, term: int | None = None) -> pb.ConsensusMessage:
+        term = self.hard_state.term if term is None else term
+        return pb.ConsensusMessage(group=self.group, sender=self.id, receiver=receiver, term=term)
+
+    def _send(self, member: pb.Member | None, message: pb.ConsensusMessage, after_write: bool = False) -> None:
+        if member is None:
+            return
+        if after_write:
+            self._write().release.append(Send(member, message))
+        else:
+            self._actions.append(Send(member, message))
+
+    def _sender(self, message: pb.ConsensusMessage) -> pb.Member | None:
+        """The member to answer; one that this replica does not know yet is answered by its identity."""
+        known = self.member(message.sender)
+        return known or pb.Member(replica_id=message.sender, rpc_address=message.sender.partition("#")[0])
+
+    def _received(self, message: pb.ConsensusMessage) -> None:
+        kind = message.WhichOneof("body")
+        if kind == "vote_request":
+            self._vote_requested(message)
+            return
+        if message.term > self.hard_state.term:
+            if kind == "vote_reply" and message.vote_reply.pre_vote and message.vote_reply.granted:
+                pass  # a granted pre-vote names the term that would be campaigned for
+            else:
+                self._adopt_term(message.term)
+        elif message.term < self.hard_state.term:
+            if kind in ("append_request", "install_snapshot"):
+                reply = self._message(message.sender)
+                reply.append_reply.success = False
+                reply.append_reply.match_index = self.last_index
+                self._send(self._sender(message), reply)
+            return
+        match kind:
+            case "vote_reply":
+                self._vote_replied(message)
+            case "append_request":
+                self._append_requested(message)
+            case "append_reply":
+                self._append_replied(message)
+            case "install_snapshot":
+                self._snapshot_sent(message)
+            case "timeout_now":
+                if self.is_voter() and self.role is not Role.LEADER:
+                    self._campaign(pre_vote=False, transfer=True)
+
+    def _vote_requested(self, message: pb.ConsensusMessage) -> None:
+        if self.role is Role.OUTSIDER or not self.is_voter():
+            return  # a replica that has forgotten its votes, or has none, takes part in no vote
+        request = message.vote_request
+        heard = self.leader_silence(self.now) < ELECTION_MS[0]
+        if heard and not request.leadership_transfer and message.sender != self.leader_id:
+            return  # guards against a member that was cut off disturbing a group that has a leader
+        if message.term < self.hard_state.term:
+            self._answer_vote(message, granted=False, after_write=False)
+            return
+        mine = (self._term_at(self.last_index) or 0, self.last_index)
+        up_to_date = (request.last_term, request.last_index) >= mine
+        if request.pre_vote:
+            granted = up_to_date and message.term > self.hard_state.term
+            self._answer_vote(message, granted, after_write=False)
+            return
+        if message.term > self.hard_state.term:
+            self._adopt_term(message.term)
+        granted = up_to_date and self.hard_state.vote in ("", message.sender)
+        if granted:
+            self.hard_state.vote = message.sender
+            self._write()
+            self._reset_election()
+        self._answer_vote(message, granted, after_write=True)
+
+    def _answer_vote(self, message: pb.ConsensusMessage, granted: bool, after_write: bool) -> None:
+        pre_vote = message.vote_request.pre_vote
+        term = message.term if pre_vote and granted else self.hard_state.term
+        reply = self._message(message.sender, term)
+        reply.vote_reply.pre_vote = pre_vote
+        reply.vote_reply.granted = granted
+        self._send(self._sender(message), reply, after_write)
+
+    def _vote_replied(self, message: pb.ConsensusMessage) -> None:
+        reply = message.vote_reply
+        asked = Role.PRE_CANDIDATE if reply.pre_vote else Role.CANDIDATE
+        expected = self.hard_state.term + (1 if reply.pre_vote else 0)
+        if self.role is asked and reply.granted and message.term == expected:
+            self.votes.add(message.sender)
+            self._count_votes()
+
+    # -- Replication: the follower's side --------------------------------------------------------
+
+    def _heard_leader(self, message: pb.ConsensusMessage) -> None:
+        self.leader_heard_at = self.now
+        self._reset_election()
+        if self.role is not Role.FOLLOWER or self.leader_id != message.sender:
+            self._follow(message.sender)
+
+    def _append_requested(self, message: pb.ConsensusMessage) -> None:
+        self._heard_leader(message)
+        request = message.append_request
+        previous = request.previous_index
+        if previous < self.snapshot.index:
+            # entries that the snapshot stands for are committed, so they match
+            entries = [e for e in request.entries if e.index > self.snapshot.index]
+            previous_term = self.snapshot.term
+            previous = self.snapshot.index
+        else:
+            entries, previous_term = list(request.entries), request.previous_term
+        reply = self._message(message.sender)
+        reply.append_reply.sent_at_ms = request.sent_at_ms
+        if self._term_at(previous) != previous_term:
+            reply.append_reply.success = False
+            reply.append_reply.match_index = min(self.last_index, previous - 1)
+            self._send(self._sender(message), reply)
+            return
+        last = request.entries[-1].index if request.entries else request.previous_index
+        new = [e for e in entries if self._term_at(e.index) != e.term]
+        if new:
+            self._append(entries[entries.index(new[0]) :])
+            self._follow(message.sender)
+        reply.append_reply.success = True
+        reply.append_reply.match_index = max(last, self.snapshot.index)
+        self._send(self._sender(message), reply, after_write=bool(new) or self.durable_index < last)
+        self._commit_to(min(request.commit_index, last))
+
+    def _snapshot_sent(self, message: pb.ConsensusMessage) -> None:
+        self._heard_leader(message)
+        sent = message.install_snapshot
+        reply = self._message(message.sender)
+        reply.append_reply.success = True
+        reply.append_reply.sent_at_ms = sent.sent_at_ms
+        if sent.index > self.commit_index:
+            self.snapshot = Snapshot(sent.index, sent.term, sent.membership, sent.state)
+            self.entries = []
+            self.memberships = [(sent.index, sent.membership)]
+            self.commit_index = self.applied_index = sent.index
+            self.durable_index = 0
+            record = self._write()
+            record.snapshot, record.truncate_from = self.snapshot, 0
+            self._actions.append(Restore(self.snapshot))
+            self._follow(message.sender)
+        reply.append_reply.match_index = self.commit_index
+        self._send(self._sender(message), reply, after_write=True)
+
+    # -- Replication: the leader's side ----------------------------------------------------------
+
+    def _propose(self, kind: int, data: bytes) -> None:
+        if self.role is not Role.LEADER or (self.transfer_to and kind == pb.COMMAND):
+            self._actions.append(NotLeader())
+            return
+        entry = pb.LogEntry(index=self.last_index + 1, term=self.hard_state.term, kind=kind, data=data)
+        self._append([entry])
+        if kind == pb.COMMAND:
+            self._actions.append(Proposed(entry.index, entry.term))
+        self._broadcast()
+
+    def _change_membership(self, membership: pb.Membership) -> None:
+        if self.role is not Role.LEADER or not self.membership_committed or self.transfer_to:
+            return
+        if self._term_at(self.commit_index) != self.hard_state.term:
+            return  # an entry of the own term must be committed first
+        new = {m.replica_id for m in membership.members if m.voter}
+        if len(new ^ set(self.voters())) > 1 or self.id not in new:
+            return
+        self._propose(pb.MEMBERSHIP, membership.SerializeToString())
+        for member in membership.members:
+            if member.replica_id != self.id:
+                self._progress_of(member)
+        self.progress = {k: p for k, p in self.progress.items() if self.member(k)}
+
+    def _progress_of(self, member: pb.Member) -> Progress:
+        fresh = Progress(next=self.last_index + 1, heard_at=self.now)
+        return self.progress.setdefault(member.replica_id, fresh)
+
+    def _broadcast(self) -> None:
+        self.heartbeat_at = self.now + HEARTBEAT_MS
+        for member in self.membership.members:
+            if member.replica_id != self.id:
+                self._replicate(member)
+
+    def _replicate(self, member: pb.Member) -> None:
+        """Send what the member lacks, or an empty append while an earlier one is unanswered."""
+        progress = self._progress_of(member)
+        if progress.waiting_since is not None and self.now - progress.waiting_since > RETRY_APPEND_MS:
+            progress.waiting_since, progress.next = None, progress.match + 1
+        message = self._message(member.replica_id)
+        previous_term = self._term_at(progress.next - 1)
+        if previous_term is None:
+            if progress.waiting_since is not None:
+                return
+            self._send_snapshot(member, progress)
+            return
+        request = message.append_request
+        request.previous_index, request.previous_term = progress.next - 1, previous_term
+        request.commit_index = self.commit_index
+        request.sent_at_ms = int(self.now)
+        if progress.waiting_since is None:
+            entries = self._batch(progress.next)
+            if entries:
+                request.entries.extend(entries)
+                progress.waiting_since, progress.waiting_for = self.now, entries[-1].index
+        self._send(member, message)
+
+    def _batch(self, first: int) -> list[pb.LogEntry]:
+        start = first - self.snapshot.index - 1
+        batch, size = [], 0
+        for entry in self.entries[start : start + ENTRIES_PER_APPEND]:
+            size += len(entry.data)
+            if batch and size > BYTES_PER_APPEND:
+                break
+            batch.append(entry)
+        return batch
+
+    def _send_snapshot(self, member: pb.Member, progress: Progress) -> None:
+        message = self._message(member.replica_id)
+        sent = message.install_snapshot
+        sent.index, sent.term, sent.state = self.snapshot.index, self.snapshot.term, self.snapshot.state
+        sent.membership.CopyFrom(self.snapshot.membership)
+        sent.sent_at_ms = int(self.now)
+        progress.waiting_since, progress.waiting_for = self.now, sent.index
+        self._send(member, message)
+
+    def _append_replied(self, message: pb.ConsensusMessage) -> None:
+        progress = self.progress.get(message.sender)
+        if self.role is not Role.LEADER or progress is None:
+            return
+        reply = message.append_reply
+        progress.heard_at = self.now
+        progress.acknowledged_send = max(progress.acknowledged_send, float(reply.sent_at_ms))
+        if reply.success:
+            if reply.match_index > progress.match:
+                progress.match = reply.match_index
+            progress.next = max(progress.next, progress.match + 1)
+            if progress.match >= progress.waiting_for:
+                progress.waiting_since = None
+            self._advance_commit()
+        else:
+            progress.next = max(min(progress.next - 1, reply.match_index + 1), progress.match + 1, 1)
+            progress.waiting_since = None
+        member = self.member(message.sender)
+        if member and progress.match < self.last_index and progress.waiting_since is None:
+            self._replicate(member)
+        if self.transfer_to == message.sender and progress.match == self.last_index:
+            self._send(member, self._timeout_now(message.sender))
+
+    def _advance_commit(self) -> None:
+        matches = [
+            self.durable_index if v == self.id else self.progress[v].match if v in self.progress else 0
+            for v in self.voters()
+        ]
+        if not matches:
+            return
+        majority = sorted(matches, reverse=True)[len(matches) // 2]
+        if majority > self.commit_index and self._term_at(majority) == self.hard_state.term:
+            self._commit_to(majority)
+            self._broadcast()  # followers apply it at once, and their feeds with them
+
+    def _commit_to(self, index: int) -> None:
+        self.commit_index = max(self.commit_index, min(index, self.last_index))
+        while self.applied_index < self.commit_index:
+            self.applied_index += 1
+            self._actions.append(Apply(self._entry(self.applied_index)))
+
+    def _persisted(self, sequence: int) -> None:
+        for record in self._unsynced:
+            if record.sequence <= sequence:
+                self.durable_term = max(self.durable_term, record.term)
+                self.durable_index = max(self.durable_index, record.index)
+        self._unsynced = [record for record in self._unsynced if record.sequence > sequence]
+        if self.role is Role.CANDIDATE:
+            self._count_votes()
+        elif self.role is Role.LEADER:
+            self._advance_commit()
+
+    # -- Planned work ----------------------------------------------------------------------------
+
+    def _transfer(self) -> None:
+        if self.role is not Role.LEADER:
+            return
+        recent = [
+            (p.match, k)
+            for k, p in self.progress.items()
+            if k in self.voters() and self.now - p.heard_at < 2 * HEARTBEAT_MS + RETRY_APPEND_MS
+        ]
+        if not recent:
+            return
+        match, self.transfer_to = max(recent)
+        self.transfer_until = self.now + ELECTION_MS[1]
+        member = self.member(self.transfer_to)
+        if match == self.last_index:
+            self._send(member, self._timeout_now(self.transfer_to))
+        else:
+            self._replicate(member)
+
+    def _timeout_now(self, receiver: str) -> pb.ConsensusMessage:
+        message = self._message(receiver)
+        message.timeout_now.SetInParent()
+        return message
+
+    def _compact(self, index: int, state: bytes) -> None:
+        if not self.snapshot.index < index <= self.applied_index:
+            return
+        term = self._term_at(index)
+        membership = [m for i, m in self.memberships if i <= index][-1]
+        later = [m for m in self.memberships if m[0] > index]
+        self.entries = [e for e in self.entries if e.index > index]
+        self.snapshot = Snapshot(index, term or 0, membership, state)
+        self.memberships = [(index, membership), *later]
+        self._write().snapshot = self.snapshot
--- /dev/null
+++ b/molespur/system/control_plane/__init__.py
@@ -0,0 +1,1 @@
+"""The control-plane role."""
--- /dev/null
+++ b/molespur/system/control_plane/calls.py
@@ -0,0 +1,179 @@
+"""What workers and the operator ask of the control plane, apart from how it is asked.
+
+Every process takes every call.  Calls about workers are handed to the owner of the shard; calls of the
+operator are led there by a redirect.
+"""
+
+import asyncio
+import hashlib
+import json
+from collections.abc import Callable
+from itertools import count
+
+from absl import logging
+
+from ..errors import ErrorKind, FleetError
+from ..rpc import molespur_pb2 as pb
+from ..rpc.channel import Channel
+from ..settings import configuration
+from ..shards.configuration import PutOutcome
+from ..shards.host import ReplicaHost
+from ..shards.placement import CONFIGURATION, WORKER_GROUPS, group_of_service
+from ..workers.liveness import WorkerLiveness
+
+FORWARD_S = 0.8
+STATES = {"ready": pb.READY, "draining": pb.DRAINING}
+PUT_WORKER, REMOVE_WORKER = "put-worker", "remove-worker"
+
+
+class ControlCalls:
+    """The calls, on top of the replicas that this process hosts."""
+
+    def __init__(self, host: ReplicaHost, clock: Callable[[], float], interval_ms: float):
+        self.host, self.clock = host, clock
+        self.liveness = {
+            name: WorkerLiveness(host.groups[name].machine, interval_ms) for name in WORKER_GROUPS
+        }
+        self._ids = count(1)
+        self._pending: dict[int, asyncio.Future] = {}
+
+    # -- Workers -----------------------------------------------------------------------------------
+
+    async def heartbeat(self, worker: pb.Worker) -> str:
+        """Take a heartbeat; return the owner's control address.  Raises FleetError."""
+        name = group_of_service(worker.service)
+        return await self._at_owner(name, PUT_WORKER, worker)
+
+    async def remove(self, worker_id: str) -> None:
+        """Take a goodbye.  Raises FleetError."""
+        names = [n for n in WORKER_GROUPS if worker_id in self.host.groups[n].machine.workers]
+        worker = pb.Worker(id=worker_id, state=pb.GONE, deregistered=True)
+        for name in names or WORKER_GROUPS:
+            await self._at_owner(name, REMOVE_WORKER, worker)
+
+    async def _at_owner(self, name: str, method: str, worker: pb.Worker) -> str:
+        if self.host.leads(name):
+            await self._own(name, method, worker)
+            return self.host.self_member.control_address
+        leader = self.host.leader(name)
+        if leader is None:
+            raise FleetError(ErrorKind.NO_LEADER, name)
+        await self._forward(leader, name, method, worker)
+        return leader.control_address
+
+    async def _own(self, name: str, method: str, worker: pb.Worker) -> None:
+        """The owner's part of a call."""
+        directory = self.host.groups[name].machine
+        if method == PUT_WORKER:
+            changed = self.liveness[name].heartbeat(self.clock(), worker)
+        else:
+            known = worker.id in directory.workers or worker.id not in directory.removed
+            changed = worker if known else None
+        if changed is not None:
+            await self.host.propose(name, pb.WorkerCommand(workers=[changed]).SerializeToString())
+
+    async def _forward(self, leader: pb.Member, name: str, method: str, worker: pb.Worker) -> None:
+        dialer = self.host.dialers.get(leader.rpc_address)
+        identity = next(self._ids)
+        outcome = self._pending[identity] = asyncio.get_running_loop().create_future()
+        call = pb.Call(id=identity, method=method, subject=name, body=worker.SerializeToString())
+        try:
+            if dialer is None or not dialer.send(pb.Frame(call=call)):
+                raise FleetError(ErrorKind.NO_LEADER, name)
+            status = await asyncio.wait_for(outcome, FORWARD_S)
+        except TimeoutError as error:
+            raise FleetError(ErrorKind.OUTCOME_UNKNOWN, name) from error
+        finally:
+            del self._pending[identity]
+        if status != 200:
+            raise FleetError(ErrorKind.OUTCOME_UNKNOWN, name)
+
+    async def answer(self, channel: Channel, call: pb.Call) -> None:
+        """Carry out a call that another process handed over."""
+        status = 200
+        try:
+            if call.subject not in WORKER_GROUPS or call.method not in (PUT_WORKER, REMOVE_WORKER):
+                raise FleetError(ErrorKind.MALFORMED, call.method)
+            if not self.host.leads(call.subject):
+                raise FleetError(ErrorKind.NO_LEADER, call.subject)
+            await self._own(call.subject, call.method, pb.Worker.FromString(call.body))
+        except FleetError as error:
+            status = error.answer.status
+        channel.send(pb.Frame(reply=pb.Reply(id=call.id, status=status)))
+
+    def replied(self, reply: pb.Reply) -> None:
+        """The answer to a call that was handed over has come."""
+        outcome = self._pending.get(reply.id)
+        if outcome is not None and not outcome.done():
+            outcome.set_result(reply.status)
+
+    def became_owner(self, name: str) -> None:
+        """This process has a group's lead."""
+        if name in self.liveness:
+            self.liveness[name].begin(self.clock())
+
+    async def look_for_silence(self) -> None:
+        """Propose what follows from missing heartbeats, in the shards that this process owns."""
+        for name in WORKER_GROUPS:
+            if not self.host.leads(name):
+                continue
+            overdue = self.liveness[name].overdue(self.clock())
+            if not overdue:
+                continue
+            logging.info("%s: silent: %s", name, ", ".join(worker.id for worker in overdue))
+            try:
+                await self.host.propose(name, pb.WorkerCommand(workers=overdue).SerializeToString())
+            except FleetError as error:
+                logging.warning("%s: silence not noted: %s", name, error)
+
+    # -- The operator ------------------------------------------------------------------------------
+
+    async def put_configuration(self, body: bytes, base_version: int) -> None:
+        """Put a configuration in force, at the owner of its shard.  Raises FleetError."""
+        parsed = configuration.parse(body)
+        digest = hashlib.sha256(b"%d\n" % base_version + body).digest()[:16]
+        machine = self.host.groups[CONFIGURATION].machine
+        command = pb.PutConfiguration(
+            version=parsed.version, base_version=base_version, digest=digest, body=body
+        )
+        outcome = await self.host.propose(CONFIGURATION, command.SerializeToString())
+        if outcome is PutOutcome.MISMATCH:
+            raise FleetError(ErrorKind.VERSION_MISMATCH, f"current version is {machine.version}")
+        if outcome is PutOutcome.NOT_NEWER:
+            raise FleetError(ErrorKind.INVALID_CONFIGURATION, f"Version: not above {machine.version}")
+
+    def configuration(self) -> bytes | None:
+        """The newest configuration, or None before the first.  Raises FleetError(NO_LEADER) without a lease."""
+        if not self.host.has_lease(CONFIGURATION):
+            raise FleetError(ErrorKind.NO_LEADER, CONFIGURATION)
+        machine = self.host.groups[CONFIGURATION].machine
+        return machine.body if machine.version else None
+
+    def configuration_owner(self) -> str | None:
+        """Control address of the owner of the configuration's shard, if it is another process."""
+        if self.host.leads(CONFIGURATION):
+            return None
+        leader = self.host.leader(CONFIGURATION)
+        if leader is None:
+            raise FleetError(ErrorKind.NO_LEADER, CONFIGURATION)
+        return leader.control_address
+
+
+def worker_from_registration(worker_id: str, body: bytes) -> pb.Worker:
+    """A worker from the body of its heartbeat.  Raises FleetError(UNREADABLE)."""
+    try:
+        raw = json.loads(body)
+        return pb.Worker(
+            id=worker_id,
+            service=raw["Service"],
+            address=raw["Address"],
+            zone=raw["Zone"],
+            software_version=str(raw.get("Version", "")),
+            capacity=max(int(raw.get("Capacity", 1)), 1),
+            state=STATES[raw["State"]],
+            phase=raw.get("Phase") or "",
+            sequence=int(raw.get("Sequence", 0)),
+            models=json.dumps(raw.get("Models") or [], separators=(",", ":")),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise FleetError(ErrorKind.UNREADABLE, f"{type(error).__name__}: {error}") from error
--- /dev/null
+++ b/molespur/system/control_plane/http.py
@@ -0,0 +1,67 @@
+"""HTTP of the control plane: registrations of workers, and the operator's configuration."""
+
+from absl import logging
+from quart import Quart, Response, request
+
+from ..errors import ErrorKind, FleetError
+from .calls import ControlCalls, worker_from_registration
+
+MAX_CONFIGURATION_BYTES = 8 << 20
+JSON = "application/json"
+
+
+def refusal(error: FleetError) -> Response:
+    """The answer that an error calls for: its status and one line."""
+    return Response(f"{error.detail or error.kind.value}\n", error.answer.status, content_type="text/plain")
+
+
+def create_app(calls: ControlCalls) -> Quart:
+    """The control plane's interface."""
+    app = Quart("molespur")
+    app.config["MAX_CONTENT_LENGTH"] = MAX_CONFIGURATION_BYTES
+
+    @app.errorhandler(FleetError)
+    async def failed(error: FleetError) -> Response:
+        return refusal(error)
+
+    @app.put("/api/instances/<worker_id>")
+    async def heartbeat(worker_id: str) -> Response:
+        worker = worker_from_registration(worker_id, await request.get_data())
+        owner = await calls.heartbeat(worker)
+        return Response(f'{{"HeartbeatEndpoint":"{owner}"}}', content_type=JSON)
+
+    @app.delete("/api/instances/<worker_id>")
+    async def remove(worker_id: str) -> Response:
+        await calls.remove(worker_id)
+        return Response("{}", content_type=JSON)
+
+    @app.put("/api/config")
+    async def put_configuration() -> Response:
+        owner = calls.configuration_owner()
+        if owner is not None:
+            return Response("", 307, {"Location": f"http://{owner}/api/config"})
+        try:
+            base_version = int(request.headers.get("If-Match", "").strip().strip('"') or 0)
+        except ValueError as error:
+            raise FleetError(ErrorKind.UNREADABLE, "If-Match is not a version") from error
+        body = await request.get_data()
+        try:
+            await calls.put_configuration(body, base_version)
+        except FleetError as error:
+            logging.info("configuration on top of %d not taken: %s", base_version, error)
+            raise
+        return Response("{}", content_type=JSON)
+
+    @app.get("/api/config")
+    async def get_configuration() -> Response:
+        owner = calls.configuration_owner()
+        if owner is not None:
+            return Response("", 307, {"Location": f"http://{owner}/api/config"})
+        body = calls.configuration()
+        return Response("", 404) if body is None else Response(body, content_type=JSON)
+
+    @app.get("/api/readyz")
+    async def ready() -> Response:
+        return Response("ok\n")
+
+    return app
--- /dev/null
+++ b/molespur/system/control_plane/role.py
@@ -0,0 +1,124 @@
+"""The control-plane role: one process that hosts replicas, serves the feed and answers HTTP."""
+
+import asyncio
+import time
+from random import Random
+
+from absl import logging
+
+from ..feed.source import FeedSource
+from ..membership.schedulers import SchedulerMonitor
+from ..rpc import molespur_pb2 as pb
+from ..rpc.channel import Channel
+from ..serving import serve, wait_for_stop
+from ..settings.process import ProcessSettings
+from ..shards.configuration import ConfigurationMachine
+from ..shards.host import ReplicaHost
+from ..shards.placement import CONFIGURATION, WORKER_GROUPS
+from ..storage.store import Store
+from ..workers.directory import WorkerDirectory
+from .calls import ControlCalls
+from .http import create_app
+
+FEED_HEARTBEAT_S = 0.4
+REPORT_S = 1.0
+SILENCE_CHECK_S = 0.3
+
+
+def clock() -> float:
+    """Milliseconds on the steady clock."""
+    return time.monotonic() * 1000.0
+
+
+class ControlPlane:
+    """One control-plane process put together from its parts."""
+
+    def __init__(self, settings: ProcessSettings):
+        self.settings = settings
+        store = Store(settings.data_directory or "/tmp/molespur-control")
+        machines = {CONFIGURATION: ConfigurationMachine()}
+        machines.update({name: WorkerDirectory() for name in WORKER_GROUPS})
+        self.host = ReplicaHost(settings, store, machines, clock, Random())
+        self.calls = ControlCalls(self.host, clock, settings.heartbeat_interval_ms)
+        self.feed = FeedSource(self.host, clock)
+        self.schedulers = SchedulerMonitor()
+        self.channels: set[Channel] = set()
+        self.host.on_change = self.feed.changed
+        self.host.on_restore = self.feed.restored
+        self.host.on_role = self._role_changed
+        self.host.on_frame = self._frame
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        stop = wait_for_stop()
+        loop = asyncio.get_running_loop()
+        background = [loop.create_task(self.host.run()), loop.create_task(self._repeat())]
+        await asyncio.sleep(0)  # the disk writer has started
+        listener = await loop.create_server(self._accept, self.settings.ip, self.settings.rpc_port)
+        served = asyncio.Event()
+        http = loop.create_task(serve(create_app(self.calls), self.settings.listen["ControlPlane"], served))
+        logging.info("control plane %s: replica %s", self.settings.node_name, self.host.replica_id)
+        await stop.wait()
+        logging.info("stopping")
+        await self.host.stop()
+        served.set()
+        await http
+        listener.close()
+        for task in background:
+            task.cancel()
+
+    def _accept(self) -> Channel:
+        channel = Channel(self._frame, self._lost)
+        self.channels.add(channel)
+        return channel
+
+    def _lost(self, channel: Channel) -> None:
+        self.channels.discard(channel)
+        self.feed.lost(channel)
+
+    def _role_changed(self, group: str) -> None:
+        if self.host.leads(group):
+            self.calls.became_owner(group)
+
+    def _frame(self, channel: Channel, frame: pb.Frame) -> None:
+        match frame.WhichOneof("body"):
+            case "consensus":
+                self.host.receive(frame.consensus)
+            case "join":
+                self.host.join_requested(frame.join)
+            case "subscribe":
+                channel.label = frame.subscribe.node
+                self.feed.subscribe(channel, frame.subscribe)
+                self._feed_heartbeat()
+            case "scheduler_heartbeat":
+                beat = frame.scheduler_heartbeat
+                self.schedulers.heartbeat(clock(), beat.node, beat.leaving)
+            case "monitor_report":
+                self.schedulers.report(clock(), channel.label or str(id(channel)), list(frame.monitor_report.alive))
+            case "call":
+                task = asyncio.get_running_loop().create_task(self.calls.answer(channel, frame.call))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            case "reply":
+                self.calls.replied(frame.reply)
+
+    def _feed_heartbeat(self) -> None:
+        self.feed.heartbeat(len(self.schedulers.alive(clock())))
+
+    async def _repeat(self) -> None:
+        """What is done again and again."""
+        reported = looked = 0.0
+        while True:
+            await asyncio.sleep(FEED_HEARTBEAT_S)
+            now = clock()
+            self.feed.start_waiting()
+            self._feed_heartbeat()
+            if now - reported >= REPORT_S * 1000:
+                reported = now
+                report = pb.Frame(monitor_report=pb.MonitorReport(alive=self.schedulers.own(now)))
+                for dialer in self.host.dialers.values():
+                    dialer.send(report)
+            if now - looked >= SILENCE_CHECK_S * 1000:
+                looked = now
+                await self.calls.look_for_silence()
--- /dev/null
+++ b/molespur/system/data_plane/__init__.py
@@ -0,0 +1,1 @@
+"""The data-plane role."""
--- /dev/null
+++ b/molespur/system/data_plane/ingress.py
@@ -0,0 +1,359 @@
+"""Clients' requests: read, routed, sent to workers as the exchange says, and answered."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from contextlib import suppress
+from itertools import count
+
+from absl import logging
+
+from ...policy.pair import Step
+from ..errors import ANSWERS, ErrorKind, FleetError
+from ..settings.configuration import STREAMING, Route, Service
+from . import exchange as machine
+from .client_request import ClientRequest, demand_of, read_head
+from .events import EventFilter
+from .exchange import Exchange, Failure
+from .state import DataPlaneState
+from .upstream import ATTEMPT_ID, EXPECTED_INSTANCE, NOT_EXECUTED, STAMP, Head, UpstreamError, UpstreamResponse, Upstreams
+
+BODY_TIMEOUT_S = 10.0
+PREFILL_PATIENCE = 4.0, 400.0  # forecasts, and ms, after which a prefill call is given up
+HANDLE_FREE_S = 1.0
+NOT_FORWARDED = frozenset((b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade"))
+
+
+class Ingress:
+    """Serves clients' requests on top of the state and the connections to workers."""
+
+    def __init__(self, state: DataPlaneState, upstreams: Upstreams, clock: Callable[[], float]):
+        self.state, self.upstreams, self.clock = state, upstreams, clock
+        self.stopping = False
+        self.open_requests = 0
+        self._keys = count()
+        self._background: set[asyncio.Task] = set()
+
+    async def serve(self, scope, receive, send) -> None:
+        """One request (ASGI)."""
+        self.open_requests += 1
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self.open_requests -= 1
+
+    async def _serve(self, scope, receive, send) -> None:
+        came_at = self.clock()
+        try:
+            request = read_head(scope, self.state.limits)
+            request.body = await self._read_body(receive)
+            route, service = self._route(request)
+        except FleetError as error:
+            await self._answer(send, error.kind)
+            return
+        except ClientGone:
+            return
+        work = asyncio.current_task()
+        watch = asyncio.get_running_loop().create_task(receive())
+        watch.add_done_callback(lambda task: None if task.cancelled() else work.cancel())
+        demand = demand_of(request, route, service, came_at, route.priority == self.state.lowest_priority)
+        call = ClientCall(self, request, route, service, demand, send)
+        try:
+            async with asyncio.timeout(max(demand.deadline_at - self.clock(), 0.0) / 1000.0):
+                await call.run()
+        except TimeoutError:
+            await call.out_of_time()
+        except asyncio.CancelledError:
+            if not watch.done():
+                raise
+        finally:
+            watch.cancel()
+
+    async def _read_body(self, receive) -> bytes:
+        limit = self.state.limits.max_body_bytes
+        chunks, size = [], 0
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                while True:
+                    message = await receive()
+                    if message["type"] == "http.disconnect":
+                        raise ClientGone
+                    chunk = message.get("body", b"")
+                    size += len(chunk)
+                    if size > limit:
+                        raise FleetError(ErrorKind.BODY_TOO_LARGE)
+                    chunks.append(chunk)
+                    if not message.get("more_body", False):
+                        return b"".join(chunks)
+        except TimeoutError as error:
+            raise FleetError(ErrorKind.BODY_TOO_SLOW) from error
+
+    def _route(self, request: ClientRequest) -> tuple[Route, Service]:
+        if self.state.routes is None:
+            raise FleetError(ErrorKind.NO_CONFIGURATION)
+        route = self.state.routes.find(request.host, request.path)
+        if route is None:
+            raise FleetError(ErrorKind.NO_ROUTE)
+        service = self.state.services[self.state.pick_service(route)]
+        self.state.budget(service.name).request(self.clock())
+        return route, service
+
+    async def _answer(self, send, kind: ErrorKind) -> None:
+        """Answer by ourselves."""
+        answer = ANSWERS[kind]
+        headers = [(b"content-length", b"0")]
+        if answer.retry_after_s is not None:
+            headers.append((b"retry-after", f"{answer.retry_after_s:.3f}".encode()))
+        if self.stopping or answer.status in (400, 413, 431, 408):
+            headers.append((b"connection", b"close"))
+        await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    def free_handle(self, address: str, handle: str, service: Service) -> None:
+        """Give memory back that nobody will take."""
+        task = asyncio.get_running_loop().create_task(self._free_handle(address, handle, service))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _free_handle(self, address: str, handle: str, service: Service) -> None:
+        target = f"/api/kv-handle/{handle}".encode()
+        with suppress(UpstreamError, TimeoutError):
+            async with asyncio.timeout(HANDLE_FREE_S):
+                response = await self.upstreams.call(
+                    address, "DELETE", target, [(b"Host", address.encode())], b"", self.state.connections(service)
+                )
+                try:
+                    await response.read()
+                finally:
+                    await response.close()
+
+
+class ClientGone(Exception):
+    """The client has left."""
+
+
+class ClientCall:
+    """Carries out what the exchange of one request says."""
+
+    def __init__(self, ingress: Ingress, request: ClientRequest, route: Route, service: Service, demand, send):
+        self.ingress, self.request, self.route, self.service = ingress, request, route, service
+        self.demand, self.send = demand, send
+        self.clock = ingress.clock
+        state = ingress.state
+        self.policy = state.policy
+        self.exchange = Exchange(
+            route,
+            demand,
+            state.policy,
+            lambda: state.usable_workers(service.name),
+            lambda now: state.budget(service.name).spend(now),
+        )
+        self.head_sent = False
+        self.events = EventFilter(last_id=request.last_event_id)
+        self.held: tuple[str, str] | None = None  # address and handle that were not taken up yet
+
+    async def run(self) -> None:
+        """Go on until the request is answered."""
+        action = self.exchange.handle(self.clock(), machine.Begin())
+        try:
+            while not isinstance(action, machine.Finish):
+                action = await self._carry_out(action)
+        finally:
+            self._free()
+
+    async def _carry_out(self, action: machine.Action) -> machine.Action:
+        match action:
+            case machine.Read(step):
+                event = await self._attempt(step, self._read_prompt)
+            case machine.Run(step):
+                event = await self._attempt(step, self._run_call, action)
+            case machine.Answer(kind):
+                await self.ingress._answer(self.send, kind)
+                return machine.Finish()
+            case machine.Cut():
+                raise AnswerCut
+        return self.exchange.handle(self.clock(), event)
+
+    async def _attempt(self, step: Step, call, *arguments) -> machine.Event:
+        """One call to a worker, counted as own work there for as long as it takes."""
+        key, begun = next(self.ingress._keys), self.clock()
+        self.policy.begin(begun, step, self.demand, key)
+        failed = True
+        try:
+            event = await call(step, begun, *arguments)
+            failed = isinstance(event, machine.AnswerBroken)
+            return event
+        except UpstreamError as error:
+            failed = error.failure is not Failure.REJECTED
+            logging.vlog(1, "%s at %s: %s", self.request.attempt_id.decode("latin1"), step.worker.id, error)
+            return machine.AnswerBroken() if self.head_sent else machine.AttemptFailed(error.failure)
+        except asyncio.CancelledError:
+            failed = False
+            raise
+        finally:
+            now = self.clock()
+            self.policy.ended(now, step, key, failed, now - begun)
+
+    async def _call(self, step: Step, extra: list[tuple[bytes, bytes]]) -> UpstreamResponse:
+        left = self.demand.deadline_at - self.clock()
+        headers = self.request.headers
+        if any(name == b"Last-Event-Id" for name, _ in extra):
+            headers = [(k, v) for k, v in headers if k.lower() != b"last-event-id"]
+        headers = [
+            *headers,
+            (b"Molespur-Deadline-Ms", str(max(int(left), 1)).encode()),
+            (EXPECTED_INSTANCE, step.worker.id.encode()),
+            *extra,
+        ]
+        response = await self.ingress.upstreams.call(
+            step.worker.address,
+            self.request.method,
+            self.request.target,
+            headers,
+            self.request.body,
+            self.ingress.state.connections(self.service),
+        )
+        try:
+            check_head(response.head, self.request.attempt_id)
+        except UpstreamError:
+            await response.close()
+            raise
+        return response
+
+    # -- The prompt read apart -------------------------------------------------------------------
+
+    async def _read_prompt(self, step: Step, begun: float) -> machine.Event:
+        forecasts, least = PREFILL_PATIENCE
+        patience = max(forecasts * step.forecast, least) / 1000.0
+        try:
+            async with asyncio.timeout(patience):
+                response = await self._call(step, [(b"Molespur-Serving-Phase", b"prefill")])
+                try:
+                    body = await response.read()
+                finally:
+                    await response.close()
+        except TimeoutError as error:
+            raise UpstreamError(Failure.MAY_HAVE_RUN, "no answer to the prefill call") from error
+        if response.head.status != 200:
+            raise UpstreamError(Failure.MAY_HAVE_RUN, f"status {response.head.status}")
+        handle = read_handle(body)
+        now = self.clock()
+        self.policy.first_answer(now, step, self.demand, now - begun)
+        self.held = (step.worker.address, handle)
+        return machine.PromptRead(handle)
+
+    def _free(self) -> None:
+        if self.held is not None:
+            self.ingress.free_handle(*self.held, self.service)
+            self.held = None
+
+    # -- The answer ------------------------------------------------------------------------------
+
+    async def _run_call(self, step: Step, begun: float, action: machine.Run) -> machine.Event:
+        extra = []
+        if action.source is not None:
+            extra.append((b"Kv-From", f"{action.source.address}/{action.handle}".encode()))
+        if action.resume and self.events.last_id:
+            extra.append((b"Last-Event-Id", self.events.last_id))
+        response = await self._call(step, extra)
+        self.held = None
+        try:
+            if self.route.type == STREAMING and 200 <= response.head.status < 300:
+                return await self._relay_events(step, begun, response)
+            return await self._relay_whole(step, begun, response)
+        finally:
+            await response.close()
+
+    async def _relay_whole(self, step: Step, begun: float, response: UpstreamResponse) -> machine.Event:
+        """An answer that is read whole before it goes on."""
+        body = await response.read()
+        if response.head.get(b"content-length") is None and response.head.get(b"transfer-encoding") is None:
+            raise UpstreamError(Failure.MAY_HAVE_RUN, "an answer without framing may be cut short")
+        now = self.clock()
+        self.policy.first_answer(now, step, self.demand, now - begun)
+        if self.head_sent:  # an error in place of the rest of a stream
+            raise UpstreamError(Failure.MAY_HAVE_RUN, f"status {response.head.status}")
+        await self._send_head(response.head, len(body))
+        await self.send({"type": "http.response.body", "body": body, "more_body": False})
+        return machine.AnswerEnded()
+
+    async def _relay_events(self, step: Step, begun: float, response: UpstreamResponse) -> machine.Event:
+        """A stream: each whole event goes on as it comes."""
+        framed = response.head.get(b"transfer-encoding") or response.head.get(b"content-length")
+        first = True
+        try:
+            async for chunk in response.chunks():
+                if first:
+                    first = False
+                    now = self.clock()
+                    self.policy.first_answer(now, step, self.demand, now - begun)
+                whole = self.events.feed(chunk)
+                if whole:
+                    await self._send_events(response.head, whole)
+            if not framed:
+                raise UpstreamError(Failure.MAY_HAVE_RUN, "a stream without framing may be cut short")
+        except UpstreamError:
+            self.events.drop_rest()
+            raise
+        rest = self.events.rest()
+        if not self.head_sent:
+            await self._begin(response.head)
+        await self.send({"type": "http.response.body", "body": rest, "more_body": False})
+        return machine.AnswerEnded()
+
+    async def _send_events(self, head: Head, events: bytes) -> None:
+        if not self.head_sent:
+            await self._begin(head)
+        await self.send({"type": "http.response.body", "body": events, "more_body": True})
+
+    async def _begin(self, head: Head) -> None:
+        await self._send_head(head, None)
+        self.exchange.handle(self.clock(), machine.AnswerBegun())
+
+    async def _send_head(self, head: Head, length: int | None) -> None:
+        self.head_sent = True
+        headers = [(k, v) for k, v in head.headers if k not in NOT_FORWARDED and k != b"content-length"]
+        if length is not None:
+            headers.append((b"content-length", str(length).encode()))
+        if self.ingress.stopping:
+            headers.append((b"connection", b"close"))
+        await self.send({"type": "http.response.start", "status": head.status, "headers": headers})
+
+    async def out_of_time(self) -> None:
+        """The time that the client or the route allows is over."""
+        if self.head_sent:
+            raise AnswerCut
+        ran = self.exchange.runs or self.exchange.state is machine.State.RUNNING
+        kind = ErrorKind.OUT_OF_TIME if ran else ErrorKind.OUT_OF_TIME_UNSENT
+        await self.ingress._answer(self.send, kind)
+
+
+class AnswerCut(Exception):
+    """The client's answer can't be ended: its connection is closed without an end."""
+
+
+def check_head(head: Head, attempt_id: bytes) -> None:
+    """Raise UpstreamError unless this is a worker's answer to this attempt that can go to the client."""
+    if head.get(ATTEMPT_ID) != attempt_id:
+        if head.get(NOT_EXECUTED) is not None or head.status == 421:
+            raise UpstreamError(Failure.REJECTED, f"status {head.status}")
+        raise UpstreamError(Failure.MAY_HAVE_RUN, "an answer to another request")
+    if head.get(NOT_EXECUTED) is not None or head.status == 421:
+        raise UpstreamError(Failure.REJECTED, f"status {head.status}")
+    if head.get(b"content-encoding") is not None:
+        raise UpstreamError(Failure.MAY_HAVE_RUN, "an encoded body")
+    if head.status < 200 or (head.status < 300 and head.get(STAMP) is None and head.get(b"content-type") != b"application/json"):
+        raise UpstreamError(Failure.MAY_HAVE_RUN, f"status {head.status} without a stamp")
+    if head.status in (429, 503, 408) or 300 <= head.status < 400:
+        raise UpstreamError(Failure.MAY_HAVE_RUN, f"status {head.status} without a promise")
+
+
+def read_handle(body: bytes) -> str:
+    """The handle that a prefill call has given.  Raises UpstreamError."""
+    try:
+        handle = json.loads(body)["PrefillHandle"]
+    except (ValueError, KeyError, TypeError) as error:
+        raise UpstreamError(Failure.MAY_HAVE_RUN, f"no handle: {error!r}") from error
+    if not isinstance(handle, str) or not handle.isalnum():
+        raise UpstreamError(Failure.MAY_HAVE_RUN, "a handle that makes no sense")
+    return handle
--- /dev/null
+++ b/molespur/system/data_plane/state.py
@@ -0,0 +1,154 @@
+"""What a data-plane process knows: the configuration in force, the workers, its part of the budgets."""
+
+import json
+from random import Random
+
+from absl import logging
+
+from ...policy.pair import PairPolicy
+from ...policy.tracking import Report, WorkerTrack
+from ..errors import FleetError
+from ..rpc import molespur_pb2 as pb
+from ..settings import configuration
+from ..settings.configuration import Configuration, Limits, Service
+from ..settings.process import ProcessSettings
+from ..shards.placement import CONFIGURATION
+from .budget import RetryBudget
+from .routes import RouteTable
+
+CONNECTION_SHARE = 0.9  # part of a worker's connections that all schedulers together may use
+LEAST_CONNECTIONS = 2
+ASSUMED_SCHEDULERS = 32  # while the control plane has not told how many there are
+CACHE_SHARE = 0.6  # part of a worker's memory that prompts lately sent there are expected to keep
+
+
+class DataPlaneState:
+    """Everything that requests are decided on.  Fed by the feed, read by the ingress."""
+
+    def __init__(self, settings: ProcessSettings, random: Random):
+        self.settings, self.random = settings, random
+        self.policy = PairPolicy(settings.zone, random)
+        self.configuration: Configuration | None = None
+        self.routes: RouteTable | None = None
+        self.services: dict[str, Service] = {}
+        self.lowest_priority = 0
+        self.workers: dict[str, dict[str, WorkerTrack]] = {}  # service -> id -> worker
+        self.groups: dict[str, set[str]] = {}  # group -> worker ids told by it
+        self.service_of: dict[str, str] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        self.schedulers = 0
+        self.gone: list[str] = []  # addresses whose connections can be closed
+
+    # -- The feed ------------------------------------------------------------------------------
+
+    def update(self, group: str, snapshot: bool, payload: bytes) -> None:
+        """Take one step of the feed."""
+        if group == CONFIGURATION:
+            self._put_configuration(pb.ConfigurationState.FromString(payload))
+            return
+        workers = pb.WorkerSet.FromString(payload).workers
+        if snapshot:
+            told = {worker.id for worker in workers}
+            for worker_id in self.groups.get(group, set()) - told:
+                self._remove(group, worker_id)
+        for worker in workers:
+            if worker.state == pb.GONE:
+                self._remove(group, worker.id)
+            else:
+                self._put_worker(group, worker)
+
+    def _put_configuration(self, state: pb.ConfigurationState) -> None:
+        if not state.version or (self.configuration and state.version <= self.configuration.version):
+            return
+        try:
+            parsed = configuration.parse(state.body)
+        except FleetError as error:
+            logging.error("configuration %d can't be used: %s", state.version, error)
+            return
+        self.configuration = parsed
+        self.routes = RouteTable(parsed)
+        self.services = {service.name: service for service in parsed.services}
+        self.lowest_priority = max((route.priority for route in parsed.routes), default=0)
+        for name in self.services:
+            self._set_capacity(name)
+        logging.info("configuration %d in force: %d routes", parsed.version, len(parsed.routes))
+
+    def _put_worker(self, group: str, worker: pb.Worker) -> None:
+        self.groups.setdefault(group, set()).add(worker.id)
+        self.service_of[worker.id] = worker.service
+        known = self.workers.setdefault(worker.service, {})
+        track = known.get(worker.id)
+        if track is None:
+            track = known[worker.id] = WorkerTrack(
+                worker.id, worker.address, worker.zone, worker.phase, worker.capacity
+            )
+            self._set_capacity(worker.service)
+        track.phase = worker.phase
+        track.usable = worker.state != pb.DRAINING
+        track.silent = worker.state == pb.SILENT
+
+    def _remove(self, group: str, worker_id: str) -> None:
+        self.groups.get(group, set()).discard(worker_id)
+        track = self.workers.get(self.service_of.pop(worker_id, ""), {}).pop(worker_id, None)
+        if track is not None:
+            track.usable = False
+            self.gone.append(track.address)
+
+    def _set_capacity(self, service: str) -> None:
+        shape = self.services.get(service)
+        engine = shape.engine if shape else None
+        for track in self.workers.get(service, {}).values():
+            track.capacity_tokens = CACHE_SHARE * engine.kv_capacity_tokens if engine else 0.0
+
+    # -- What requests ask ---------------------------------------------------------------------
+
+    @property
+    def limits(self) -> Limits:
+        """What clients may send."""
+        return self.configuration.limits if self.configuration else Limits()
+
+    def usable_workers(self, service: str) -> list[WorkerTrack]:
+        """The workers of a service that the control plane lists."""
+        return list(self.workers.get(service, {}).values())
+
+    def connections(self, service: Service) -> int:
+        """How many connections this scheduler may have to one worker."""
+        schedulers = self.schedulers or ASSUMED_SCHEDULERS
+        return max(int(CONNECTION_SHARE * service.max_connections / schedulers), LEAST_CONNECTIONS)
+
+    def budget(self, service: str) -> RetryBudget:
+        """This scheduler's part of a service's retry budget."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            bounds = self.settings.bounds
+            budget = self.budgets[service] = RetryBudget(
+                bounds.retry_budget_ratio, bounds.retry_budget_min, bounds.retry_window_s * 1000.0
+            )
+        return budget
+
+    def count_schedulers(self, now: float, count: int) -> None:
+        """The control plane knows of this many schedulers."""
+        self.schedulers = max(count, self.schedulers) if count else self.schedulers
+        for service in self.services:
+            self.budget(service).schedulers(now, count)
+
+    def pick_service(self, route) -> str:
+        """One of the route's services, by its weights."""
+        targets = route.targets()
+        if len(targets) == 1:
+            return targets[0].service
+        weights = [target.weight for target in targets]
+        return self.random.choices(targets, weights)[0].service
+
+    @staticmethod
+    def take_report(track: WorkerTrack, now: float, body: bytes) -> None:
+        """A worker's own word on its load.  Raises ValueError for one that can't be read."""
+        raw = json.loads(body)
+        if not isinstance(raw, dict):
+            raise ValueError("not an object")
+        numbers = [raw.get(key, 0) for key in ("Active", "Queued", "KvUsed", "KvTotal")]
+        if not all(isinstance(number, int | float) and number >= 0 for number in numbers):
+            raise ValueError("not numbers")
+        track.report = Report(now, *numbers)
+        if raw.get("Phase") in ("prefill", "decode"):
+            track.phase = raw["Phase"]
--- /dev/null
+++ b/molespur/system/data_plane/upstream.py
@@ -0,0 +1,118 @@
+"""Calls to workers by httpx: one transport for each worker, raw bytes both ways, no retries of its own.
+
+A call fails with `UpstreamError`, which says how far it came.
+"""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import httpx
+
+from .exchange import Failure
+
+CONNECT_TIMEOUT_S = 0.5
+WRITE_TIMEOUT_S = 2.0
+KEEP_ALIVE_S = 4.0
+READ_LIMIT = 8 << 20
+NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+BROKEN_ERRORS = (httpx.TransportError, httpx.InvalidURL)
+
+ATTEMPT_ID = b"molespur-attempt-id"
+NOT_EXECUTED = b"molespur-not-executed"
+STAMP = b"molespur-server-stamp"
+EXPECTED_INSTANCE = b"Molespur-Expected-Instance"
+
+
+class UpstreamError(Exception):
+    """A call has failed; `failure` says how far it came."""
+
+    def __init__(self, failure: Failure, detail: str):
+        super().__init__(f"{failure.value}: {detail}")
+        self.failure = failure
+
+
+@dataclass(slots=True)
+class Head:
+    """Status and headers of a worker's answer; names are in lower case."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+
+    def get(self, name: bytes) -> bytes | None:
+        """The first header of this name."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+class UpstreamResponse:
+    """An answer whose body is still to come."""
+
+    def __init__(self, response: httpx.Response):
+        self._response = response
+        self.head = Head(response.status_code, [(k.lower(), v) for k, v in response.headers.raw])
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """The body as it arrives.  Raises UpstreamError when it breaks off."""
+        try:
+            async for chunk in self._response.stream:
+                yield chunk
+        except BROKEN_ERRORS as error:
+            raise UpstreamError(Failure.MAY_HAVE_RUN, repr(error)) from error
+
+    async def read(self) -> bytes:
+        """The whole body.  Raises UpstreamError when it breaks off or is too large."""
+        body = bytearray()
+        async for chunk in self.chunks():
+            body += chunk
+            if len(body) > READ_LIMIT:
+                raise UpstreamError(Failure.MAY_HAVE_RUN, "the answer is too large")
+        return bytes(body)
+
+    async def close(self) -> None:
+        """Give the connection back, or close it where the answer was not read to its end."""
+        await self._response.aclose()
+
+
+class Upstreams:
+    """The connections to all workers."""
+
+    def __init__(self):
+        self._transports: dict[str, httpx.AsyncHTTPTransport] = {}
+
+    def _transport(self, address: str, connections: int) -> httpx.AsyncHTTPTransport:
+        transport = self._transports.get(address)
+        if transport is None:
+            limits = httpx.Limits(
+                max_connections=connections, max_keepalive_connections=connections, keepalive_expiry=KEEP_ALIVE_S
+            )
+            transport = self._transports[address] = httpx.AsyncHTTPTransport(
+                limits=limits, retries=0, trust_env=False, verify=False
+            )
+        return transport
+
+    async def call(
+        self, address: str, method: str, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes, connections: int
+    ) -> UpstreamResponse:
+        """Send a request and wait for the head of its answer.  Raises UpstreamError."""
+        request = httpx.Request(
+            method,
+            f"http://{address}/",
+            headers=headers,
+            content=body,
+            extensions={
+                "target": target,
+                "timeout": {"connect": CONNECT_TIMEOUT_S, "pool": CONNECT_TIMEOUT_S, "write": WRITE_TIMEOUT_S},
+            },
+        )
+        try:
+            response = await self._transport(address, connections).handle_async_request(request)
+        except NOT_SENT_ERRORS as error:
+            raise UpstreamError(Failure.NOT_SENT, repr(error)) from error
+        except BROKEN_ERRORS as error:
+            raise UpstreamError(Failure.MAY_HAVE_RUN, repr(error)) from error
+        return UpstreamResponse(response)
+
+    async def forget(self, address: str) -> None:
+        """Close the connections to a worker that is gone."""
+        transport = self._transports.pop(address, None)
+        if transport is not None:
+            await transport.aclose()
--- /dev/null
+++ b/molespur/system/errors.py
@@ -0,0 +1,76 @@
+"""The closed list of error kinds of the fleet, and the answer that each calls for."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class ErrorKind(Enum):
+    """Everything that can go wrong with a request or a call."""
+
+    # a client's request
+    MALFORMED = "malformed"
+    HEADERS_TOO_LARGE = "headers-too-large"
+    BODY_TOO_LARGE = "body-too-large"
+    BODY_TOO_SLOW = "body-too-slow"
+    NO_ROUTE = "no-route"
+    NO_CONFIGURATION = "no-configuration"
+    STOPPING = "stopping"
+    NO_WORKER = "no-worker"
+    OVERLOADED = "overloaded"
+    OUT_OF_TIME_UNSENT = "out-of-time-unsent"
+    REJECTED = "rejected"  # every worker that was asked said that it did not run the request
+    MAY_HAVE_RUN = "may-have-run"
+    OUT_OF_TIME = "out-of-time"
+    # a call of the operator or of a worker
+    UNREADABLE = "unreadable"
+    INVALID_CONFIGURATION = "invalid-configuration"
+    VERSION_MISMATCH = "version-mismatch"
+    NO_LEADER = "no-leader"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    # a process
+    BAD_SETTINGS = "bad-settings"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller is told: a status, and whether it promises that the request did not and will not run."""
+
+    status: int
+    promises_not_run: bool = False
+    retry_after_s: float | None = None
+
+
+ANSWERS = {
+    ErrorKind.MALFORMED: Answer(400),
+    ErrorKind.HEADERS_TOO_LARGE: Answer(431),
+    ErrorKind.BODY_TOO_LARGE: Answer(413),
+    ErrorKind.BODY_TOO_SLOW: Answer(408, promises_not_run=True),
+    ErrorKind.NO_ROUTE: Answer(404),
+    ErrorKind.NO_CONFIGURATION: Answer(503, promises_not_run=True, retry_after_s=0.3),
+    ErrorKind.STOPPING: Answer(503, promises_not_run=True, retry_after_s=0.05),
+    ErrorKind.NO_WORKER: Answer(503, promises_not_run=True, retry_after_s=0.2),
+    ErrorKind.OVERLOADED: Answer(503, promises_not_run=True, retry_after_s=0.25),
+    ErrorKind.OUT_OF_TIME_UNSENT: Answer(503, promises_not_run=True, retry_after_s=0.2),
+    ErrorKind.REJECTED: Answer(503, promises_not_run=True, retry_after_s=0.1),
+    ErrorKind.MAY_HAVE_RUN: Answer(502),
+    ErrorKind.OUT_OF_TIME: Answer(504),
+    ErrorKind.UNREADABLE: Answer(400),
+    ErrorKind.INVALID_CONFIGURATION: Answer(400),
+    ErrorKind.VERSION_MISMATCH: Answer(412),
+    ErrorKind.NO_LEADER: Answer(503),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(503),
+}
+"""The one table from kind to answer.  `BAD_SETTINGS` ends the process and has no answer."""
+
+
+class FleetError(Exception):
+    """An error of a known kind.  `detail` is one line for the caller or the log."""
+
+    def __init__(self, kind: ErrorKind, detail: str = ""):
+        super().__init__(f"{kind.value}: {detail}" if detail else kind.value)
+        self.kind, self.detail = kind, detail
+
+    @property
+    def answer(self) -> Answer:
+        """What the caller is told."""
+        return ANSWERS[self.kind]
--- /dev/null
+++ b/molespur/system/rpc/channel.py
@@ -0,0 +1,149 @@
+"""Channels between processes of the fleet: length-prefixed protobuf frames over TCP.
+
+A `Channel` is one connection, from either side.  A `Dialer` keeps one open to an address and dials again
+after it breaks.  Frames may be lost with a connection; whoever needs an answer sends again.
+"""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from absl import logging
+
+from . import molespur_pb2 as pb
+
+LENGTH_BYTES = 4
+MAX_FRAME_BYTES = 24 << 20
+MAX_BUFFERED_BYTES = 32 << 20  # a peer that lets more than this wait is cut off
+USER_TIMEOUT_MS = 1500  # a peer behind a cut says nothing: bytes unacknowledged this long end the connection
+CONNECT_TIMEOUT_S = 1.0
+REDIAL_S = (0.1, 0.2, 0.4, 0.5)
+
+
+class Channel(asyncio.Protocol):
+    """One connection that carries frames.  `on_frame` and `on_lost` are called in the event loop."""
+
+    def __init__(self, on_frame: Callable, on_lost: Callable):
+        self.on_frame, self.on_lost = on_frame, on_lost
+        self.transport: asyncio.Transport | None = None
+        self._received = bytearray()
+        self._outgoing: list[bytes] = []
+        self.label = ""  # who is at the other end, once it has said so
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Set the socket's options (asyncio callback)."""
+        self.transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Cut the bytes into frames (asyncio callback)."""
+        self._received += data
+        while len(self._received) >= LENGTH_BYTES:
+            length = int.from_bytes(self._received[:LENGTH_BYTES], "big")
+            if length > MAX_FRAME_BYTES:
+                logging.warning("rpc frame of %d bytes from %s: connection closed", length, self.label)
+                self.close()
+                return
+            end = LENGTH_BYTES + length
+            if len(self._received) < end:
+                return
+            frame = bytes(self._received[LENGTH_BYTES:end])
+            del self._received[:end]
+            self._take(frame)
+
+    def _take(self, data: bytes) -> None:
+        try:
+            frame = pb.Frame.FromString(data)
+        except Exception:  # protobuf's DecodeError has no stable home among its implementations
+            logging.warning("rpc frame from %s can't be read: connection closed", self.label)
+            self.close()
+            return
+        self.on_frame(self, frame)
+
+    def connection_lost(self, _error: Exception | None) -> None:
+        """Tell the owner (asyncio callback)."""
+        self.transport = None
+        self.on_lost(self)
+
+    @property
+    def open(self) -> bool:
+        """Whether frames can be sent."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def send(self, frame: pb.Frame) -> bool:
+        """Send a frame; frames of one turn of the loop leave in one write.  False: the channel is closed."""
+        if not self.open:
+            return False
+        if not self._outgoing:
+            asyncio.get_running_loop().call_soon(self._flush)
+        data = frame.SerializeToString()
+        self._outgoing.append(len(data).to_bytes(LENGTH_BYTES, "big") + data)
+        return True
+
+    def _flush(self) -> None:
+        data, self._outgoing = b"".join(self._outgoing), []
+        if not self.open:
+            return
+        self.transport.write(data)
+        if self.transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
+            logging.warning("rpc peer %s does not read: connection closed", self.label)
+            self.transport.abort()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.transport is not None:
+            self._flush()
+            if self.transport is not None:
+                self.transport.close()
+
+
+class Dialer:
+    """Keeps a channel open to one address.  `on_open` is called with each new channel."""
+
+    def __init__(self, address: str, on_frame: Callable, on_open: Callable | None = None, on_lost=None):
+        self.address, self.on_frame, self.on_open, self.on_lost = address, on_frame, on_open, on_lost
+        self.channel: Channel | None = None
+        self._stopped = False
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def send(self, frame: pb.Frame) -> bool:
+        """Send a frame if the channel is open now."""
+        return self.channel is not None and self.channel.send(frame)
+
+    def stop(self) -> None:
+        """Close the channel and dial no more."""
+        self._stopped = True
+        self._task.cancel()
+        if self.channel is not None:
+            self.channel.close()
+
+    async def _run(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        failures = 0
+        while not self._stopped:
+            lost = asyncio.Event()
+            try:
+                channel = await self._connect(host, int(port), lost)
+            except (OSError, TimeoutError):
+                delay = REDIAL_S[min(failures, len(REDIAL_S) - 1)]
+                failures += 1
+                await asyncio.sleep(delay)
+                continue
+            failures = 0
+            channel.label = self.address
+            self.channel = channel
+            if self.on_open is not None:
+                self.on_open(channel)
+            await lost.wait()
+            self.channel = None
+            if self.on_lost is not None:
+                self.on_lost(channel)
+            await asyncio.sleep(REDIAL_S[0])
+
+    async def _connect(self, host: str, port: int, lost: asyncio.Event) -> Channel:
+        loop = asyncio.get_running_loop()
+        made = loop.create_connection(lambda: Channel(self.on_frame, lambda _channel: lost.set()), host, port)
+        _transport, channel = await asyncio.wait_for(made, CONNECT_TIMEOUT_S)
+        return channel
--- /dev/null
+++ b/molespur/system/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process, and the configurations of the operator."""
--- /dev/null
+++ b/molespur/system/shards/configuration.py
@@ -0,0 +1,62 @@
+"""The shard of the operator's configuration: versions that build on one another."""
+
+from enum import Enum
+
+from zope.interface import implementer
+
+from ..rpc import molespur_pb2 as pb
+from .interfaces import IStateMachine
+
+
+class PutOutcome(Enum):
+    """What became of a change."""
+
+    TAKEN = "taken"  # it is in force, or was: also for one that comes again
+    MISMATCH = "mismatch"  # it builds on another version than the current one
+    NOT_NEWER = "not-newer"  # its version is not above the current one
+
+
+@implementer(IStateMachine)
+class ConfigurationMachine:
+    """The current configuration, and which changes were ever taken."""
+
+    def __init__(self):
+        self.version, self.body = 0, b""
+        self.taken: dict[bytes, None] = {}
+
+    @property
+    def size(self) -> int:
+        """Bytes that a snapshot takes, roughly."""
+        return len(self.body) + 20 * len(self.taken)
+
+    def apply(self, data: bytes) -> tuple[PutOutcome, bytes | None]:
+        """Take one change if it builds on the current version.
+
+        A change that was taken before is told so again, whatever came after it: its first acknowledgement
+        may have been lost, and it must never be refused.
+        """
+        command = pb.PutConfiguration.FromString(data)
+        if command.digest in self.taken:
+            return PutOutcome.TAKEN, None
+        if command.base_version != self.version:
+            return PutOutcome.MISMATCH, None
+        if command.version <= self.version:
+            return PutOutcome.NOT_NEWER, None
+        self.version, self.body = command.version, command.body
+        self.taken[command.digest] = None
+        return PutOutcome.TAKEN, self.feed_snapshot()
+
+    def snapshot(self) -> bytes:
+        """All state, for another replica."""
+        state = pb.ConfigurationState(version=self.version, body=self.body, taken_digests=list(self.taken))
+        return state.SerializeToString()
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by that of a snapshot."""
+        state = pb.ConfigurationState.FromString(data)
+        self.version, self.body = state.version, state.body
+        self.taken = dict.fromkeys(state.taken_digests)
+
+    def feed_snapshot(self) -> bytes:
+        """The current configuration, for the data plane."""
+        return pb.ConfigurationState(version=self.version, body=self.body).SerializeToString()
--- /dev/null
+++ b/molespur/system/storage/__init__.py
@@ -0,0 +1,1 @@
+"""What a control-plane process keeps on its disk."""
--- /dev/null
+++ b/molespur/system/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Registrations of workers, and what they report."""
--- /dev/null
+++ b/molespur/system/workers/liveness.py
@@ -0,0 +1,82 @@
+"""Heartbeats of workers at the owner of their shard: which are new, late, or missing.
+
+Pure: times are milliseconds on a steady clock.  The owner proposes what `heartbeat` and `overdue` return.
+"""
+
+from ..rpc import molespur_pb2 as pb
+from .directory import WorkerDirectory
+
+MISSED_HEARTBEATS = 3.2  # intervals of silence after which a worker counts as silent
+GONE_AFTER_MS = 30_000.0  # a silent worker is dropped after this time
+PAUSE_MS = 1000.0  # a gap between two looks by which this process itself stood still
+
+
+class WorkerLiveness:
+    """What the owner of a shard remembers of the heartbeats of its workers."""
+
+    def __init__(self, directory: WorkerDirectory, interval_ms: float):
+        self.directory = directory
+        self.silent_after_ms = MISSED_HEARTBEATS * interval_ms
+        self.heard: dict[str, float] = {}
+        self.sequences: dict[str, int] = {}
+        self.looked_at = 0.0
+
+    def begin(self, now: float) -> None:
+        """Start as owner: every worker gets a whole interval to be heard here."""
+        self.heard = dict.fromkeys(self.directory.workers, now)
+        self.sequences = {}
+        self.looked_at = now
+
+    def heartbeat(self, now: float, worker: pb.Worker) -> pb.Worker | None:
+        """Take a heartbeat; return the worker if its record has to change."""
+        if worker.id in self.directory.removed:
+            return None
+        if worker.sequence and worker.sequence <= self.sequences.get(worker.id, 0):
+            return None  # a late call
+        self.sequences[worker.id] = worker.sequence
+        self.heard[worker.id] = now
+        known = self.directory.workers.get(worker.id)
+        if known is not None and _same(known, worker):
+            return None
+        if known is not None and known.sequence > worker.sequence > 0:
+            return None  # late, from before this owner's time
+        if known is not None and known.state == pb.DRAINING and worker.state != pb.DRAINING:
+            return None  # a worker that leaves does not come back under the same identity
+        return worker
+
+    def overdue(self, now: float) -> list[pb.Worker]:
+        """Workers whose record has to change because they were not heard of."""
+        paused = now - self.looked_at > PAUSE_MS
+        self.looked_at = now
+        if paused:
+            self.begin(now)
+            return []
+        silent, live = [], 0
+        for worker in self.directory.workers.values():
+            quiet = now - self.heard.setdefault(worker.id, now)
+            if quiet <= self.silent_after_ms:
+                live += 1
+                continue
+            changed = pb.Worker()
+            changed.CopyFrom(worker)
+            if worker.state == pb.DRAINING or quiet > GONE_AFTER_MS:
+                changed.state = pb.GONE
+            elif worker.state == pb.READY:
+                changed.state = pb.SILENT
+            else:
+                continue
+            silent.append(changed)
+        for identity in [i for i in self.heard if i not in self.directory.workers]:
+            if now - self.heard[identity] > GONE_AFTER_MS:
+                del self.heard[identity]
+                self.sequences.pop(identity, None)
+        # guards against taking a cut of this process's own links for the death of everyone
+        return silent if live >= len(silent) else []
+
+
+def _same(known: pb.Worker, worker: pb.Worker) -> bool:
+    """Whether a heartbeat tells nothing new but its sequence."""
+    copy = pb.Worker()
+    copy.CopyFrom(worker)
+    copy.sequence = known.sequence
+    return copy == known
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -203,7 +203,7 @@
 def test_off_costs_nothing():
     """Without arguments neither registry, command line nor stand-ins are imported, nor what they stand on."""
     code = (
-        "import sys, molespur.__main__ as p\n"
+        "import sys, molespur.program as p\n"
         "off = ('molespur.registry','molespur.cli','molespur.standins','molespur.config.deployment',"
         "'click','structlog','immutables','blake3','rich','molespur.fleet')\n"
         "print([n for n in sys.modules if n.startswith(off)])"
