--- /dev/null
+++ b/tests/system/test_consensus.py
@@ -0,0 +1,206 @@
+"""The consensus of a replica group: under loss, cuts, restarts, lost disks and planned work."""
+
+from random import Random
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from virtual_group import VirtualGroup
+
+from molespur.system.consensus import replica as raft
+from molespur.system.rpc import molespur_pb2 as pb
+
+
+def commands(group):
+    return {a: p.machine.commands for a, p in group.processes.items() if a not in group.down}
+
+
+def settled(group, wanted):
+    """All running processes have these commands, each once or more, in the same order."""
+    group.heal()
+    group.run(8000)
+    histories = list(commands(group).values())
+    assert all(history == histories[0] for history in histories), histories
+    assert [c for c in wanted if c not in histories[0]] == []
+
+
+def test_one_leader_is_elected_and_commands_reach_all():
+    group = VirtualGroup(1)
+    group.run(3000)
+    proposed = group.propose(b"a")
+    group.run(200)
+    assert group.acknowledged(proposed)
+    assert all(history == [b"a"] for history in commands(group).values())
+
+
+def test_nothing_is_committed_without_a_majority():
+    group = VirtualGroup(2)
+    group.run(3000)
+    leader = group.leader()
+    group.isolate(leader.address)
+    proposed = leader.handle(raft.Propose(b"lost"))
+    group.run(300)
+    assert all(p.index not in group.committed for p in proposed if isinstance(p, raft.Proposed))
+    group.run(4000)
+    assert leader.replica.role is not raft.Role.LEADER, "a leader that nobody answers steps down"
+    kept = group.propose(b"kept")
+    group.run(300)
+    assert group.acknowledged(kept)
+    settled(group, [b"kept"])
+
+
+def test_a_lease_ends_before_another_can_lead():
+    group = VirtualGroup(3)
+    group.run(3000)
+    old = group.leader()
+    assert old.replica.has_lease(group.now)
+    group.isolate(old.address)
+    for _ in range(80):
+        group.run(50)
+        new = group.leader()
+        assert new is old or not old.replica.has_lease(group.now)
+    assert group.leader() is not old
+
+
+def test_an_entry_counts_only_once_a_majority_has_synced_it():
+    group = VirtualGroup(4, sync_ms=5.0)
+    group.run(3000)
+    group.sync_ms = 10_000.0
+    proposed = group.propose(b"unsynced")
+    group.run(500)
+    assert not group.acknowledged(proposed)
+
+
+def test_a_leader_with_a_hanging_disk_commits_through_the_others():
+    group = VirtualGroup(5)
+    group.run(3000)
+    leader = group.leader()
+    write = group.write
+    group.write = lambda process, record: None if process is leader else write(process, record)
+    proposed = group.propose(b"through the others")
+    group.run(300)
+    assert group.acknowledged(proposed)
+
+
+def test_all_without_power_keep_what_was_acknowledged():
+    group = VirtualGroup(6)
+    group.run(3000)
+    proposed = group.propose(b"kept")
+    group.run(100)
+    assert group.acknowledged(proposed)
+    for address in list(group.processes):
+        group.kill(address)
+    group.run(1000)
+    for address in list(group.processes):
+        group.restart(address)
+    settled(group, [b"kept"])
+
+
+def test_a_lost_disk_with_all_others_without_power():
+    for seed in range(20):
+        group = VirtualGroup(seed)
+        group.run(3000)
+        proposed = group.propose(b"kept")
+        while not group.acknowledged(proposed):
+            group.run(1)
+        for address in list(group.processes):
+            group.kill(address)
+        lost = group.random.choice(sorted(group.processes))
+        for address in list(group.processes):
+            if address == lost:
+                group.wipe(address)
+            else:
+                group.restart(address)
+        settled(group, [b"kept"])
+        assert group.processes[lost].replica.is_voter()
+
+
+def test_a_replica_that_forgot_its_votes_does_not_vote_until_taken_in():
+    group = VirtualGroup(7)
+    group.run(3000)
+    follower = next(p for p in group.processes.values() if p is not group.leader())
+    group.kill(follower.address)
+    fresh = group.wipe(follower.address)
+    request = pb.ConsensusMessage(group="test", sender="10.0.0.9:1#0", receiver=fresh.replica.id, term=99)
+    request.vote_request.last_index, request.vote_request.last_term = 99, 99
+    assert fresh.handle(raft.Received(request)) == []
+    group.run(6000)
+    assert fresh.replica.is_voter() and len(fresh.replica.voters()) == 3
+
+
+def test_a_machine_is_replaced_by_an_empty_one_at_another_address():
+    group = VirtualGroup(8)
+    group.run(3000)
+    group.propose(b"before")
+    group.run(200)
+    gone = group.leader().address
+    group.kill(gone)
+    new = group.wipe("10.0.0.8:1")
+    group.run(12_000)
+    assert new.replica.is_voter()
+    assert gone not in [m.rpc_address for m in new.replica.membership.members if m.voter]
+    settled(group, [b"before"])
+
+
+def test_a_planned_stop_hands_the_lead_over():
+    group = VirtualGroup(9)
+    group.run(3000)
+    old = group.leader()
+    old.handle(raft.TransferLeadership())
+    group.run(150)
+    assert group.leader() is not None and group.leader() is not old
+    assert old.replica.role is raft.Role.FOLLOWER
+
+
+def test_at_most_one_voter_changes_at_a_time():
+    group = VirtualGroup(10)
+    group.run(3000)
+    leader = group.leader()
+    two = pb.Membership(members=[m for m in leader.replica.membership.members if m.replica_id == leader.replica.id])
+    before = leader.replica.last_index
+    leader.handle(raft.ChangeMembership(two))
+    assert leader.replica.last_index == before
+
+
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["propose", "cut", "heal", "kill", "restart", "wipe", "wait", "transfer"]), st.integers(0, 9)),
+    min_size=5,
+    max_size=40,
+)
+
+
+@settings(max_examples=80, deadline=None, suppress_health_check=list(HealthCheck))
+@given(seed=st.integers(0, 10_000), steps=STEPS, loss=st.sampled_from([0.0, 0.05, 0.2]))
+def test_random_histories_keep_one_value_a_place_and_lose_nothing_acknowledged(seed, steps, loss):
+    group, choose = VirtualGroup(seed, loss=loss), Random(seed)
+    group.run(2000)
+    waiting, kept, wiped_at = [], [], float("-inf")
+    for number, (step, amount) in enumerate(steps):
+        address = choose.choice(sorted(group.processes))
+        match step:
+            case "propose":
+                data = b"c%d" % number
+                waiting.append((data, group.propose(data)))
+            case "cut":
+                group.isolate(address)
+            case "heal":
+                group.heal()
+            case "kill" if not group.down:
+                group.kill(address)
+            case "restart":
+                for down in sorted(group.down):
+                    group.restart(down)
+            case "wipe" if group.now - wiped_at > 15_000 and not group.down and not group.cut:
+                voters = [p.replica.is_voter() and len(p.replica.voters()) == 3 for p in group.processes.values()]
+                if all(voters):
+                    wiped_at = group.now
+                    group.wipe(address)
+            case "transfer":
+                if group.leader() is not None:
+                    group.leader().handle(raft.TransferLeadership())
+        group.run(100 + 300 * amount)
+        kept += [data for data, proposed in waiting if group.acknowledged(proposed)]
+        waiting = [(data, proposed) for data, proposed in waiting if not group.acknowledged(proposed)]
+    group.loss = 0.0
+    for down in sorted(group.down):
+        group.restart(down)
+    settled(group, kept)
--- /dev/null
+++ b/tests/system/virtual_group.py
@@ -0,0 +1,218 @@
+"""A whole replica group in one test: virtual clock, a network that loses, delays and cuts, disks that tear and vanish.
+
+Everything follows from one seed.
+"""
+
+from heapq import heappop, heappush
+from random import Random
+
+from molespur.system.consensus import replica as raft
+from molespur.system.rpc import molespur_pb2 as pb
+from molespur.system.shards.membership_changes import MembershipPlanner
+
+GROUP = "test"
+TICK_MS = 50.0
+
+
+class Disk:
+    """What one replica has synced; a record that is being written is lost with the power."""
+
+    def __init__(self, identity):
+        self.identity = identity
+        self.hard_state = raft.HardState()
+        self.snapshot = raft.Snapshot()
+        self.entries = {}
+
+    def write(self, record):
+        self.hard_state = record.hard_state
+        if record.snapshot is not None:
+            self.snapshot = record.snapshot
+            self.entries = {i: e for i, e in self.entries.items() if i > record.snapshot.index}
+        if record.truncate_from is not None:
+            self.entries = {i: e for i, e in self.entries.items() if i < record.truncate_from}
+        self.entries.update({e.index: e for e in record.entries})
+
+    def log(self):
+        return [self.entries[i] for i in sorted(self.entries) if i > self.snapshot.index]
+
+
+class Machine:
+    """A state machine that keeps the commands in order."""
+
+    def __init__(self):
+        self.commands = []
+
+    def snapshot(self):
+        return b"\n".join(self.commands)
+
+    def restore(self, state):
+        self.commands = state.split(b"\n") if state else []
+
+
+class Process:
+    """One process: a replica, its state machine, and its disk."""
+
+    def __init__(self, group, address, disk):
+        self.group, self.address, self.disk = group, address, disk
+        self.machine = Machine()
+        self.machine.restore(disk.snapshot.state)
+        hard_state = raft.HardState(disk.hard_state.term, disk.hard_state.vote)
+        self.replica = raft.Replica(
+            GROUP, disk.identity, Random(group.random.random()), hard_state, disk.snapshot, disk.log(), group.now
+        )
+        self.planner = MembershipPlanner(3)
+
+    def handle(self, event):
+        actions = self.replica.handle(self.group.now, event)
+        for action in actions:
+            match action:
+                case raft.Send(member, message):
+                    self.group.send(self, member, message)
+                case raft.Persist():
+                    self.group.write(self, action)
+                case raft.Apply(entry):
+                    if entry.kind == pb.COMMAND:
+                        self.machine.commands.append(entry.data)
+                    self.group.applied(entry)
+                case raft.Restore(snapshot):
+                    self.machine.restore(snapshot.state)
+        return actions
+
+    def tick(self):
+        self.handle(raft.Tick())
+        if self.replica.role is raft.Role.LEADER:
+            membership = self.planner.plan(self.replica, self.group.now)
+            if membership is not None:
+                self.handle(raft.ChangeMembership(membership))
+        if self.replica.applied_index - self.replica.snapshot.index > 8:
+            self.handle(raft.Compact(self.replica.applied_index, self.machine.snapshot()))
+        if self.replica.member(self.replica.id) is None:
+            self.group.ask_to_join(self)
+
+
+class VirtualGroup:
+    """Processes, the network between them, and what was committed where."""
+
+    def __init__(self, seed, count=3, loss=0.0, sync_ms=5.0):
+        self.random, self.now, self.loss, self.sync_ms = Random(seed), 0.0, loss, sync_ms
+        self.queue, self.serial = [], 0
+        self.cut, self.down, self.processes = set(), set(), {}
+        self.committed = {}
+        addresses = [f"10.0.0.{n}:1" for n in range(1, count + 1)]
+        membership = pb.Membership(
+            members=[pb.Member(replica_id=f"{a}#0", rpc_address=a, voter=True) for a in addresses]
+        )
+        for address in addresses:
+            disk = Disk(f"{address}#0")
+            disk.write(raft.Persist(raft.HardState(1, ""), snapshot=raft.Snapshot(1, 1, membership, b"")))
+            self.start(address, disk)
+
+    # -- Processes -----------------------------------------------------------------------------
+
+    def start(self, address, disk):
+        self.down.discard(address)
+        process = self.processes[address] = Process(self, address, disk)
+        self.at(self.random.random() * TICK_MS, self._tick, process)
+        return process
+
+    def _tick(self, process):
+        if self.processes.get(process.address) is process and process.address not in self.down:
+            process.tick()
+            self.at(TICK_MS, self._tick, process)
+
+    def kill(self, address):
+        """Power goes: what was not synced is lost, and all that is on its way to it."""
+        self.down.add(address)
+
+    def restart(self, address):
+        return self.start(address, self.processes[address].disk)
+
+    def wipe(self, address):
+        """It comes back with an empty disk, under another identity."""
+        self.serial += 1
+        return self.start(address, Disk(f"{address}#{self.serial}"))
+
+    # -- Time and network ----------------------------------------------------------------------
+
+    def at(self, delay, call, *arguments):
+        self.serial += 1
+        heappush(self.queue, (self.now + delay, self.serial, call, arguments))
+
+    def run(self, ms):
+        until = self.now + ms
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, call, arguments = heappop(self.queue)
+            call(*arguments)
+        self.now = until
+
+    def send(self, sender, member, message):
+        receiver = member.rpc_address
+        if self.random.random() < self.loss:
+            return
+        copy = pb.ConsensusMessage.FromString(message.SerializeToString())
+        self.at(1.0 + 4.0 * self.random.random(), self._arrive, sender.address, receiver, copy)
+
+    def _arrive(self, sender, receiver, message):
+        process = self.processes.get(receiver)
+        cut = frozenset((sender, receiver)) in self.cut
+        if process and receiver not in self.down and not cut and message.receiver == process.replica.id:
+            process.handle(raft.Received(message))
+
+    def write(self, process, record):
+        copy = raft.Persist(
+            raft.HardState(record.hard_state.term, record.hard_state.vote),
+            record.truncate_from,
+            list(record.entries),
+            record.snapshot,
+            list(record.release),
+            record.sequence,
+        )
+        self.at(self.sync_ms, self._written, process, copy)
+
+    def _written(self, process, record):
+        if self.processes.get(process.address) is not process or process.address in self.down:
+            return
+        process.disk.write(record)
+        for send in record.release:
+            self.send(process, send.member, send.message)
+        process.handle(raft.Persisted(record.sequence))
+
+    def ask_to_join(self, process):
+        for other in self.processes.values():
+            apart = other.address in self.down or frozenset((other.address, process.address)) in self.cut
+            if other.replica.role is raft.Role.LEADER and not apart:
+                member = pb.Member(replica_id=process.replica.id, rpc_address=process.address)
+                membership = other.planner.admit(other.replica, member)
+                if membership is not None:
+                    other.handle(raft.ChangeMembership(membership))
+
+    # -- What tests ask ------------------------------------------------------------------------
+
+    def applied(self, entry):
+        """No two replicas ever apply different entries at one index."""
+        known = self.committed.setdefault(entry.index, (entry.term, entry.data))
+        assert known == (entry.term, entry.data), f"two values at {entry.index}"
+
+    def leader(self):
+        leaders = [p for a, p in self.processes.items() if a not in self.down and p.replica.role is raft.Role.LEADER]
+        return max(leaders, key=lambda p: p.replica.hard_state.term, default=None)
+
+    def propose(self, data):
+        """Propose at the newest leader; return the place of the entry, or None."""
+        leader = self.leader()
+        if leader is None:
+            return None
+        for action in leader.handle(raft.Propose(data)):
+            if isinstance(action, raft.Proposed):
+                return action
+        return None
+
+    def acknowledged(self, proposed):
+        """Whether the entry at this place is committed in the term that it was proposed in."""
+        return proposed is not None and self.committed.get(proposed.index, (None,))[0] == proposed.term
+
+    def isolate(self, address):
+        self.cut |= {frozenset((address, other)) for other in self.processes if other != address}
+
+    def heal(self):
+        self.cut.clear()
