Give workers their parts by demand, let short reads go first, and heed SIGHUP

Change: Priority by the length of the read; long reads only at prefill workers; the owner of a shard orders changes of part by the schedulers' reported demand, fenced by its term; settings are read again on SIGHUP and on change.

--- a/molespur/policy/pair.py
+++ b/molespur/policy/pair.py
@@ -22,12 +22,16 @@
 CROSSING_COST_MS = 12.0  # what a call into another zone counts for in the draw
 ZONE_FACTOR = 2.0  # memory moves this much slower between zones
 WARM_PENALTY_MS = 60.0
+DIRECT_LONGEST_MS = 80.0  # a longer read holds up the answers that a decode worker gives: only without readers
+DIRECT_COST = 1.0  # what a decode worker's reading counts for in the draw, for each ms of it
 SUBSET = 8  # workers of a part that are looked at for one request
 HOME_MATCH = 0.9  # prefix match of the worker that is the prefix's home: others may have sent it there
 HOME_READ = 0.5  # share of a shared prefix that a home is expected to have
 REFIT_MS = 2000.0
 USABLE_SILENT_MS = 2500.0  # a worker silent to the control plane is used if own calls went well this lately
 PANIC_SHARE = 0.5
+PRIORITIES = ((0.0, 0), (40.0, 2), (80.0, 3), (140.0, 5), (260.0, 6))  # longest read (ms) of each rank
+LAST_PRIORITY = 8
 RUN_GAIN = 0.05
 
 
@@ -73,6 +77,14 @@
     read: float = 0.0
 
 
+    @property
+    def priority(self):
+        """Rank at the worker, 0 first: short reads go before long ones, and a memory hand-over before any."""
+        pace = PREFILL_TOKENS_PER_MS if self.part is Part.PREFILL else DIRECT_TOKENS_PER_MS
+        read = 0.0 if self.part is Part.DECODE else self.read / pace
+        return next((rank for longest, rank in PRIORITIES if read <= longest), LAST_PRIORITY)
+
+
 @dataclass(slots=True)
 class Way:
     """How a request could be served."""
@@ -152,6 +164,9 @@
         readers = self._subset([w for w in usable if w.phase == "prefill"], demand)
         runners = self._subset([w for w in usable if w.phase != "prefill"], demand)
         ways = [self._alone(now, w, Part.DIRECT, demand) for w in runners]
+        if readers:
+            short = [way for way in ways if way.run.read / DIRECT_TOKENS_PER_MS <= DIRECT_LONGEST_MS]
+            ways = short if runners else ways
         home = min(readers, key=lambda w: _home_rank(w, demand)) if readers and demand.shared else None
         for reader in readers:
             read = self._read_step(now, reader, Part.PREFILL, demand, home=reader is home)
@@ -181,7 +196,10 @@
             step = self._plain_step(now, worker, demand)
         else:
             step = self._read_step(now, worker, part, demand)
-        return Way((step,), step.forecast, step.match, step.forecast + self._crossing(worker))
+        cost = step.forecast + self._crossing(worker)
+        if part is Part.DIRECT:
+            cost += DIRECT_COST * (step.read + worker.reading) / DIRECT_TOKENS_PER_MS
+        return Way((step,), step.forecast, step.match, cost)
 
     def _read_step(self, now, worker, part, demand, home=False):
         matched = worker.matched(demand.parts)
--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -10,7 +10,7 @@
 from ..membership.schedulers import SchedulerMonitor
 from ..rpc import molespur_pb2 as pb
 from ..rpc.channel import Channel
-from ..serving import serve, wait_for_stop
+from ..serving import SettingsWatch, serve, wait_for_stop
 from ..settings.process import ProcessSettings
 from ..shards.configuration import ConfigurationMachine
 from ..shards.host import ReplicaHost
@@ -18,6 +18,7 @@
 from ..storage.store import Store
 from ..workers.directory import WorkerDirectory
 from .calls import ControlCalls
+from .orders import PhaseOrders
 from .http import create_app
 
 FEED_HEARTBEAT_S = 0.4
@@ -42,6 +43,7 @@
         self.calls = ControlCalls(self.host, clock, settings.heartbeat_interval_ms)
         self.feed = FeedSource(self.host, clock)
         self.schedulers = SchedulerMonitor()
+        self.orders = PhaseOrders(settings, self.host, self.calls, self.schedulers, clock)
         self.channels: set[Channel] = set()
         self.host.on_change = self.feed.changed
         self.host.on_restore = self.feed.restored
@@ -53,7 +55,8 @@
         """Serve until told to stop."""
         stop = wait_for_stop()
         loop = asyncio.get_running_loop()
-        background = [loop.create_task(self.host.run()), loop.create_task(self._repeat())]
+        watch = SettingsWatch(self.host.reseed)
+        background = [loop.create_task(c) for c in (self.host.run(), self._repeat(), watch.run())]
         await asyncio.sleep(0)  # the disk writer has started
         listener = await loop.create_server(self._accept, self.settings.ip, self.settings.rpc_port)
         served = asyncio.Event()
@@ -80,6 +83,7 @@
     def _role_changed(self, group: str) -> None:
         if self.host.leads(group):
             self.calls.became_owner(group)
+            self.orders.became_owner(group)
 
     def _frame(self, channel: Channel, frame: pb.Frame) -> None:
         match frame.WhichOneof("body"):
@@ -93,9 +97,9 @@
                 self._feed_heartbeat()
             case "scheduler_heartbeat":
                 beat = frame.scheduler_heartbeat
-                self.schedulers.heartbeat(clock(), beat.node, beat.leaving)
+                self.schedulers.heartbeat(clock(), beat)
             case "monitor_report":
-                self.schedulers.report(clock(), channel.label or str(id(channel)), list(frame.monitor_report.alive))
+                self.schedulers.report(clock(), frame.monitor_report)
             case "call":
                 task = asyncio.get_running_loop().create_task(self.calls.answer(channel, frame.call))
                 self._tasks.add(task)
@@ -122,3 +126,4 @@
             if now - looked >= SILENCE_CHECK_S * 1000:
                 looked = now
                 await self.calls.look_for_silence()
+                self.orders.look(now)
--- a/molespur/system/data_plane/exchange.py
+++ b/molespur/system/data_plane/exchange.py
@@ -14,6 +14,7 @@
 from ..settings.configuration import Route
 
 LEAST_TIME_MS = 30.0  # with less time left nothing is begun
+LOWEST_PRIORITY_AIMS = 4.0  # requests of the lowest priority are refused when forecast later than so many aims
 
 
 class State(Enum):
@@ -183,13 +184,23 @@
         choice = self.policy.choose(now, self.workers(), self.demand, self.avoid)
         if choice is None:
             return self._refuse(ErrorKind.NO_WORKER)
-        if not self._may_send(now):
+        if self._hopeless(now, choice) or not self._may_send(now):
             return self._refuse(ErrorKind.OVERLOADED)
         if choice.way.prefill is not None and not resume:
             self.step = choice.way.prefill
             return self._to(State.READING, Read(self.step))
         return self._run(choice.way.run, resume=resume)
 
+    def _hopeless(self, now: float, choice: Choice) -> bool:
+        """Whether the best forecast leaves a new request no chance, or the lowest priority no good one."""
+        if self.counted or self.runs:
+            return False
+        demand, forecast = self.demand, choice.way.forecast
+        if now + forecast > demand.deadline_at:
+            return True
+        late = forecast > LOWEST_PRIORITY_AIMS * (demand.aim_at - now)
+        return demand.lowest_priority and not choice.meets and late
+
     def _run(self, step: Step, source: WorkerTrack | None = None, handle: str = "", resume: bool = False) -> Action:
         self.step = step
         self.counted += 1
--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from ...policy.pair import Step
+from ...policy.tracking import Part
 from ..errors import ANSWERS, ErrorKind, FleetError
 from ..settings.configuration import STREAMING, Route, Service
 from . import exchange as machine
@@ -149,6 +150,7 @@
             lambda now: state.budget(service.name).spend(now),
         )
         self.head_sent = False
+        self.first_at = float("nan")  # when the call that is out gave its first answer
         self.events = EventFilter(last_id=request.last_event_id)
         self.held: tuple[str, str] | None = None  # address and handle that were not taken up yet
 
@@ -178,7 +180,11 @@
         """One call to a worker, counted as own work there for as long as it takes."""
         key, begun = next(self.ingress._keys), self.clock()
         self.policy.begin(begun, step, self.demand, key)
+        meter = self.ingress.state.meter(self.service.name)
+        meter.read(begun, step.read)
+        meter.running += step.part is not Part.PREFILL
         failed = True
+        expected = (step.part.value, step.worker.id, step.run, step.wait, step.forecast)
         try:
             event = await call(step, begun, *arguments)
             failed = isinstance(event, machine.AnswerBroken)
@@ -193,6 +199,9 @@
         finally:
             now = self.clock()
             self.policy.ended(now, step, key, failed, now - begun)
+            meter.running -= step.part is not Part.PREFILL
+            logging.vlog(1, "%s: %s at %s: run %.0f wait %.0f forecast %.0f, first answer %.0f, all %.0f ms",
+                         self.route.name, *expected, self.first_at - begun, now - begun)  # fmt: skip
 
     async def _call(self, step: Step, extra: list[tuple[bytes, bytes]]) -> UpstreamResponse:
         left = self.demand.deadline_at - self.clock()
@@ -205,6 +214,8 @@
             (EXPECTED_INSTANCE, step.worker.id.encode()),
             *extra,
         ]
+        if step.part is not Part.PLAIN:
+            headers.append((b"Priority", b"%d" % step.priority))
         response = await self.ingress.upstreams.call(
             step.worker.address,
             self.request.method,
@@ -220,6 +231,10 @@
             raise
         return response
 
+    def _first_answer(self, step: Step, begun: float) -> None:
+        self.first_at = self.clock()
+        self.policy.first_answer(self.first_at, step, self.demand, self.first_at - begun)
+
     # -- The prompt read apart -------------------------------------------------------------------
 
     async def _read_prompt(self, step: Step, begun: float) -> machine.Event:
@@ -237,8 +252,7 @@
         if response.head.status != 200:
             raise UpstreamError(Failure.MAY_HAVE_RUN, f"status {response.head.status}")
         handle = read_handle(body)
-        now = self.clock()
-        self.policy.first_answer(now, step, self.demand, now - begun)
+        self._first_answer(step, begun)
         self.held = (step.worker.address, handle)
         return machine.PromptRead(handle)
 
@@ -269,8 +283,7 @@
         body = await response.read()
         if response.head.get(b"content-length") is None and response.head.get(b"transfer-encoding") is None:
             raise UpstreamError(Failure.MAY_HAVE_RUN, "an answer without framing may be cut short")
-        now = self.clock()
-        self.policy.first_answer(now, step, self.demand, now - begun)
+        self._first_answer(step, begun)
         if self.head_sent:  # an error in place of the rest of a stream
             raise UpstreamError(Failure.MAY_HAVE_RUN, f"status {response.head.status}")
         await self._send_head(response.head, len(body))
@@ -285,8 +298,7 @@
             async for chunk in response.chunks():
                 if first:
                     first = False
-                    now = self.clock()
-                    self.policy.first_answer(now, step, self.demand, now - begun)
+                    self._first_answer(step, begun)
                 whole = self.events.feed(chunk)
                 if whole:
                     await self._send_events(response.head, whole)
--- a/molespur/system/data_plane/role.py
+++ b/molespur/system/data_plane/role.py
@@ -8,7 +8,7 @@
 from quart import Quart, Response
 
 from ..feed.follower import FeedFollower
-from ..serving import serve, wait_for_stop
+from ..serving import SettingsWatch, serve, wait_for_stop
 from ..settings.process import ProcessSettings
 from .ingress import AnswerCut, Ingress
 from .reports import ReportPoller
@@ -58,7 +58,7 @@
         self.state = DataPlaneState(settings, random)
         self.upstreams = Upstreams()
         self.ingress = Ingress(self.state, self.upstreams, clock)
-        self.follower = FeedFollower(settings, clock, random, self.state.update)
+        self.follower = FeedFollower(settings, clock, random, self.state.update, self.state.loads)
         self.reports = ReportPoller(self.state, self.upstreams, clock, random)
         self.stopping = False
 
@@ -80,7 +80,9 @@
         stop = wait_for_stop()
         closing, ended = asyncio.Event(), asyncio.Event()
         loop = asyncio.get_running_loop()
-        background = [loop.create_task(c) for c in (self.follower.run(), self.reports.run(), self._housekeeping())]
+        watch = SettingsWatch(self.follower.reseed)
+        repeated = (self.follower.run(), self.reports.run(), self._housekeeping(), watch.run())
+        background = [loop.create_task(c) for c in repeated]
         grace = max(self.settings.bounds.grace_period_s - LEAVE_S - MARGIN_S, 1.0)
         ingress = loop.create_task(
             serve(IngressApp(self.ingress), self.settings.listen["Frontend"], closing, CLIENT_IDLE_S, grace)
--- a/molespur/system/data_plane/state.py
+++ b/molespur/system/data_plane/state.py
@@ -14,6 +14,7 @@
 from ..settings.process import ProcessSettings
 from ..shards.placement import CONFIGURATION
 from .budget import RetryBudget
+from .load import LoadMeter
 from .routes import RouteTable
 
 CONNECTION_SHARE = 0.9  # part of a worker's connections that all schedulers together may use
@@ -36,6 +37,7 @@
         self.groups: dict[str, set[str]] = {}  # group -> worker ids told by it
         self.service_of: dict[str, str] = {}
         self.budgets: dict[str, RetryBudget] = {}
+        self.meters: dict[str, LoadMeter] = {}
         self.schedulers = 0
         self.gone: list[str] = []  # addresses whose connections can be closed
 
@@ -84,7 +86,7 @@
             )
             self._set_capacity(worker.service)
         track.phase = worker.phase
-        track.usable = worker.state != pb.DRAINING
+        track.usable = worker.state not in (pb.DRAINING, pb.SWITCHING)
         track.silent = worker.state == pb.SILENT
 
     def _remove(self, group: str, worker_id: str) -> None:
@@ -126,6 +128,22 @@
             )
         return budget
 
+    def meter(self, service: str) -> LoadMeter:
+        """What this scheduler sends to a service."""
+        return self.meters.setdefault(service, LoadMeter())
+
+    def loads(self, now: float) -> list[pb.ServiceLoad]:
+        """What this scheduler sends to the services with model workers."""
+        return [
+            pb.ServiceLoad(
+                service=service.name,
+                read_tokens_per_s=self.meter(service.name).read_tokens_per_s(now),
+                running=self.meter(service.name).running,
+            )
+            for service in self.services.values()
+            if service.engine is not None
+        ]
+
     def count_schedulers(self, now: float, count: int) -> None:
         """The control plane knows of this many schedulers."""
         self.schedulers = max(count, self.schedulers) if count else self.schedulers
--- a/molespur/system/feed/follower.py
+++ b/molespur/system/feed/follower.py
@@ -30,8 +30,10 @@
         clock: Callable[[], float],
         random: Random,
         on_update: Callable[[str, bool, bytes], None],
+        loads: Callable[[float], list[pb.ServiceLoad]],
     ):
-        self.settings, self.clock, self.random, self.on_update = settings, clock, random, on_update
+        self.settings, self.clock, self.random = settings, clock, random
+        self.on_update, self.loads = on_update, loads
         self.offsets: dict[str, int] = {}
         self.schedulers = 0  # how many the control plane knows of; 0: unknown
         self.zones = {address: "" for address in settings.seed_rpc_addresses()}
@@ -53,6 +55,12 @@
                 self.heartbeat()
             await asyncio.sleep(WATCH_S)
 
+    def reseed(self, settings: ProcessSettings) -> None:
+        """Other seeds are known from now on."""
+        self.settings = settings
+        for address in settings.seed_rpc_addresses():
+            self.zones.setdefault(address, "")
+
     def fresh(self, now: float) -> bool:
         """Whether the source speaks and has heard its leaders lately."""
         return now - self.heard_at < SILENCE_MS and self.leader_silence_ms < STALE_MS
@@ -71,6 +79,7 @@
         for address in [a for a in self.monitors if a not in wanted]:
             self.monitors.pop(address).stop()
         beat = pb.SchedulerHeartbeat(node=self.settings.node_name, zone=self.settings.zone, leaving=self.leaving)
+        beat.loads.extend(self.loads(self.clock()))
         frame = pb.Frame(scheduler_heartbeat=beat)
         for address in wanted:
             if self.source is not None and self.source.address == address:
@@ -136,7 +145,3 @@
             for address in self.settings.seed_rpc_addresses():
                 zones.setdefault(address, "")
             self.zones = zones
-            own = self.settings.zone
-            in_zone = any(zone == own for zone in zones.values())
-            if in_zone and self.zones.get(self.source.address) != own and not self._order:
-                self._order = []
--- a/molespur/system/membership/schedulers.py
+++ b/molespur/system/membership/schedulers.py
@@ -1,16 +1,18 @@
-"""Which schedulers are alive, as their monitors know and tell each other.  Pure."""
+"""Which schedulers are alive and what load they see, as their monitors know and tell each other.  Pure."""
 
 from dataclasses import dataclass, field
 
+from ..rpc import molespur_pb2 as pb
+
 ALIVE_MS = 3500.0  # a scheduler not heard of for this long has failed
 REPORT_MS = 5000.0  # a monitor's word stands this long
 
 
 @dataclass(slots=True)
 class Report:
-    """The schedulers that another monitor has heard of."""
+    """The last heartbeat of a scheduler, and when it was heard of."""
 
-    alive: frozenset[str]
+    beat: pb.SchedulerHeartbeat
     at: float
 
 
@@ -18,26 +20,39 @@
 class SchedulerMonitor:
     """The schedulers that this process watches, and what other monitors report of theirs."""
 
-    heard: dict[str, float] = field(default_factory=dict)
-    reports: dict[str, Report] = field(default_factory=dict)
+    heard: dict[str, Report] = field(default_factory=dict)
+    told: dict[str, Report] = field(default_factory=dict)
 
-    def heartbeat(self, now: float, node: str, leaving: bool) -> None:
+    def heartbeat(self, now: float, beat: pb.SchedulerHeartbeat) -> None:
         """A scheduler has said that it lives, or that it leaves."""
-        if leaving:
-            self.heard.pop(node, None)
+        if beat.leaving:
+            self.heard.pop(beat.node, None)
         else:
-            self.heard[node] = now
+            self.heard[beat.node] = Report(beat, now)
 
-    def report(self, now: float, monitor: str, alive: list[str]) -> None:
+    def report(self, now: float, report: pb.MonitorReport) -> None:
         """Another monitor has told which schedulers it has heard of."""
-        self.reports[monitor] = Report(frozenset(alive), now)
-
-    def own(self, now: float) -> list[str]:
-        """The schedulers heard of here lately."""
-        self.heard = {node: at for node, at in self.heard.items() if now - at < ALIVE_MS}
-        return sorted(self.heard)
-
-    def alive(self, now: float) -> frozenset[str]:
-        """All schedulers that some monitor has heard of lately."""
-        self.reports = {m: r for m, r in self.reports.items() if now - r.at < REPORT_MS}
-        return frozenset(self.own(now)).union(*(r.alive for r in self.reports.values()))
+        for beat in report.alive:
+            self.told[beat.node] = Report(beat, now)
+
+    def own(self, now: float) -> list[pb.SchedulerHeartbeat]:
+        """The last heartbeats of the schedulers heard of here lately."""
+        self.heard = {node: report for node, report in self.heard.items() if now - report.at < ALIVE_MS}
+        return [report.beat for report in self.heard.values()]
+
+    def alive(self, now: float) -> dict[str, pb.SchedulerHeartbeat]:
+        """All schedulers that some monitor has heard of lately, with their last heartbeats."""
+        self.told = {node: report for node, report in self.told.items() if now - report.at < REPORT_MS}
+        everyone = {node: report.beat for node, report in self.told.items()}
+        everyone.update({beat.node: beat for beat in self.own(now)})
+        return everyone
+
+    def load(self, now: float, service: str) -> pb.ServiceLoad:
+        """What all schedulers together send to a service."""
+        total = pb.ServiceLoad(service=service)
+        for beat in self.alive(now).values():
+            for load in beat.loads:
+                if load.service == service:
+                    total.read_tokens_per_s += load.read_tokens_per_s
+                    total.running += load.running
+        return total
--- a/molespur/system/serving.py
+++ b/molespur/system/serving.py
@@ -2,14 +2,22 @@
 
 import asyncio
 import logging as standard_logging
+import os
 import signal
+from collections.abc import Callable
+from contextlib import suppress
 
+from absl import logging
 from hypercorn.asyncio import serve as hypercorn_serve
 from hypercorn.config import Config
 
+from .errors import FleetError
+from .settings.process import VARIABLE, ProcessSettings, load
+
 KEEP_ALIVE_S = 30.0
 GRACEFUL_S = 1.0
 BACKLOG = 1024
+SETTINGS_LOOK_S = 2.0
 
 
 def wait_for_stop() -> asyncio.Event:
@@ -21,6 +29,39 @@
     return stop
 
 
+class SettingsWatch:
+    """Reads the settings file again on SIGHUP, and when it has changed; one that can't be used is passed over."""
+
+    def __init__(self, on_settings: Callable[[ProcessSettings], None]):
+        self._on_settings = on_settings
+        self._hup = asyncio.Event()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self._hup.set)
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        known = self._stamp()
+        while True:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._hup.wait(), SETTINGS_LOOK_S)
+            stamp = self._stamp()
+            if not self._hup.is_set() and stamp == known:
+                continue
+            self._hup.clear()
+            known = stamp
+            try:
+                self._on_settings(load(os.environ))
+            except FleetError as error:
+                logging.error("settings not read again: %s", error)
+
+    @staticmethod
+    def _stamp() -> tuple[int, int] | None:
+        try:
+            status = os.stat(os.environ.get(VARIABLE, ""))
+        except OSError:
+            return None
+        return status.st_mtime_ns, status.st_size
+
+
 async def serve(
     app, address: str, stop: asyncio.Event, keep_alive_s: float = KEEP_ALIVE_S, graceful_s: float = GRACEFUL_S,
     header_bytes: int = 64 << 10,
--- a/molespur/system/shards/host.py
+++ b/molespur/system/shards/host.py
@@ -118,6 +118,11 @@
             self._maybe_join(now)
             await asyncio.sleep(TICK_S)
 
+    def reseed(self, settings) -> None:
+        """Other seeds are known from now on."""
+        for address in settings.seed_rpc_addresses():
+            self._dial(address)
+
     async def stop(self) -> None:
         """Hand over every lead, and wait a moment for it."""
         for group in self.groups.values():
--- a/molespur/system/workers/liveness.py
+++ b/molespur/system/workers/liveness.py
@@ -3,14 +3,25 @@
 Pure: times are milliseconds on a steady clock.  The owner proposes what `heartbeat` and `overdue` return.
 """
 
+from dataclasses import dataclass
+
 from ..rpc import molespur_pb2 as pb
 from .directory import WorkerDirectory
 
 MISSED_HEARTBEATS = 3.2  # intervals of silence after which a worker counts as silent
 GONE_AFTER_MS = 30_000.0  # a silent worker is dropped after this time
+SWITCH_MOST_MS = 8000.0  # after an order to change its part, a worker's old part is believed again
 PAUSE_MS = 1000.0  # a gap between two looks by which this process itself stood still
 
 
+@dataclass(frozen=True, slots=True)
+class Order:
+    """A change of part that a worker has taken, and until when it may still show the old one."""
+
+    phase: str
+    until: float
+
+
 class WorkerLiveness:
     """What the owner of a shard remembers of the heartbeats of its workers."""
 
@@ -20,13 +31,23 @@
         self.heard: dict[str, float] = {}
         self.sequences: dict[str, int] = {}
         self.looked_at = 0.0
+        self.ordered: dict[str, Order] = {}
 
     def begin(self, now: float) -> None:
         """Start as owner: every worker gets a whole interval to be heard here."""
         self.heard = dict.fromkeys(self.directory.workers, now)
         self.sequences = {}
+        self.ordered = {}
         self.looked_at = now
 
+    def order_given(self, now: float, worker: pb.Worker, phase: str) -> pb.Worker:
+        """A worker has taken the order to change its part; return its record meanwhile."""
+        self.ordered[worker.id] = Order(phase, now + SWITCH_MOST_MS)
+        changed = pb.Worker()
+        changed.CopyFrom(worker)
+        changed.state, changed.phase = pb.SWITCHING, phase
+        return changed
+
     def heartbeat(self, now: float, worker: pb.Worker) -> pb.Worker | None:
         """Take a heartbeat; return the worker if its record has to change."""
         if worker.id in self.directory.removed:
@@ -36,6 +57,11 @@
         self.sequences[worker.id] = worker.sequence
         self.heard[worker.id] = now
         known = self.directory.workers.get(worker.id)
+        order = self.ordered.get(worker.id)
+        if order is not None and worker.state == pb.READY:
+            if worker.phase != order.phase and now < order.until:
+                return None  # it is still changing its part
+            del self.ordered[worker.id]
         if known is not None and _same(known, worker):
             return None
         if known is not None and known.sequence > worker.sequence > 0:
--- /dev/null
+++ b/molespur/system/workers/phases.py
@@ -0,0 +1,80 @@
+"""How many of a service's model workers read prompts, and which one changes its part next.  Pure.
+
+The split follows the demand that the schedulers report.  It does not swing: a change must be called for over
+some time, and one direction is kept for a while.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from ..rpc import molespur_pb2 as pb
+
+PREFILL, DECODE = "prefill", "decode"
+READ_TOKENS_PER_S = 28_000.0  # what one prefill worker is given at most: half of what it can read
+RUNNING_SHARE = 0.3  # part of a decode worker's slots that are given out
+LEAST_TOKENS_PER_S = 2_000.0  # with less to read nothing is changed
+SETTLE_MS = 1_200.0  # a change must be called for this long
+REVERSE_MS = 8_000.0  # least time between changes in opposite directions
+REST_MS = 6_000.0  # least time between two orders to one worker
+
+
+@dataclass(frozen=True, slots=True)
+class PhaseOrder:
+    """A worker that should change its part."""
+
+    worker: pb.Worker
+    phase: str
+
+
+class PhasePlanner:
+    """Decides for one service, at the owner of its shard."""
+
+    def __init__(self):
+        self.wanted_since: float | None = None
+        self.direction = 0
+        self.turned_at = float("-inf")
+        self.ordered_at: dict[str, float] = {}
+
+    def target(self, workers: list[pb.Worker], load: pb.ServiceLoad) -> int:
+        """How many workers should read prompts."""
+        zones = len({worker.zone for worker in workers})
+        readers = load.read_tokens_per_s / READ_TOKENS_PER_S
+        slots = sum(worker.capacity for worker in workers) / len(workers)
+        runners = max(load.running / (RUNNING_SHARE * max(slots, 1.0)), 0.1)
+        wanted = round(readers / (readers + runners) * len(workers))
+        least_runners = min(max(zones, 2), len(workers) // 2)
+        return max(min(wanted, len(workers) - least_runners), 1)
+
+    def plan(self, now: float, workers: list[pb.Worker], load: pb.ServiceLoad) -> PhaseOrder | None:
+        """The next order, if one is called for."""
+        alive = [worker for worker in workers if worker.state in (pb.READY, pb.SWITCHING) and worker.phase]
+        if len(alive) < 2 or load.read_tokens_per_s < LEAST_TOKENS_PER_S:
+            self.wanted_since = None
+            return None
+        readers = sum(worker.phase == PREFILL for worker in alive)
+        direction = (self.target(alive, load) > readers) - (self.target(alive, load) < readers)
+        if direction == 0:
+            self.wanted_since = None
+            return None
+        if self.wanted_since is None or direction != self.direction:
+            if self.direction and direction != self.direction and now - self.turned_at < REVERSE_MS:
+                return None
+            self.wanted_since, self.direction = now, direction
+        if now - self.wanted_since < SETTLE_MS:
+            return None
+        return self._order(now, alive, PREFILL if direction > 0 else DECODE)
+
+    def _order(self, now: float, alive: list[pb.Worker], phase: str) -> PhaseOrder | None:
+        free = [
+            worker
+            for worker in alive
+            if worker.phase != phase
+            and worker.state == pb.READY
+            and now - self.ordered_at.get(worker.id, float("-inf")) > REST_MS
+        ]
+        if not free:
+            return None
+        same = Counter(worker.zone for worker in alive if worker.phase != phase)
+        worker = max(free, key=lambda w: (same[w.zone], w.id))
+        self.ordered_at[worker.id] = self.turned_at = now
+        return PhaseOrder(worker, phase)
