--- a/molespur/policy/model.py
+++ b/molespur/policy/model.py
@@ -34,7 +34,7 @@
             bucket.append((kind, run / scale, wait / scale, miss / scale, 1 / scale, elapsed / scale))
 
     def refit(self, unit):
-        """Ridge regression towards the prior, over all buckets, newer samples first; unit: of the constant."""
+        """Ridge regression towards the prior, newer samples first; unit: of the constant (ms)."""
         place = {kind: number for number, kind in enumerate(self.coef)}
         kinds, size = len(place), len(place) + 3
         prior = [1.0] * (size - 1) + [0.0]
--- a/molespur/policy/pair.py
+++ b/molespur/policy/pair.py
@@ -1,7 +1,7 @@
 """Which workers serve a request: a prefill and a decode worker, a decode worker alone, or a plain one.  Pure.
 
-Each way is forecast as a whole by the finish-time model, from the workers' reports brought up to date with own
-work; the design's filter, tiers and draw choose among the ways.
+Each way is forecast as a whole by the finish-time model, from the workers' reports brought up to date with
+own work; the design's filter, tiers and draw choose among the ways.
 """
 
 from collections.abc import Iterable, Sequence
@@ -22,7 +22,9 @@
 CROSSING_COST_MS = 12.0  # what a call into another zone counts for in the draw
 ZONE_FACTOR = 2.0  # memory moves this much slower between zones
 WARM_PENALTY_MS = 60.0
-DIRECT_LONGEST_MS = 80.0  # a longer read holds up the answers that a decode worker gives: only without readers
+DIRECT_LONGEST_MS = (
+    80.0  # a longer read holds up the answers that a decode worker gives: only without readers
+)
 DIRECT_COST = 1.0  # what a decode worker's reading counts for in the draw, for each ms of it
 SUBSET = 8  # workers of a part that are looked at for one request
 HOME_MATCH = 0.9  # prefix match of the worker that is the prefix's home: others may have sent it there
@@ -76,7 +78,6 @@
     forecast: float
     read: float = 0.0
 
-
     @property
     def priority(self):
         """Rank at the worker, 0 first: short reads go before long ones, and a memory hand-over before any."""
@@ -142,7 +143,12 @@
         return Choice(draw(self.random, chosen, [way.cost for way in chosen]), meets)
 
     def choose_decode(
-        self, now: float, workers: Iterable[WorkerTrack], demand: Demand, source: WorkerTrack, avoid: Sequence[str]
+        self,
+        now: float,
+        workers: Iterable[WorkerTrack],
+        demand: Demand,
+        source: WorkerTrack,
+        avoid: Sequence[str],
     ) -> Step | None:
         """The worker that takes the memory over from the one that has read the prompt."""
         usable = [w for w in self._usable(now, workers, avoid) if w.phase != "prefill"]
@@ -263,7 +269,9 @@
         step.worker.reading = max(step.worker.reading - step.read, 0.0)
         step.read = 0.0
         step.worker.served(now, step.part, step.forecast, elapsed)
-        self.model.train(step.part, step.run, step.wait, 0.0, step.use, step.match, min(elapsed, 10 * step.forecast))
+        self.model.train(
+            step.part, step.run, step.wait, 0.0, step.use, step.match, min(elapsed, 10 * step.forecast)
+        )
         if step.part is Part.PLAIN:
             run = self.plain_run.setdefault(demand.route, PLAIN_RUN_MS)
             self.plain_run[demand.route] = run + RUN_GAIN * (max(elapsed - step.wait, 1.0) - run)
@@ -279,7 +287,9 @@
         step.read = 0.0
         if failed:
             worker.failed(now)
-            self.model.train(step.part, step.run, step.wait, 0.0, step.use, step.match, max(elapsed, step.forecast))
+            self.model.train(
+                step.part, step.run, step.wait, 0.0, step.use, step.match, max(elapsed, step.forecast)
+            )
 
 
 def _forecast(way):
--- a/molespur/policy/placement.py
+++ b/molespur/policy/placement.py
@@ -8,7 +8,7 @@
 
 
 def warm_first(random, found, penalty, forecast_of, match_of):
-    """Only the warm candidates, unless the best of them trails the best of all by more than the penalty (ms)."""
+    """Only the warm candidates, unless their best trails the best of all by more than the penalty (ms)."""
     warm = [f for f in found if match_of(f) > WARM_MATCH]
     claim = warm and min(map(forecast_of, warm)) <= min(map(forecast_of, found)) + penalty
     return warm if claim and random.random() >= WARM_EXPLORE else found
--- a/molespur/program.py
+++ b/molespur/program.py
@@ -63,5 +63,3 @@
         print(f"molespur: {problem}", file=sys.stderr)
         code = 2
     return code
-
-
--- a/molespur/system/consensus/replica.py
+++ b/molespur/system/consensus/replica.py
@@ -369,7 +369,11 @@
     def _quorum_heard_at(self, now: float) -> float:
         """Send time of the newest append that a majority of the voters, this one included, has answered."""
         times = [
-            now if v == self.id else self.progress[v].acknowledged_send if v in self.progress else float("-inf")
+            now
+            if v == self.id
+            else self.progress[v].acknowledged_send
+            if v in self.progress
+            else float("-inf")
             for v in self.voters()
         ]
         return sorted(times, reverse=True)[len(times) // 2] if times else float("-inf")
@@ -438,7 +442,9 @@
         term = self.hard_state.term if term is None else term
         return pb.ConsensusMessage(group=self.group, sender=self.id, receiver=receiver, term=term)
 
-    def _send(self, member: pb.Member | None, message: pb.ConsensusMessage, after_write: bool = False) -> None:
+    def _send(
+        self, member: pb.Member | None, message: pb.ConsensusMessage, after_write: bool = False
+    ) -> None:
         if member is None:
             return
         if after_write:
--- a/molespur/system/control_plane/calls.py
+++ b/molespur/system/control_plane/calls.py
@@ -143,7 +143,7 @@
             raise FleetError(ErrorKind.INVALID_CONFIGURATION, f"Version: not above {machine.version}")
 
     def configuration(self) -> bytes | None:
-        """The newest configuration, or None before the first.  Raises FleetError(NO_LEADER) without a lease."""
+        """The newest configuration, None before the first.  Raises FleetError(NO_LEADER) without a lease."""
         if not self.host.has_lease(CONFIGURATION):
             raise FleetError(ErrorKind.NO_LEADER, CONFIGURATION)
         machine = self.host.groups[CONFIGURATION].machine
--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -18,8 +18,8 @@
 from ..storage.store import Store
 from ..workers.directory import WorkerDirectory
 from .calls import ControlCalls
-from .orders import PhaseOrders
 from .http import create_app
+from .orders import PhaseOrders
 
 FEED_HEARTBEAT_S = 0.4
 REPORT_S = 1.0
--- a/molespur/system/data_plane/budget.py
+++ b/molespur/system/data_plane/budget.py
@@ -1,7 +1,7 @@
 """The retry budget that all schedulers share, as the part of one of them.  Pure.
 
-Within any window the fleet may send `ratio` x requests + `minimum` arrivals beyond each request's first.  The
-ratio holds for each scheduler on its own requests, so for the sum; the minimum is divided among the schedulers.
+Within any window the fleet may send `ratio` x requests + `minimum` arrivals beyond each request's first.
+The ratio holds for each scheduler on its own requests, so for the sum; the minimum is divided among them.
 """
 
 from collections import deque
--- a/molespur/system/data_plane/exchange.py
+++ b/molespur/system/data_plane/exchange.py
@@ -14,7 +14,9 @@
 from ..settings.configuration import Route
 
 LEAST_TIME_MS = 30.0  # with less time left nothing is begun
-LOWEST_PRIORITY_AIMS = 4.0  # requests of the lowest priority are refused when forecast later than so many aims
+LOWEST_PRIORITY_AIMS = (
+    4.0  # requests of the lowest priority are refused when forecast later than so many aims
+)
 
 
 class State(Enum):
@@ -201,7 +203,9 @@
         late = forecast > LOWEST_PRIORITY_AIMS * (demand.aim_at - now)
         return demand.lowest_priority and not choice.meets and late
 
-    def _run(self, step: Step, source: WorkerTrack | None = None, handle: str = "", resume: bool = False) -> Action:
+    def _run(
+        self, step: Step, source: WorkerTrack | None = None, handle: str = "", resume: bool = False
+    ) -> Action:
         self.step = step
         self.counted += 1
         return self._to(State.RUNNING, Run(step, source, handle, resume))
--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -17,7 +17,16 @@
 from .events import EventFilter
 from .exchange import Exchange, Failure
 from .state import DataPlaneState
-from .upstream import ATTEMPT_ID, EXPECTED_INSTANCE, NOT_EXECUTED, STAMP, Head, UpstreamError, UpstreamResponse, Upstreams
+from .upstream import (
+    ATTEMPT_ID,
+    EXPECTED_INSTANCE,
+    NOT_EXECUTED,
+    STAMP,
+    Head,
+    UpstreamError,
+    UpstreamResponse,
+    Upstreams,
+)
 
 BODY_TIMEOUT_S = 10.0
 PREFILL_PATIENCE = 4.0, 400.0  # forecasts, and ms, after which a prefill call is given up
@@ -121,7 +130,12 @@
         with suppress(UpstreamError, TimeoutError):
             async with asyncio.timeout(HANDLE_FREE_S):
                 response = await self.upstreams.call(
-                    address, "DELETE", target, [(b"Host", address.encode())], b"", self.state.connections(service)
+                    address,
+                    "DELETE",
+                    target,
+                    [(b"Host", address.encode())],
+                    b"",
+                    self.state.connections(service),
                 )
                 try:
                     await response.read()
@@ -136,7 +150,9 @@
 class ClientCall:
     """Carries out what the exchange of one request says."""
 
-    def __init__(self, ingress: Ingress, request: ClientRequest, route: Route, service: Service, demand, send):
+    def __init__(
+        self, ingress: Ingress, request: ClientRequest, route: Route, service: Service, demand, send
+    ):
         self.ingress, self.request, self.route, self.service = ingress, request, route, service
         self.demand, self.send = demand, send
         self.clock = ingress.clock
@@ -354,7 +370,9 @@
         raise UpstreamError(Failure.REJECTED, f"status {head.status}")
     if head.get(b"content-encoding") is not None:
         raise UpstreamError(Failure.MAY_HAVE_RUN, "an encoded body")
-    if head.status < 200 or (head.status < 300 and head.get(STAMP) is None and head.get(b"content-type") != b"application/json"):
+    if head.status < 200 or (
+        head.status < 300 and head.get(STAMP) is None and head.get(b"content-type") != b"application/json"
+    ):
         raise UpstreamError(Failure.MAY_HAVE_RUN, f"status {head.status} without a stamp")
     if head.status in (429, 503, 408) or 300 <= head.status < 400:
         raise UpstreamError(Failure.MAY_HAVE_RUN, f"status {head.status} without a promise")
--- a/molespur/system/data_plane/load.py
+++ b/molespur/system/data_plane/load.py
@@ -1,4 +1,4 @@
-"""What a scheduler sends to the workers of one service, for the control plane's choice of their parts.  Pure."""
+"""What a scheduler sends to the workers of one service, for the choice of their parts.  Pure."""
 
 from collections import deque
 from dataclasses import dataclass, field
--- a/molespur/system/data_plane/reports.py
+++ b/molespur/system/data_plane/reports.py
@@ -15,7 +15,9 @@
 class ReportPoller:
     """Keeps the reports of all model workers up to date."""
 
-    def __init__(self, state: DataPlaneState, upstreams: Upstreams, clock: Callable[[], float], random: Random):
+    def __init__(
+        self, state: DataPlaneState, upstreams: Upstreams, clock: Callable[[], float], random: Random
+    ):
         self.state, self.upstreams, self.clock, self.random = state, upstreams, clock, random
 
     async def run(self) -> None:
@@ -39,7 +41,9 @@
             async with asyncio.timeout(TIMEOUT_S):
                 headers = [(b"Host", track.address.encode())]
                 connections = self.state.connections(service)
-                response = await self.upstreams.call(track.address, "GET", b"/api/report", headers, b"", connections)
+                response = await self.upstreams.call(
+                    track.address, "GET", b"/api/report", headers, b"", connections
+                )
                 try:
                     body = await response.read()
                 finally:
--- a/molespur/system/data_plane/role.py
+++ b/molespur/system/data_plane/role.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from contextlib import suppress
 from random import Random
 
 from absl import logging
@@ -33,10 +34,8 @@
         self.app, self.scope = app, scope
 
     async def __call__(self, receive, send) -> None:
-        try:
+        with suppress(AnswerCut):  # hypercorn closes a connection whose answer has not ended
             await self.app.ingress.serve(self.scope, receive, send)
-        except AnswerCut:
-            pass  # hypercorn closes a connection whose answer has not ended
 
 
 class IngressApp(Quart):
--- a/molespur/system/data_plane/upstream.py
+++ b/molespur/system/data_plane/upstream.py
@@ -82,7 +82,9 @@
         transport = self._transports.get(address)
         if transport is None:
             limits = httpx.Limits(
-                max_connections=connections, max_keepalive_connections=connections, keepalive_expiry=KEEP_ALIVE_S
+                max_connections=connections,
+                max_keepalive_connections=connections,
+                keepalive_expiry=KEEP_ALIVE_S,
             )
             transport = self._transports[address] = httpx.AsyncHTTPTransport(
                 limits=limits, retries=0, trust_env=False, verify=False
@@ -90,7 +92,13 @@
         return transport
 
     async def call(
-        self, address: str, method: str, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes, connections: int
+        self,
+        address: str,
+        method: str,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+        connections: int,
     ) -> UpstreamResponse:
         """Send a request and wait for the head of its answer.  Raises UpstreamError."""
         request = httpx.Request(
@@ -100,7 +108,11 @@
             content=body,
             extensions={
                 "target": target,
-                "timeout": {"connect": CONNECT_TIMEOUT_S, "pool": CONNECT_TIMEOUT_S, "write": WRITE_TIMEOUT_S},
+                "timeout": {
+                    "connect": CONNECT_TIMEOUT_S,
+                    "pool": CONNECT_TIMEOUT_S,
+                    "write": WRITE_TIMEOUT_S,
+                },
             },
         )
         try:
--- a/molespur/system/feed/follower.py
+++ b/molespur/system/feed/follower.py
@@ -78,7 +78,9 @@
                 self.monitors[address] = Dialer(address, self._monitor_frame)
         for address in [a for a in self.monitors if a not in wanted]:
             self.monitors.pop(address).stop()
-        beat = pb.SchedulerHeartbeat(node=self.settings.node_name, zone=self.settings.zone, leaving=self.leaving)
+        beat = pb.SchedulerHeartbeat(
+            node=self.settings.node_name, zone=self.settings.zone, leaving=self.leaving
+        )
         beat.loads.extend(self.loads(self.clock()))
         frame = pb.Frame(scheduler_heartbeat=beat)
         for address in wanted:
--- a/molespur/system/feed/source.py
+++ b/molespur/system/feed/source.py
@@ -59,7 +59,9 @@
             follower.started.add(name)
             since = follower.offsets.get(name)
             if since is None or since < group.history_from:
-                self._send(follower, name, replica.applied_index, group.machine.feed_snapshot(), snapshot=True)
+                self._send(
+                    follower, name, replica.applied_index, group.machine.feed_snapshot(), snapshot=True
+                )
                 continue
             for index, payload in group.history:
                 if index > since:
--- a/molespur/system/membership/ring.py
+++ b/molespur/system/membership/ring.py
@@ -14,7 +14,9 @@
 
 def monitors(node: str, processes: Iterable[str], count: int = MONITORS) -> list[str]:
     """The processes that watch a node: the first few that follow its position on the ring."""
-    ring = sorted((_position(f"{process}/{point}"), process) for process in processes for point in range(POINTS))
+    ring = sorted(
+        (_position(f"{process}/{point}"), process) for process in processes for point in range(POINTS)
+    )
     chosen: list[str] = []
     start = bisect(ring, (_position(node), ""))
     for _, process in [*ring[start:], *ring[:start]]:
--- a/molespur/system/serving.py
+++ b/molespur/system/serving.py
@@ -17,6 +17,7 @@
 KEEP_ALIVE_S = 30.0
 GRACEFUL_S = 1.0
 BACKLOG = 1024
+HEADER_BYTES = 64 << 10
 SETTINGS_LOOK_S = 2.0
 
 
@@ -30,7 +31,7 @@
 
 
 class SettingsWatch:
-    """Reads the settings file again on SIGHUP, and when it has changed; one that can't be used is passed over."""
+    """Reads the settings file again on SIGHUP and when it has changed; a faulty one is passed over."""
 
     def __init__(self, on_settings: Callable[[ProcessSettings], None]):
         self._on_settings = on_settings
@@ -63,9 +64,13 @@
 
 
 async def serve(
-    app, address: str, stop: asyncio.Event, keep_alive_s: float = KEEP_ALIVE_S, graceful_s: float = GRACEFUL_S,
-    header_bytes: int = 64 << 10,
-) -> None:  # fmt: skip
+    app,
+    address: str,
+    stop: asyncio.Event,
+    keep_alive_s: float = KEEP_ALIVE_S,
+    graceful_s: float = GRACEFUL_S,
+    header_bytes: int = HEADER_BYTES,
+) -> None:
     """Serve until the event is set, then let open requests end within `graceful_s` seconds."""
     config = Config()
     config.bind = [address]
--- a/molespur/system/settings/configuration.py
+++ b/molespur/system/settings/configuration.py
@@ -121,7 +121,11 @@
     for number, route in enumerate(configuration.routes):
         where = f"Routes[{number}]"
         place = (route.host.lower(), route.path_prefix)
-        _require(place not in places, where, f"same Host and PathPrefix as another: {route.host} {route.path_prefix}")
+        _require(
+            place not in places,
+            where,
+            f"same Host and PathPrefix as another: {route.host} {route.path_prefix}",
+        )
         places.add(place)
         _require(route.timeout_ms > 0, f"{where}.TimeoutMs", "must be above 0")
         weights = [target.weight for target in route.targets()]
--- a/molespur/system/settings/process.py
+++ b/molespur/system/settings/process.py
@@ -3,6 +3,7 @@
 Unknown keys are skipped.  Errors are `FleetError(BAD_SETTINGS)` with one line that names the key.
 """
 
+import re
 from pathlib import Path
 from typing import Any
 
@@ -121,9 +122,13 @@
 
 
 def first_problem(error: BaseException) -> str:
-    """The first leaf of a tree of cattrs errors as one line: field, then what is wrong with it."""
+    """The first leaf of a tree of cattrs errors as one line: what is wrong, then the path of keys to it."""
     lines = cattrs.transform_error(error)
-    return lines[0] if lines else str(error)
+    problem, at, path = (lines[0] if lines else str(error)).rpartition(" @ $")
+    if not at:
+        return path
+    keys = re.sub(r"\.(\w+)", lambda match: f".{wire_name(match.group(1))}", path)
+    return f"{keys.lstrip('.')}: {problem}"
 
 
 _CONVERTER = strict_converter()
--- a/molespur/system/shards/host.py
+++ b/molespur/system/shards/host.py
@@ -52,7 +52,9 @@
 class ReplicaHost:
     """All groups of this process, their disk, and the channels to other control-plane processes."""
 
-    def __init__(self, settings, store: Store, machines: dict[str, object], clock: Callable[[], float], random: Random):
+    def __init__(
+        self, settings, store: Store, machines: dict[str, object], clock: Callable[[], float], random: Random
+    ):
         self.settings, self.store, self.clock = settings, store, clock
         self.writer: DiskWriter | None = None
         self.dialers: dict[str, Dialer] = {}
@@ -106,18 +108,26 @@
 
     async def run(self) -> None:
         """Tick until cancelled."""
-        self.writer = DiskWriter(self.store, self._written)
+        self.start(DiskWriter(self.store, self.written))
         for address in self.settings.seed_rpc_addresses():
             self._dial(address)
         while True:
-            now = self.clock()
-            for group in self.groups.values():
-                self._handle(group, raft.Tick())
-                self._plan(group, now)
-                self._maybe_compact(group)
-            self._maybe_join(now)
+            self.step()
             await asyncio.sleep(TICK_S)
 
+    def start(self, writer) -> None:
+        """Write to the disk with this writer from now on."""
+        self.writer = writer
+
+    def step(self) -> None:
+        """What is due now, in every group."""
+        now = self.clock()
+        for group in self.groups.values():
+            self._handle(group, raft.Tick())
+            self._plan(group, now)
+            self._maybe_compact(group)
+        self._maybe_join(now)
+
     def reseed(self, settings) -> None:
         """Other seeds are known from now on."""
         for address in settings.seed_rpc_addresses():
@@ -147,7 +157,10 @@
     def leader(self, group: str) -> pb.Member | None:
         """The group's leader, as far as known."""
         replica = self.groups[group].replica
-        if replica.role is not raft.Role.LEADER and replica.leader_silence(self.clock()) > raft.ELECTION_MS[0]:
+        if (
+            replica.role is not raft.Role.LEADER
+            and replica.leader_silence(self.clock()) > raft.ELECTION_MS[0]
+        ):
             return None
         return replica.member(replica.leader_id)
 
@@ -220,7 +233,9 @@
                     group.history_from = snapshot.index
                     self.on_restore(group.name)
                 case raft.RoleChanged(role, leader):
-                    logging.info("%s: %s, leader %s", group.name, role.value, leader.replica_id if leader else "?")
+                    logging.info(
+                        "%s: %s, leader %s", group.name, role.value, leader.replica_id if leader else "?"
+                    )
                     self.on_role(group.name)
 
     def _apply(self, group: HostedGroup, entry: pb.LogEntry) -> None:
@@ -240,7 +255,8 @@
         else:
             waiter.outcome.set_exception(FleetError(ErrorKind.NO_LEADER, group.name))
 
-    def _written(self, name: str, record: raft.Persist) -> None:
+    def written(self, name: str, record: raft.Persist) -> None:
+        """A record is on the disk."""
         group = self.groups[name]
         self._carry_out(group, record.release)
         self._handle(group, raft.Persisted(record.sequence))
--- a/molespur/system/storage/store.py
+++ b/molespur/system/storage/store.py
@@ -70,7 +70,8 @@
         ).fetchone()
         snapshot = Snapshot(row[0], row[1], pb.Membership.FromString(row[2]), row[3]) if row else Snapshot()
         rows = self.connection.execute(
-            "select idx, term, kind, data from entries where grp = ? and idx > ? order by idx", (group, snapshot.index)
+            "select idx, term, kind, data from entries where grp = ? and idx > ? order by idx",
+            (group, snapshot.index),
         )
         entries = [pb.LogEntry(index=i, term=t, kind=k, data=d) for i, t, k, d in rows]
         return Loaded(hard_state, snapshot, entries)
--- /dev/null
+++ b/tests/system/test_data_plane_parts.py
@@ -0,0 +1,176 @@
+"""The small pure parts of the data plane: events, routes, budget, load, request heads."""
+
+from itertools import pairwise
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from molespur.system.data_plane.budget import RetryBudget
+from molespur.system.data_plane.client_request import demand_of, read_head
+from molespur.system.data_plane.events import EventFilter
+from molespur.system.data_plane.ingress import check_head, read_handle
+from molespur.system.data_plane.load import LoadMeter
+from molespur.system.data_plane.routes import RouteTable
+from molespur.system.data_plane.upstream import Head, UpstreamError
+from molespur.system.errors import ErrorKind, FleetError
+from molespur.system.settings.configuration import Configuration, Engine, Limits, Route, Service
+
+STREAM = b"".join(b"id: %d\ndata: token id: %d\n\n" % (n, n) for n in range(1, 8))
+
+
+@given(cuts=st.lists(st.integers(1, len(STREAM) - 1), max_size=12))
+def test_only_whole_events_go_on_whatever_pieces_they_come_in(cuts):
+    events, out = EventFilter(), b""
+    edges = [0, *sorted(cuts), len(STREAM)]
+    for start, end in pairwise(edges):
+        out += events.feed(STREAM[start:end])
+        assert out.endswith(b"\n\n") or not out
+        assert STREAM.startswith(out)
+    assert out == STREAM and events.last_id == b"7"
+
+
+def test_a_part_of_an_event_is_not_what_a_resumed_stream_goes_on_from():
+    events = EventFilter()
+    events.feed(b"id: 3\ndata: x\n\nid: 4\nda")
+    assert events.last_id == b"3"
+    events.drop_rest()
+    assert events.feed(b"id: 4\ndata: y\n\n") == b"id: 4\ndata: y\n\n"
+
+
+def table(*prefixes):
+    routes = tuple(Route(p, "Shop.example", p, service="s") for p in prefixes)
+    return RouteTable(Configuration(1, routes, (Service("s"),)))
+
+
+@pytest.mark.parametrize(
+    ("path", "found"),
+    [
+        ("/a/b/c", "/a/b/"),
+        ("/a/x", "/a/"),
+        ("/a/b", "/a/"),
+        ("/a/b/", "/a/b/"),
+        ("/b/a/", "/"),
+        ("/ab/c", "/"),
+    ],
+)
+def test_the_longest_prefix_wins(path, found):
+    assert table("/", "/a/", "/a/b/").find("shop.example:8080", path).name == found
+
+
+def test_an_unknown_host_or_path_has_no_route():
+    assert table("/a/").find("other.example", "/a/b") is None
+    assert table("/a/").find("shop.example", "/b/") is None
+
+
+@given(arrivals=st.lists(st.tuples(st.floats(0, 400), st.booleans()), max_size=200), count=st.integers(1, 9))
+def test_the_budget_holds_in_every_window(arrivals, count):
+    budget, now, requests, repeats = RetryBudget(0.2, 54.0, 10_000.0), 0.0, [], []
+    budget.schedulers(0.0, count)
+    for gap, repeat in arrivals:
+        now += gap
+        budget.schedulers(now, count)
+        if repeat:
+            if budget.spend(now):
+                repeats.append(now)
+        else:
+            budget.request(now)
+            requests.append(now)
+        window = [t for t in repeats if t > now - 10_000.0]
+        allowed = 0.2 * sum(t >= now - 10_000.0 for t in requests) + 54.0 / count
+        assert len(window) <= allowed + 1e-9 or not repeat
+
+
+def test_a_scheduler_that_knows_of_no_others_spends_little():
+    budget = RetryBudget(0.2, 54.0, 10_000.0)
+    assert not any(budget.spend(0.0) for _ in range(5))
+
+
+def test_the_most_schedulers_of_late_divide_the_budget():
+    budget = RetryBudget(0.0, 54.0, 10_000.0)
+    budget.schedulers(0.0, 9)
+    budget.schedulers(100.0, 1)
+    assert sum(budget.spend(100.0) for _ in range(50)) <= 54 / 9
+
+
+def test_the_load_meter_forgets():
+    meter = LoadMeter()
+    meter.read(0.0, 3000.0)
+    assert meter.read_tokens_per_s(10.0) == 1000.0
+    assert meter.read_tokens_per_s(4000.0) == 0.0
+
+
+def scope(*headers, path=b"/a/b", query=b"x=%20y"):
+    named = [(b"Host", b"shop.example"), (b"Molespur-Attempt-Id", b"abc"), *headers]
+    return {"method": "POST", "raw_path": path, "query_string": query, "headers": named}
+
+
+def test_a_head_goes_on_unchanged_but_for_what_concerns_one_connection():
+    request = read_head(
+        scope(
+            (b"X-Own", b"1"), (b"Connection", b"keep-alive, X-Hop"), (b"X-Hop", b"2"), (b"Kv-From", b"forged"),
+            (b"Molespur-Deadline-Ms", b"900"), (b"Transfer-Encoding", b"chunked"),
+        ),
+        Limits(),
+    )  # fmt: skip
+    assert request.target == b"/a/b?x=%20y" and request.deadline_ms == 900.0
+    names = [name.lower() for name, _ in request.headers]
+    assert names == [b"host", b"molespur-attempt-id", b"x-own"]
+
+
+def test_heads_that_make_no_sense_are_refused():
+    with pytest.raises(FleetError) as problem:
+        read_head(scope((b"X", b"y" * 20_000)), Limits())
+    assert problem.value.kind is ErrorKind.HEADERS_TOO_LARGE
+    nameless = {"method": "GET", "raw_path": b"/", "query_string": b"", "headers": [(b"Host", b"h")]}
+    with pytest.raises(FleetError) as problem:
+        read_head(nameless, Limits())
+    assert problem.value.kind is ErrorKind.MALFORMED
+
+
+@pytest.mark.parametrize("prefix", [b"", b"5c1e:x", b"5c1e", b":3", b"a:1,,b:2"])
+def test_a_prefix_that_cannot_be_read_counts_as_none(prefix):
+    request = read_head(
+        scope((b"Molespur-Token-Usage", b"1460,80"), (b"Molespur-Prompt-Prefix", prefix)), Limits()
+    )
+    route = Route("r", "shop.example", "/a/", service="s")
+    demand = demand_of(request, route, Service("s", engine=Engine()), 0.0, lowest=False)
+    assert demand.parts == () and demand.tokens == 1460.0
+
+
+def head(status, **headers):
+    return Head(status, [(k.replace("_", "-").encode(), v) for k, v in headers.items()])
+
+
+@pytest.mark.parametrize(
+    ("answer", "failure"),
+    [
+        (head(200, molespur_attempt_id=b"abc", molespur_server_stamp=b"s"), None),
+        (head(500, molespur_attempt_id=b"abc", molespur_server_stamp=b"s"), None),
+        (head(200, molespur_attempt_id=b"other", molespur_server_stamp=b"s"), "may-have-run"),
+        (head(200, molespur_attempt_id=b"abc"), "may-have-run"),
+        (
+            head(200, molespur_attempt_id=b"abc", molespur_server_stamp=b"s", content_encoding=b"gzip"),
+            "may-have-run",
+        ),
+        (head(503, molespur_attempt_id=b"abc", molespur_not_executed=b"1"), "rejected"),
+        (head(503, molespur_not_executed=b"1"), "rejected"),
+        (head(421, molespur_instance_id=b"i"), "rejected"),
+        (head(503, molespur_attempt_id=b"abc", molespur_server_stamp=b"s"), "may-have-run"),
+        (head(429, molespur_attempt_id=b"abc"), "may-have-run"),
+        (head(302, molespur_attempt_id=b"abc"), "may-have-run"),
+    ],
+)
+def test_which_answers_of_a_worker_go_to_the_client(answer, failure):
+    if failure is None:
+        check_head(answer, b"abc")
+        return
+    with pytest.raises(UpstreamError) as problem:
+        check_head(answer, b"abc")
+    assert problem.value.failure.value == failure
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{}", b'{"PrefillHandle": 3}', b'{"PrefillHandle": "a/../b"}'])
+def test_a_handle_that_makes_no_sense_is_no_handle(body):
+    with pytest.raises(UpstreamError):
+        read_handle(body)
