--- a/tests/system/test_data_plane_parts.py
+++ b/tests/system/test_data_plane_parts.py
@@ -108,11 +108,15 @@
 def test_a_head_goes_on_unchanged_but_for_what_concerns_one_connection():
     request = read_head(
         scope(
-            (b"X-Own", b"1"), (b"Connection", b"keep-alive, X-Hop"), (b"X-Hop", b"2"), (b"Kv-From", b"forged"),
-            (b"Molespur-Deadline-Ms", b"900"), (b"Transfer-Encoding", b"chunked"),
+            (b"X-Own", b"1"),
+            (b"Connection", b"keep-alive, X-Hop"),
+            (b"X-Hop", b"2"),
+            (b"Kv-From", b"forged"),
+            (b"Molespur-Deadline-Ms", b"900"),
+            (b"Transfer-Encoding", b"chunked"),
         ),
         Limits(),
-    )  # fmt: skip
+    )
     assert request.target == b"/a/b?x=%20y" and request.deadline_ms == 900.0
     names = [name.lower() for name, _ in request.headers]
     assert names == [b"host", b"molespur-attempt-id", b"x-own"]
--- /dev/null
+++ b/tests/system/test_wire.py
@@ -0,0 +1,318 @@
+"""The data plane on real sockets: unchanged bytes, broken answers, strays, handles, resumed streams."""
+
+import asyncio
+import json
+
+import pytest
+from wire import (
+    LAST_CHUNK,
+    Client,
+    ScriptedWorker,
+    answer,
+    chunk,
+    data_plane,
+    event,
+    header,
+    not_executed,
+    request,
+    run,
+    stream_head,
+)
+
+
+def configuration(route_type="non_idempotent", engine=False, **route):
+    shape = {"Capacity": 8, "KvCapacityTokens": 1000, "KvTokenBytes": 10, "BandwidthMbps": 1000}
+    service = {"Name": "s", "MaxConnections": 50, **({"Engine": shape} if engine else {})}
+    made = {"Name": "r", "Host": "shop.example", "PathPrefix": "/p/", "Type": route_type, "Service": "s"}
+    made.update({"TimeoutMs": 5000, "TargetLatencyMs": 300, "MaxAttempts": 1, **route})
+    return json.dumps({"Version": 1, "Routes": [made], "Services": [service]}).encode()
+
+
+def stream(*parts):
+    return lambda request: [stream_head(request), *parts]
+
+
+def test_what_goes_on_and_what_comes_back_is_unchanged():
+    async def scenario():
+        worker = ScriptedWorker(
+            "w", lambda r: answer(r, b"\x00body\xff", extra=b"X-Own: Yes\r\nKeep-Alive: timeout=5\r\n")
+        )
+        async with data_plane(configuration(), worker) as (port, _):
+            client = await Client.connect(port)
+            await client.send(
+                request(b"/p/a%2Fb/../c?q=%20&x=%zz", body=b"\x01\x02", extra=b"X-Mixed-Case: v  w\r\n")
+            )
+            status, head, body, whole = await client.response()
+            assert (status, body, whole) == (200, b"\x00body\xff", True)
+            assert header(head, b"X-Own") == b"Yes" and header(head, b"Molespur-Server-Stamp") == b"s.1"
+            assert header(head, b"Keep-Alive") is None
+            sent = worker.requests[0]
+            assert sent.startswith(b"POST /p/a%2Fb/../c?q=%20&x=%zz HTTP/1.1\r\n") and sent.endswith(
+                b"\r\n\r\n\x01\x02"
+            )
+            assert b"X-Mixed-Case: v  w" in sent and header(sent, b"Molespur-Expected-Instance") == b"w"
+            assert (
+                header(sent, b"Accept-Encoding") is None
+                and 0 < int(header(sent, b"Molespur-Deadline-Ms")) <= 5000
+            )
+            await client.send(request(attempt=b"a2"))
+            assert (await client.response())[0] == 200
+            assert worker.connections == 1, "kept connections are used again"
+
+    run(scenario())
+
+
+def test_a_chunked_request_arrives_whole():
+    async def scenario():
+        worker = ScriptedWorker("w", answer)
+        async with data_plane(configuration(), worker) as (port, _):
+            client = await Client.connect(port)
+            await client.send(
+                b"POST /p/x HTTP/1.1\r\nHost: shop.example\r\nMolespur-Attempt-Id: a\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n" + chunk(b"one") + chunk(b"two") + LAST_CHUNK
+            )
+            assert (await client.response())[0] == 200
+            assert worker.requests[0].endswith(b"\r\n\r\nonetwo")
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        lambda r: None,
+        lambda r: [answer(r, b"cut short")[:-3], None],
+        lambda r: b"garbage\r\n\r\n",
+        lambda r: answer(r).replace(b"Attempt-Id: a1", b"Attempt-Id: b9"),
+        lambda r: answer(r, stamp=False),
+        lambda r: answer(r, extra=b"Content-Encoding: gzip\r\n"),
+        lambda r: answer(r, status=b"503 Service Unavailable"),
+        lambda r: [answer(r).replace(b"Content-Length: 4\r\n", b"Connection: close\r\n"), None],
+    ],
+    ids=["closed", "cut", "garbage", "stray", "no stamp", "encoded", "no promise", "no framing"],
+)
+def test_what_may_have_run_gets_no_promise_and_no_made_up_answer(script):
+    async def scenario():
+        worker = ScriptedWorker("w", script)
+        async with data_plane(configuration(), worker) as (port, _):
+            client = await Client.connect(port)
+            await client.send(request())
+            status, head, body, _ = await client.response()
+            assert status == 502 and body == b"" and header(head, b"Molespur-Server-Stamp") is None
+            assert len(worker.requests) == 1, "it is not sent again"
+
+    run(scenario())
+
+
+def test_a_workers_own_failure_goes_back_as_it_is():
+    async def scenario():
+        worker = ScriptedWorker("w", lambda r: answer(r, b"sorry", b"500 Internal Server Error"))
+        async with data_plane(configuration(), worker) as (port, _):
+            client = await Client.connect(port)
+            await client.send(request())
+            status, head, body, _ = await client.response()
+            assert (status, body) == (500, b"sorry") and header(head, b"Molespur-Server-Stamp") == b"s.1"
+
+    run(scenario())
+
+
+def test_a_rejected_request_is_served_by_another_worker():
+    async def scenario():
+        workers = ScriptedWorker("w", not_executed, answer), ScriptedWorker("v", not_executed, answer)
+        async with data_plane(configuration(), *workers) as (port, ingress):
+            ingress.state.budget("s").minimum = 50.0
+            client = await Client.connect(port)
+            await client.send(request())
+            status, head, _, _ = await client.response()
+            assert status == 503 and float(header(head, b"Retry-After")) > 0, (
+                "both said that they did not run it"
+            )
+            await client.send(request(attempt=b"a2"))
+            assert (await client.response())[0] == 200
+
+    run(scenario())
+
+
+def test_a_second_answer_on_a_kept_connection_belongs_to_nobody():
+    async def scenario():
+        worker = ScriptedWorker("w", lambda r: answer(r) + answer(r, b"stray"), answer)
+        async with data_plane(configuration(), worker) as (port, _):
+            client = await Client.connect(port)
+            for number in range(3):
+                await client.send(request(attempt=b"n%d" % number))
+                status, head, body, _ = await client.response()
+                assert (status, body) in ((200, b"fine"), (502, b""))
+                assert header(head, b"Molespur-Attempt-Id") in (b"n%d" % number, None)
+
+    run(scenario())
+
+
+def test_events_go_on_as_they_come_and_a_part_of_one_does_not():
+    async def scenario():
+        held = asyncio.Event()
+        worker = ScriptedWorker(
+            "w", stream(chunk(event(1) + b"id: 2\nda"), held, chunk(b"ta: token 2\n\n"), LAST_CHUNK)
+        )
+        async with data_plane(configuration("streaming"), worker) as (port, _):
+            client = await Client.connect(port)
+            await client.send(request())
+            assert b"text/event-stream" in await client.head()
+            first = await client.reader.readexactly(len(chunk(event(1))))
+            assert first == chunk(event(1))
+            held.set()
+            rest = await client.reader.readexactly(len(chunk(event(2))) + len(LAST_CHUNK))
+            assert rest == chunk(event(2)) + LAST_CHUNK
+
+    run(scenario())
+
+
+def test_a_stream_cut_in_mid_event_does_not_look_whole():
+    async def scenario():
+        worker = ScriptedWorker("w", stream(chunk(event(1) + b"id: 2\nda"), None))
+        async with data_plane(configuration("streaming"), worker) as (port, _):
+            client = await Client.connect(port)
+            await client.send(request())
+            _, _, body, whole = await client.response()
+            assert body == event(1) and not whole
+
+    run(scenario())
+
+
+def test_a_resumable_stream_goes_on_at_another_worker_inside_one_answer():
+    async def scenario():
+        def rest(request):
+            after = int(header(request, b"Last-Event-Id"))
+            return [
+                stream_head(request, b"s.2"),
+                chunk(b"".join(event(n) for n in range(after + 1, 6))),
+                LAST_CHUNK,
+            ]
+
+        def first(request):
+            if header(request, b"Last-Event-Id") is not None:
+                return rest(request)
+            return [stream_head(request), chunk(event(1)), chunk(event(2) + b"id: 3\n"), None]
+
+        workers = ScriptedWorker("w", first), ScriptedWorker("v", first)
+        async with data_plane(configuration("streaming", Resumable=True, MaxAttempts=2), *workers) as (
+            port,
+            ingress,
+        ):
+            ingress.state.budget("s").minimum = 50.0
+            client = await Client.connect(port)
+            await client.send(request())
+            _, head, body, whole = await client.response()
+            assert whole and body == b"".join(event(n) for n in range(1, 6))
+            assert header(head, b"Molespur-Server-Stamp") == b"s.1", "head and stamp are the first worker's"
+            assert sorted(len(w.requests) for w in workers) == [1, 1]
+
+    run(scenario())
+
+
+PROMPT = b"Molespur-Model: m\r\nMolespur-Token-Usage: 4000,80\r\nMolespur-Prompt-Prefix: aa:3000,bb:1000\r\n"
+
+
+def prefill(request):
+    body = b'{"PrefillHandle":"3fa09c","Tokens":4000,"Version":1}'
+    return answer(request, body, extra=b"Content-Type: application/json\r\n", stamp=False)
+
+
+def test_a_pair_reads_apart_and_hands_the_memory_over():
+    async def scenario():
+        reader = ScriptedWorker("p", prefill, phase="prefill")
+        runner = ScriptedWorker("d", stream(chunk(event(1)), LAST_CHUNK), phase="decode")
+        async with data_plane(configuration("streaming", engine=True), reader, runner) as (port, _):
+            client = await Client.connect(port)
+            await client.send(request(extra=PROMPT, body=b"prompt"))
+            status, _, body, whole = await client.response()
+            assert (status, body, whole) == (200, event(1), True)
+            assert header(reader.requests[0], b"Molespur-Serving-Phase") == b"prefill"
+            assert header(runner.requests[0], b"Kv-From") == reader.address.encode() + b"/3fa09c"
+            assert reader.requests[0].endswith(b"prompt") and runner.requests[0].endswith(b"prompt")
+            assert header(reader.requests[0], b"Priority") is not None
+
+    run(scenario())
+
+
+def test_memory_that_nobody_takes_is_given_back_when_the_client_leaves():
+    async def scenario():
+        freed, asked = asyncio.Event(), asyncio.Event()
+
+        def read_or_free(request):
+            if request.startswith(b"DELETE /api/kv-handle/3fa09c "):
+                freed.set()
+                return answer(request, stamp=False)
+            return prefill(request)
+
+        def hang(request):
+            asked.set()
+            return [asyncio.Event()]
+
+        reader = ScriptedWorker("p", read_or_free, phase="prefill")
+        runner = ScriptedWorker("d", hang, phase="decode")
+        async with data_plane(configuration("streaming", engine=True), reader, runner) as (port, _):
+            client = await Client.connect(port)
+            await client.send(request(extra=PROMPT))
+            await asked.wait()
+            client.writer.close()
+            await asyncio.wait_for(freed.wait(), 10)
+
+    run(scenario())
+
+
+def test_a_client_that_leaves_frees_its_worker_at_once():
+    async def scenario():
+        asked = asyncio.Event()
+
+        def hang(request):
+            asked.set()
+            return [asyncio.Event()]
+
+        worker = ScriptedWorker("w", hang)
+        async with data_plane(configuration(), worker) as (port, ingress):
+            client = await Client.connect(port)
+            await client.send(request())
+            await asked.wait()
+            client.writer.close()
+            while ingress.open_requests:
+                await asyncio.sleep(0)
+            assert ingress.state.usable_workers("s")[0].unfinished == {}
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (request(b"/other/x"), 404),
+        (b"POST /p/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 0\r\n\r\n", 400),
+        (b"POST /p/x HTTP/1.1\r\nno colon\r\n\r\n", 400),
+        (request(extra=b"X-Long: " + b"y" * 17_000 + b"\r\n"), 431),
+        (request(extra=b"X-Long: " + b"y" * 90_000 + b"\r\n"), 431),
+        (request(body=b"z" * 1_100_000), 413),
+    ],
+    ids=["no route", "no attempt id", "malformed", "long headers", "very long headers", "long body"],
+)
+def test_requests_that_make_no_sense_get_a_4xx(sent, status):
+    async def scenario():
+        worker = ScriptedWorker("w", answer)
+        async with data_plane(configuration(), worker) as (port, _):
+            client = await Client.connect(port)
+            await client.send(sent)
+            assert (await client.response())[0] == status
+            assert worker.requests == []
+
+    run(scenario())
+
+
+def test_without_a_configuration_the_answer_is_503_never_404():
+    async def scenario():
+        worker = ScriptedWorker("w", answer)
+        async with data_plane(configuration(), worker) as (port, ingress):
+            ingress.state.routes = None
+            client = await Client.connect(port)
+            await client.send(request(b"/other/x"))
+            status, head, _, _ = await client.response()
+            assert status == 503 and header(head, b"Retry-After") is not None
+
+    run(scenario())
--- /dev/null
+++ b/tests/system/wire.py
@@ -0,0 +1,216 @@
+"""A data plane on loopback sockets: scripted workers and raw clients; nothing waits for time to pass."""
+
+import asyncio
+import time
+from contextlib import asynccontextmanager
+from random import Random
+
+from molespur.system.data_plane.ingress import Ingress
+from molespur.system.data_plane.role import IngressApp
+from molespur.system.data_plane.state import DataPlaneState
+from molespur.system.data_plane.upstream import Upstreams
+from molespur.system.rpc import molespur_pb2 as pb
+from molespur.system.serving import serve
+from molespur.system.settings.process import ProcessSettings
+from molespur.system.shards.placement import CONFIGURATION
+
+PATIENCE_S = 10.0
+
+
+def clock():
+    return time.monotonic() * 1000.0
+
+
+class ScriptedWorker:
+    """Answers each request by the next script: a function of the request that gives bytes, None to close.
+
+    The last script stands for all later requests.
+    """
+
+    def __init__(self, name, *scripts, phase=""):
+        self.name, self.scripts, self.phase = name, list(scripts), phase
+        self.requests, self.connections = [], 0
+        self.closed = asyncio.Event()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._connection, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def _connection(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = int(header(head, b"Content-Length") or 0)
+                request = head + (await reader.readexactly(length) if length else b"")
+                self.requests.append(request)
+                script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
+                answer = script(request)
+                if answer is None:
+                    break
+                parts = answer if isinstance(answer, list) else [answer]
+                for part in parts:
+                    if part is None:
+                        return
+                    if isinstance(part, asyncio.Event):
+                        await part.wait()
+                        continue
+                    writer.write(part)
+                    await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.closed.set()
+            writer.close()
+
+
+def header(request, name):
+    """The value of a header of raw bytes."""
+    for line in request.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]:
+        key, _, value = line.partition(b":")
+        if key.lower() == name.lower():
+            return value.strip()
+    return None
+
+
+def answer(request, body=b"fine", status=b"200 OK", extra=b"", stamp=True):
+    """A worker's whole answer."""
+    stamped = b"Molespur-Server-Stamp: s.1\r\n" if stamp else b""
+    attempt = header(request, b"Molespur-Attempt-Id")
+    return (
+        b"HTTP/1.1 %s\r\nContent-Length: %d\r\nMolespur-Attempt-Id: %s\r\n%s%s\r\n"
+        % (status, len(body), attempt, stamped, extra)
+    ) + body
+
+
+def stream_head(request, stamp=b"s.1"):
+    """The head of a worker's stream."""
+    attempt = header(request, b"Molespur-Attempt-Id")
+    return (
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        b"Molespur-Attempt-Id: %s\r\nMolespur-Server-Stamp: %s\r\n\r\n" % (attempt, stamp)
+    )
+
+
+def event(number):
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def not_executed(request):
+    return answer(request, b"", b"503 Service Unavailable", b"Molespur-Not-Executed: 1\r\n", stamp=False)
+
+
+def settings():
+    return ProcessSettings("edge-1", "127.0.0.1", "a", (1, 2), ("127.0.0.1:3",))
+
+
+@asynccontextmanager
+async def data_plane(configuration, *workers):
+    """An ingress with these workers of service `s`; gives the port that clients reach."""
+    state = DataPlaneState(settings(), Random(1))
+    state.schedulers = 1
+    ingress = Ingress(state, Upstreams(), clock)
+    told = pb.ConfigurationState(version=1, body=configuration).SerializeToString()
+    state.update(CONFIGURATION, True, told)
+    state.count_schedulers(clock(), 1)
+    for worker in workers:
+        await worker.start()
+    known = [
+        pb.Worker(
+            id=w.name, service="s", address=w.address, zone="a", capacity=8, phase=w.phase, state=pb.READY
+        )
+        for w in workers
+    ]
+    state.update("workers-0", True, pb.WorkerSet(workers=known).SerializeToString())
+    probe = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+    port = probe.sockets[0].getsockname()[1]
+    probe.close()
+    await probe.wait_closed()
+    stop = asyncio.Event()
+    serving = asyncio.create_task(serve(IngressApp(ingress), f"127.0.0.1:{port}", stop, graceful_s=0.2))
+    while True:
+        try:
+            _reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.close()
+            break
+        except OSError:
+            await asyncio.sleep(0)
+    try:
+        yield port, ingress
+    finally:
+        stop.set()
+        await serving
+        for worker in workers:
+            worker.server.close()
+
+
+class Client:
+    """A raw client on one connection."""
+
+    def __init__(self, reader, writer):
+        self.reader, self.writer = reader, writer
+
+    @classmethod
+    async def connect(cls, port):
+        return cls(*await asyncio.open_connection("127.0.0.1", port))
+
+    async def send(self, data):
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def head(self):
+        return await asyncio.wait_for(self.reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
+
+    async def response(self):
+        """(status, head, body, whole): whole tells whether the answer ended as it should."""
+        head = await self.head()
+        status = int(head.split(b" ", 2)[1])
+        length = header(head, b"Content-Length")
+        if length is not None:
+            return (
+                status,
+                head,
+                await asyncio.wait_for(self.reader.readexactly(int(length)), PATIENCE_S),
+                True,
+            )
+        body = bytearray()
+        while True:
+            try:
+                size = int(await asyncio.wait_for(self.reader.readuntil(b"\r\n"), PATIENCE_S), 16)
+                data = await asyncio.wait_for(self.reader.readexactly(size + 2), PATIENCE_S)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return status, head, bytes(body), False
+            if size == 0:
+                return status, head, bytes(body), True
+            body += data[:-2]
+
+    async def closed(self):
+        """Whether the connection ends without another byte."""
+        try:
+            return await asyncio.wait_for(self.reader.read(), PATIENCE_S) == b""
+        except ConnectionError:
+            return True
+
+
+def request(path=b"/p/x", attempt=b"a1", body=b"", extra=b"", deadline=5000):
+    return (
+        b"POST %s HTTP/1.1\r\nHost: shop.example\r\nMolespur-Attempt-Id: %s\r\nMolespur-Deadline-Ms: %d\r\n"
+        b"Content-Length: %d\r\n%s\r\n" % (path, attempt, deadline, len(body), extra)
+    ) + body
+
+
+def run(coroutine):
+    """Run a test's coroutine with a bound on its time."""
+
+    async def bounded():
+        async with asyncio.timeout(30):
+            await coroutine
+
+    asyncio.run(bounded())
