--- a/molespur/policy/model.py
+++ b/molespur/policy/model.py
@@ -22,9 +22,13 @@
         self.wait_coef, self.miss_coef, self.const = 1.0, 1.0, 0.0
         self.buckets = {}
 
-    def forecast(self, kind, run, wait, miss=0.0):
-        """Expected time (ms) from its terms."""
-        return self.coef[kind] * run + self.wait_coef * wait + self.miss_coef * miss + self.const
+    def pace(self, kind):
+        """Coefficient of the run on workers of a kind."""
+        return self.coef.get(kind, 1.0)
+
+    def overhead(self, wait, miss=0.0):
+        """Expected time (ms) beside the run, from its terms."""
+        return self.wait_coef * wait + self.miss_coef * miss + self.const
 
     def train(self, kind, run, wait, miss, use, match, elapsed):
         """Keep a sample in its bucket: slot use in tenths by prefix match in quarters."""
@@ -33,21 +37,20 @@
             bucket = self.buckets.setdefault((int(use * 10), int(match * 4)), deque(maxlen=BUCKET_CAP))
             bucket.append((kind, run / scale, wait / scale, miss / scale, 1 / scale, elapsed / scale))
 
-    def refit(self, unit):
+    def refit(self, unit, kinds):
         """Ridge regression towards the prior, newer samples first; unit: of the constant (ms)."""
-        place = {kind: number for number, kind in enumerate(self.coef)}
-        kinds, size = len(place), len(place) + 3
+        place = {kind: number for number, kind in enumerate(kinds)}
+        waits, size = len(place), len(place) + 3
         prior = [1.0] * (size - 1) + [0.0]
         rows = [[RIDGE * (i == j) for j in range(size)] + [RIDGE * one] for i, one in enumerate(prior)]
         for bucket in self.buckets.values():
-            weight = 1.0
-            for kind, run, wait, miss, const, y in reversed(bucket):
-                terms = ((place[kind], run), (kinds, wait), (kinds + 1, miss), (kinds + 2, const * unit))
+            for age, (kind, run, wait, miss, const, y) in enumerate(reversed(bucket)):
+                weight = RECENCY**age
+                terms = ((place[kind], run), (waits, wait), (waits + 1, miss), (waits + 2, const * unit))
                 for i, a in terms:
                     for j, b in (*terms, (size, y)):
                         rows[i][j] += weight * a * b
-                weight *= RECENCY
         solved = solve(rows)
         self.coef = {kind: min(max(solved[i], 0.2), 5.0) for kind, i in place.items()}
-        self.wait_coef, self.miss_coef = max(solved[kinds], 0.2), max(solved[kinds + 1], 0.0)
+        self.wait_coef, self.miss_coef = max(solved[waits], 0.2), max(solved[waits + 1], 0.0)
         self.const = max(solved[-1], 0.0) * unit
--- a/molespur/policy/pair.py
+++ b/molespur/policy/pair.py
@@ -11,7 +11,7 @@
 from zlib import crc32
 
 from .model import FinishTimeModel
-from .placement import draw, tier, warm_first
+from .placement import draw, meeting, warm_first
 from .tracking import Part, WorkerTrack
 
 PREFILL_TOKENS_PER_MS = 50.0  # prior; the model learns the true pace
@@ -139,7 +139,7 @@
         left = demand.aim_at - now
         if len(demand.parts) > 1:
             ways = warm_first(self.random, ways, WARM_PENALTY_MS, _forecast, lambda way: way.match)
-        chosen, meets = tier(self.random, ways, left, _forecast, demand.repeatable)
+        chosen, meets = meeting(self.random, ways, left, _forecast, demand.repeatable)
         return Choice(draw(self.random, chosen, [way.cost for way in chosen]), meets)
 
     def choose_decode(
@@ -251,7 +251,14 @@
         paced = run * exp(worker.pace.get(part, 0.0))
         use = (len(worker.unfinished) + worker.others(now)) / max(worker.slots, 1)
         return Step(
-            worker, part, run, wait, min(use, 2.0), match, self.model.forecast(part, paced, wait), read
+            worker,
+            part,
+            run,
+            wait,
+            min(use, 2.0),
+            match,
+            self.model.pace(part) * paced + self.model.overhead(wait),
+            read,
         )
 
     # -- Own work ------------------------------------------------------------------------------
@@ -277,7 +284,7 @@
             self.plain_run[demand.route] = run + RUN_GAIN * (max(elapsed - step.wait, 1.0) - run)
         if now >= self.refit_at:
             self.refit_at = now + REFIT_MS
-            self.model.refit(FIRST_TOKEN_MS)
+            self.model.refit(FIRST_TOKEN_MS, Part)
 
     def ended(self, now: float, step: Step, key, failed: bool = False, elapsed: float = 0.0) -> None:
         """A call is over, one way or another."""
--- a/molespur/policy/placement.py
+++ b/molespur/policy/placement.py
@@ -14,10 +14,10 @@
     return warm if claim and random.random() >= WARM_EXPLORE else found
 
 
-def tier(random, found, left, forecast_of, may_explore):
+def meeting(random, found, left, forecast_of, may_explore):
     """The candidates that meet the aim (ms left), else all; and whether any does."""
-    meeting = [f for f in found if forecast_of(f) <= left]
-    meets, chosen = bool(meeting), meeting or found
+    tier = [f for f in found if forecast_of(f) <= left]
+    meets, chosen = bool(tier), tier or found
     if len(chosen) < len(found) and may_explore and random.random() < EXPLORE:
         chosen = [f for f in found if forecast_of(f) > left]
     return chosen, meets
