Judge by what is awaited, not by streams that run; start and elect faster

Change: awaited first answers apart from unfinished calls; a short first election (pre-vote keeps it harmless); libraries log warnings only; httpx is imported by the control plane with its first order.

--- a/molespur/policy/pair.py
+++ b/molespur/policy/pair.py
@@ -30,6 +30,7 @@
 HOME_MATCH = 0.9  # prefix match of the worker that is the prefix's home: others may have sent it there
 HOME_READ = 0.5  # share of a shared prefix that a home is expected to have
 REFIT_MS = 2000.0
+DUE_FORECASTS, DUE_SLACK_MS = 1.5, 100.0  # a first answer is late after so many forecasts and this
 USABLE_SILENT_MS = 2500.0  # a worker silent to the control plane is used if own calls went well this lately
 PANIC_SHARE = 0.5
 PRIORITIES = ((0.0, 0), (40.0, 2), (80.0, 3), (140.0, 5), (260.0, 6))  # longest read (ms) of each rank
@@ -235,13 +236,13 @@
     @staticmethod
     def _slot_wait(worker, others):
         """Waiting for a place in the batch; more running requests make each token slower."""
-        over = len(worker.unfinished) + others - worker.slots
-        load = (len(worker.unfinished) + others) / max(worker.slots, 1)
+        over = worker.unfinished + others - worker.slots
+        load = (worker.unfinished + others) / max(worker.slots, 1)
         return 10.0 * load + max(over, 0.0) * 5.0
 
     def _plain_step(self, now, worker, demand):
         run = self.plain_run.get(demand.route, PLAIN_RUN_MS)
-        load = len(worker.unfinished) + worker.others(now)
+        load = worker.unfinished + worker.others(now)
         over = load + 1 - worker.slots
         wait = max(over, 0.0) * run / max(worker.slots, 1) + 0.3 * run * min(load / max(worker.slots, 1), 1.0)
         return self._step(now, worker, Part.PLAIN, run, wait, 1.0, 0.0)
@@ -249,7 +250,7 @@
     def _step(self, now, worker, part, run, wait, match, read):
         wait = max(wait, worker.overdue(now))
         paced = run * exp(worker.pace.get(part, 0.0))
-        use = (len(worker.unfinished) + worker.others(now)) / max(worker.slots, 1)
+        use = (worker.unfinished + worker.others(now)) / max(worker.slots, 1)
         return Step(
             worker,
             part,
@@ -266,13 +267,15 @@
     def begin(self, now: float, step: Step, demand: Demand, key) -> None:
         """A call has been sent to a worker."""
         worker = step.worker
-        worker.unfinished[key] = now + 1.5 * step.forecast + 100.0
+        worker.unfinished += 1
+        worker.awaited[key] = now + DUE_FORECASTS * step.forecast + DUE_SLACK_MS
         worker.reading += step.read
         if step.part is not Part.PLAIN:
             worker.remember(demand.parts)
 
-    def first_answer(self, now: float, step: Step, demand: Demand, elapsed: float) -> None:
+    def first_answer(self, now: float, step: Step, demand: Demand, key, elapsed: float) -> None:
         """The prompt has been read, or the first event or whole answer has come, after `elapsed` ms."""
+        step.worker.awaited.pop(key, None)
         step.worker.reading = max(step.worker.reading - step.read, 0.0)
         step.read = 0.0
         step.worker.served(now, step.part, step.forecast, elapsed)
@@ -289,7 +292,8 @@
     def ended(self, now: float, step: Step, key, failed: bool = False, elapsed: float = 0.0) -> None:
         """A call is over, one way or another."""
         worker = step.worker
-        worker.unfinished.pop(key, None)
+        worker.unfinished -= 1
+        worker.awaited.pop(key, None)
         worker.reading = max(worker.reading - step.read, 0.0)
         step.read = 0.0
         if failed:
--- a/molespur/policy/tracking.py
+++ b/molespur/policy/tracking.py
@@ -53,8 +53,10 @@
     silent: bool = False
     capacity_tokens: float = 0.0
     reading: float = 0.0  # prompt tokens of own unfinished calls that are to be read there
-    running: int = 0  # own unfinished runs there
-    unfinished: OrderedDict = field(default_factory=OrderedDict)  # key -> when it should be over
+    unfinished: int = 0  # own calls there
+    awaited: OrderedDict = field(
+        default_factory=OrderedDict
+    )  # own call without a first answer -> when it is due
     report: Report = field(default_factory=Report)
     prefixes: OrderedDict = field(default_factory=OrderedDict)  # part id -> tokens, least lately sent first
     prefix_tokens: float = 0.0
@@ -86,13 +88,13 @@
         """Requests of other schedulers there, by the last report and its age."""
         reported = self.report.active + self.report.queued
         trust = REPORT_KEPT_MS / (REPORT_KEPT_MS + max(now - self.report.at - LAG_MS, 0.0))
-        return max(reported - len(self.unfinished), 0.0) * trust
+        return max(reported - self.unfinished, 0.0) * trust
 
     def overdue(self, now):
-        """By how much the oldest unfinished call there is late."""
-        if not self.unfinished:
+        """By how much the oldest call there that has no answer yet is late."""
+        if not self.awaited:
             return 0.0
-        return max(now - next(iter(self.unfinished.values())), 0.0)
+        return max(now - next(iter(self.awaited.values())), 0.0)
 
     def resting(self, now):
         """Whether it is spared now for its failures."""
--- a/molespur/system/cli.py
+++ b/molespur/system/cli.py
@@ -21,6 +21,7 @@
 
 import asyncio
 import gc
+import logging as standard_logging
 import os
 import sys
 from pathlib import Path
@@ -31,7 +32,7 @@
 from .errors import FleetError
 from .settings import configuration, process
 
-COMMANDS = ("data-plane", "control-plane", "check-settings", "check-configuration")
+NOISY_LIBRARIES = ("httpcore", "httpx", "hypercorn", "asyncio")
 
 
 def main(arguments: list[str]) -> int:
@@ -40,6 +41,8 @@
     logging.use_absl_handler()
     logging.set_verbosity(int(options["--verbosity"] or 0))
     logging.set_stderrthreshold("debug")
+    for library in NOISY_LIBRARIES:
+        standard_logging.getLogger(library).setLevel(standard_logging.WARNING)
     try:
         if options["check-configuration"]:
             configuration.parse(Path(options["FILE"]).read_bytes())
--- a/molespur/system/consensus/replica.py
+++ b/molespur/system/consensus/replica.py
@@ -17,6 +17,7 @@
 
 HEARTBEAT_MS = 150.0
 ELECTION_MS = (700.0, 1300.0)  # a follower campaigns after a silence drawn from this range
+FIRST_ELECTION_MS = (100.0, 350.0)  # the same just after a start: a pre-vote disturbs no leader that lives
 LEASE_MS = 0.8 * ELECTION_MS[0]  # a leader heard by a majority this lately is the only one
 RETRY_APPEND_MS = 600.0  # an append without an answer is sent again after this time
 ENTRIES_PER_APPEND = 64
@@ -223,7 +224,7 @@
         self.durable_term = self.hard_state.term
         self.led_since = self.transfer_until = now
         self._set_role(Role.FOLLOWER if self.membership.members else Role.OUTSIDER)
-        self._reset_election()
+        self._reset_election(FIRST_ELECTION_MS)
         self._actions.clear()
 
     # -- What can be read ----------------------------------------------------------------------
@@ -349,8 +350,8 @@
         if changed:
             self._actions.append(RoleChanged(role, self.member(leader)))
 
-    def _reset_election(self) -> None:
-        low, high = ELECTION_MS
+    def _reset_election(self, between: tuple[float, float] = ELECTION_MS) -> None:
+        low, high = between
         self.election_at = self.now + low + (high - low) * self.random.random()
 
     def _adopt_term(self, term: int) -> None:
--- a/molespur/system/control_plane/orders.py
+++ b/molespur/system/control_plane/orders.py
@@ -8,7 +8,6 @@
 import json
 from collections.abc import Callable
 
-import httpx
 from absl import logging
 
 from ..errors import FleetError
@@ -40,7 +39,7 @@
         self.clock = clock
         self.owner_since: dict[str, float] = {}
         self.planners: dict[str, PhasePlanner] = {}
-        self._client: httpx.AsyncClient | None = None
+        self._client = None  # made with the first order: most processes never give one
         self._tasks: set[asyncio.Task] = set()
 
     def became_owner(self, group: str) -> None:
@@ -74,6 +73,8 @@
             "Holder": self.settings.node_name,
             "FencingToken": self.host.groups[group].replica.hard_state.term,
         }
+        import httpx
+
         if self._client is None:
             self._client = httpx.AsyncClient(timeout=ORDER_TIMEOUT_S, trust_env=False, verify=False)
         try:
--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -21,6 +21,7 @@
 from .http import create_app
 from .orders import PhaseOrders
 
+LOOK_S = 0.1
 FEED_HEARTBEAT_S = 0.4
 REPORT_S = 1.0
 SILENCE_CHECK_S = 0.3
@@ -113,10 +114,14 @@
     async def _repeat(self) -> None:
         """What is done again and again."""
         reported = looked = 0.0
+        beaten = 0.0
         while True:
-            await asyncio.sleep(FEED_HEARTBEAT_S)
+            await asyncio.sleep(LOOK_S)
             now = clock()
             self.feed.start_waiting()
+            if now - beaten < FEED_HEARTBEAT_S * 1000:
+                continue
+            beaten = now
             self._feed_heartbeat()
             if now - reported >= REPORT_S * 1000:
                 reported = now
--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -202,7 +202,7 @@
         failed = True
         expected = (step.part.value, step.worker.id, step.run, step.wait, step.forecast)
         try:
-            event = await call(step, begun, *arguments)
+            event = await call(step, key, begun, *arguments)
             failed = isinstance(event, machine.AnswerBroken)
             return event
         except UpstreamError as error:
@@ -247,13 +247,13 @@
             raise
         return response
 
-    def _first_answer(self, step: Step, begun: float) -> None:
+    def _first_answer(self, step: Step, key: int, begun: float) -> None:
         self.first_at = self.clock()
-        self.policy.first_answer(self.first_at, step, self.demand, self.first_at - begun)
+        self.policy.first_answer(self.first_at, step, self.demand, key, self.first_at - begun)
 
     # -- The prompt read apart -------------------------------------------------------------------
 
-    async def _read_prompt(self, step: Step, begun: float) -> machine.Event:
+    async def _read_prompt(self, step: Step, key: int, begun: float) -> machine.Event:
         forecasts, least = PREFILL_PATIENCE
         patience = max(forecasts * step.forecast, least) / 1000.0
         try:
@@ -268,7 +268,7 @@
         if response.head.status != 200:
             raise UpstreamError(Failure.MAY_HAVE_RUN, f"status {response.head.status}")
         handle = read_handle(body)
-        self._first_answer(step, begun)
+        self._first_answer(step, key, begun)
         self.held = (step.worker.address, handle)
         return machine.PromptRead(handle)
 
@@ -279,7 +279,7 @@
 
     # -- The answer ------------------------------------------------------------------------------
 
-    async def _run_call(self, step: Step, begun: float, action: machine.Run) -> machine.Event:
+    async def _run_call(self, step: Step, key: int, begun: float, action: machine.Run) -> machine.Event:
         extra = []
         if action.source is not None:
             extra.append((b"Kv-From", f"{action.source.address}/{action.handle}".encode()))
@@ -289,24 +289,28 @@
         self.held = None
         try:
             if self.route.type == STREAMING and 200 <= response.head.status < 300:
-                return await self._relay_events(step, begun, response)
-            return await self._relay_whole(step, begun, response)
+                return await self._relay_events(step, key, begun, response)
+            return await self._relay_whole(step, key, begun, response)
         finally:
             await response.close()
 
-    async def _relay_whole(self, step: Step, begun: float, response: UpstreamResponse) -> machine.Event:
+    async def _relay_whole(
+        self, step: Step, key: int, begun: float, response: UpstreamResponse
+    ) -> machine.Event:
         """An answer that is read whole before it goes on."""
         body = await response.read()
         if response.head.get(b"content-length") is None and response.head.get(b"transfer-encoding") is None:
             raise UpstreamError(Failure.MAY_HAVE_RUN, "an answer without framing may be cut short")
-        self._first_answer(step, begun)
+        self._first_answer(step, key, begun)
         if self.head_sent:  # an error in place of the rest of a stream
             raise UpstreamError(Failure.MAY_HAVE_RUN, f"status {response.head.status}")
         await self._send_head(response.head, len(body))
         await self.send({"type": "http.response.body", "body": body, "more_body": False})
         return machine.AnswerEnded()
 
-    async def _relay_events(self, step: Step, begun: float, response: UpstreamResponse) -> machine.Event:
+    async def _relay_events(
+        self, step: Step, key: int, begun: float, response: UpstreamResponse
+    ) -> machine.Event:
         """A stream: each whole event goes on as it comes."""
         framed = response.head.get(b"transfer-encoding") or response.head.get(b"content-length")
         first = True
@@ -314,7 +318,7 @@
             async for chunk in response.chunks():
                 if first:
                     first = False
-                    self._first_answer(step, begun)
+                    self._first_answer(step, key, begun)
                 whole = self.events.feed(chunk)
                 if whole:
                     await self._send_events(response.head, whole)
--- a/molespur/system/errors.py
+++ b/molespur/system/errors.py
@@ -46,7 +46,7 @@
     ErrorKind.BODY_TOO_LARGE: Answer(413),
     ErrorKind.BODY_TOO_SLOW: Answer(408, promises_not_run=True),
     ErrorKind.NO_ROUTE: Answer(404),
-    ErrorKind.NO_CONFIGURATION: Answer(503, promises_not_run=True, retry_after_s=0.3),
+    ErrorKind.NO_CONFIGURATION: Answer(503, promises_not_run=True, retry_after_s=0.7),
     ErrorKind.STOPPING: Answer(503, promises_not_run=True, retry_after_s=0.05),
     ErrorKind.NO_WORKER: Answer(503, promises_not_run=True, retry_after_s=0.2),
     ErrorKind.OVERLOADED: Answer(503, promises_not_run=True, retry_after_s=0.25),
