--- a/molespur/policy/pair.py
+++ b/molespur/policy/pair.py
@@ -21,14 +21,15 @@
 HANDOVER_COST_MS = 20.0  # what moving a prompt's memory counts for in the draw
 CROSSING_COST_MS = 12.0  # what a call into another zone counts for in the draw
 ZONE_FACTOR = 2.0  # memory moves this much slower between zones
-WARM_PENALTY_MS = 60.0
+WARM_PENALTY_MS = 120.0
 DIRECT_LONGEST_MS = (
     80.0  # a longer read holds up the answers that a decode worker gives: only without readers
 )
 DIRECT_COST = 1.0  # what a decode worker's reading counts for in the draw, for each ms of it
 SUBSET = 8  # workers of a part that are looked at for one request
 HOME_MATCH = 0.9  # prefix match of the worker that is the prefix's home: others may have sent it there
-HOME_READ = 0.5  # share of a shared prefix that a home is expected to have
+HOME_READ = 0.85  # share of a shared prefix that a home is expected to have
+REREAD_COST_MS = 0.02  # what each shared token that is read away from its home counts for in the draw
 REFIT_MS = 2000.0
 DUE_FORECASTS, DUE_SLACK_MS = 1.5, 100.0  # a first answer is late after so many forecasts and this
 USABLE_SILENT_MS = 2500.0  # a worker silent to the control plane is used if own calls went well this lately
@@ -78,6 +79,7 @@
     match: float
     forecast: float
     read: float = 0.0
+    reread: float = 0.0  # shared tokens of `read` that another worker has probably read
 
     @property
     def priority(self):
@@ -181,7 +183,7 @@
                 move = self._handover(now, reader, runner, demand)
                 cost = read.forecast + move.forecast + HANDOVER_COST_MS
                 cost += self._crossing(reader) + self._crossing(runner)
-                cost += HANDOVER_COST_MS * (reader.zone != runner.zone)
+                cost += HANDOVER_COST_MS * (reader.zone != runner.zone) + REREAD_COST_MS * read.reread
                 ways.append(Way((read, move), read.forecast + move.forecast, read.match, cost))
         return ways
 
@@ -205,6 +207,7 @@
             step = self._read_step(now, worker, part, demand)
         cost = step.forecast + self._crossing(worker)
         if part is Part.DIRECT:
+            cost += REREAD_COST_MS * step.reread
             cost += DIRECT_COST * (step.read + worker.reading) / DIRECT_TOKENS_PER_MS
         return Way((step,), step.forecast, step.match, cost)
 
@@ -215,6 +218,7 @@
         if home:
             match, matched = max(match, HOME_MATCH), max(matched, HOME_READ * shared)
         unread = max(demand.tokens - matched, 0.0)
+        reread = 0.0 if home else max(shared - matched, 0.0)
         pace = PREFILL_TOKENS_PER_MS if part is Part.PREFILL else DIRECT_TOKENS_PER_MS
         run = unread / pace + FIRST_TOKEN_MS
         mean_read = demand.tokens / PREFILL_TOKENS_PER_MS / 2
@@ -223,7 +227,9 @@
             wait = worker.reading / pace + others * mean_read
         else:
             wait = worker.reading / pace + self._slot_wait(worker, others)
-        return self._step(now, worker, part, run, wait, match, unread)
+        step = self._step(now, worker, part, run, wait, match, unread)
+        step.reread = reread
+        return step
 
     def _handover(self, now, source, worker, demand):
         matched = worker.matched(demand.parts)
--- a/molespur/system/data_plane/reports.py
+++ b/molespur/system/data_plane/reports.py
@@ -8,7 +8,7 @@
 from .state import DataPlaneState
 from .upstream import UpstreamError, Upstreams
 
-INTERVAL_S = 2.0  # between two reports of one worker
+INTERVAL_S = 4.0  # between two reports of one worker
 TIMEOUT_S = 0.6
 
 
