--- a/molespur/policy/pair.py
+++ b/molespur/policy/pair.py
@@ -27,6 +27,7 @@
 )
 DIRECT_COST = 1.0  # what a decode worker's reading counts for in the draw, for each ms of it
 SUBSET = 8  # workers of a part that are looked at for one request
+MATCH_TOKENS = 3000.0  # a shared prefix shorter than this counts as if it were so long: it is soon read
 HOME_MATCH = 0.9  # prefix match of the worker that is the prefix's home: others may have sent it there
 HOME_READ = 0.85  # share of a shared prefix that a home is expected to have
 REREAD_COST_MS = 0.02  # what each shared token that is read away from its home counts for in the draw
@@ -214,7 +215,8 @@
     def _read_step(self, now, worker, part, demand, home=False):
         matched = worker.matched(demand.parts)
         shared = sum(tokens for _, tokens in demand.shared)
-        match = min(worker.matched(demand.shared) / shared, 1.0) if shared else 1.0
+        missing = max(shared - worker.matched(demand.shared), 0.0)
+        match = 1.0 - missing / max(shared, MATCH_TOKENS)
         if home:
             match, matched = max(match, HOME_MATCH), max(matched, HOME_READ * shared)
         unread = max(demand.tokens - matched, 0.0)
