--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -11,6 +11,7 @@
 from ...policy.pair import Step
 from ...policy.tracking import Part
 from ..errors import ANSWERS, ErrorKind, FleetError
+from ..faults import FaultPoint, strike
 from ..settings.configuration import STREAMING, Route, Service
 from . import exchange as machine
 from .client_request import ClientRequest, demand_of, read_head
@@ -182,8 +183,11 @@
     async def _carry_out(self, action: machine.Action) -> machine.Action:
         match action:
             case machine.Read(step):
+                self._free()
                 event = await self._attempt(step, self._read_prompt)
             case machine.Run(step):
+                if self.held is not None and self.held[1] != action.handle:
+                    self._free()  # it goes another way: nobody will take that memory
                 event = await self._attempt(step, self._run_call, action)
             case machine.Answer(kind):
                 await self.ingress._answer(self.send, kind)
@@ -270,6 +274,7 @@
         handle = read_handle(body)
         self._first_answer(step, key, begun)
         self.held = (step.worker.address, handle)
+        strike(FaultPoint.AFTER_PREFILL)
         return machine.PromptRead(handle)
 
     def _free(self) -> None:
@@ -288,6 +293,7 @@
         response = await self._call(step, extra)
         self.held = None
         try:
+            strike(FaultPoint.AFTER_HEAD)
             if self.route.type == STREAMING and 200 <= response.head.status < 300:
                 return await self._relay_events(step, key, begun, response)
             return await self._relay_whole(step, key, begun, response)
@@ -322,11 +328,13 @@
                 whole = self.events.feed(chunk)
                 if whole:
                     await self._send_events(response.head, whole)
+                    strike(FaultPoint.BETWEEN_EVENTS)
             if not framed:
                 raise UpstreamError(Failure.MAY_HAVE_RUN, "a stream without framing may be cut short")
         except UpstreamError:
             self.events.drop_rest()
             raise
+        strike(FaultPoint.AFTER_LAST_EVENT)
         rest = self.events.rest()
         if not self.head_sent:
             await self._begin(response.head)
--- a/molespur/system/data_plane/upstream.py
+++ b/molespur/system/data_plane/upstream.py
@@ -8,6 +8,7 @@
 
 import httpx
 
+from ..faults import FaultPoint, strike
 from .exchange import Failure
 
 CONNECT_TIMEOUT_S = 0.5
@@ -115,12 +116,14 @@
                 },
             },
         )
+        strike(FaultPoint.BEFORE_CONNECT)
         try:
             response = await self._transport(address, connections).handle_async_request(request)
         except NOT_SENT_ERRORS as error:
             raise UpstreamError(Failure.NOT_SENT, repr(error)) from error
         except BROKEN_ERRORS as error:
             raise UpstreamError(Failure.MAY_HAVE_RUN, repr(error)) from error
+        strike(FaultPoint.AFTER_SEND)
         return UpstreamResponse(response)
 
     async def forget(self, address: str) -> None:
--- a/molespur/system/storage/store.py
+++ b/molespur/system/storage/store.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from ..consensus.replica import HardState, Persist, Snapshot
+from ..faults import FaultPoint, strike
 from ..rpc import molespur_pb2 as pb
 
 SCHEMA = """
@@ -83,11 +84,13 @@
         try:
             for group, record in records:
                 self._write_one(cursor, group, record)
+            strike(FaultPoint.BEFORE_COMMIT)
             cursor.execute("commit")
         except sqlite3.Error:
             if cursor.in_transaction:
                 cursor.execute("rollback")
             raise
+        strike(FaultPoint.AFTER_COMMIT)
 
     @staticmethod
     def _write_one(cursor: sqlite3.Connection, group: str, record: Persist) -> None:
--- /dev/null
+++ b/tests/system/control.py
@@ -0,0 +1,95 @@
+"""A control plane of one process in a test: a clock that the test moves, writes that are done at once."""
+
+import asyncio
+from random import Random
+
+from molespur.system.control_plane.calls import ControlCalls
+from molespur.system.control_plane.http import create_app
+from molespur.system.settings.process import ProcessSettings
+from molespur.system.shards.configuration import ConfigurationMachine
+from molespur.system.shards.host import ReplicaHost
+from molespur.system.shards.placement import CONFIGURATION, WORKER_GROUPS
+from molespur.system.storage.store import Store
+from molespur.system.workers.directory import WorkerDirectory
+
+
+class PowerLoss(Exception):
+    """The process ends here."""
+
+
+class InlineWriter:
+    """Writes to the disk in the caller's turn."""
+
+    def __init__(self, host):
+        self.host = host
+
+    def write(self, group, record):
+        self.host.store.write([(group, record)])
+        self.host.written(group, record)
+
+    def stop(self):
+        pass
+
+
+class OneControlPlane:
+    """The only process of a control plane, on a folder that outlives it."""
+
+    def __init__(self, folder):
+        self.folder, self.now, self.bootstrap = folder, 0.0, True
+        self.loop = asyncio.new_event_loop()
+        self.start()
+
+    def start(self):
+        settings = ProcessSettings(
+            "core-1",
+            "10.0.0.1",
+            "a",
+            (7000, 7010),
+            ("10.0.0.1:80",),
+            listen={"ControlPlane": "10.0.0.1:80"},
+            bootstrap=self.bootstrap,
+        )
+        machines = {CONFIGURATION: ConfigurationMachine()}
+        machines.update({name: WorkerDirectory() for name in WORKER_GROUPS})
+        self.host = ReplicaHost(settings, Store(self.folder), machines, lambda: self.now, Random(1))
+        self.host.start(InlineWriter(self.host))
+        self.calls = ControlCalls(self.host, lambda: self.now, 1000.0)
+        self.host.on_role = lambda group: self.host.leads(group) and self.calls.became_owner(group)
+        self.client = create_app(self.calls).test_client()
+        self.told = []
+        self.host.on_change = lambda group, index, payload: self.told.append((group, index, payload))
+        self.pass_time(3000.0)
+
+    def pass_time(self, ms):
+        """Let the clock run on."""
+        until = self.now + ms
+        while self.now < until:
+            self.now += 50.0
+            self.host.step()
+
+    def lose_power(self):
+        """The process ends without a word; its disk stays."""
+        self.host.store.close()
+        self.bootstrap = False
+        self.start()
+
+    def call(self, method, path, body=b"", **headers):
+        """(status, body) of one HTTP call."""
+
+        async def made():
+            named = {key.replace("_", "-"): value for key, value in headers.items()}
+            response = await self.client.open(path, method=method, data=body, headers=named)
+            return response.status_code, await response.get_data()
+
+        return self.loop.run_until_complete(made())
+
+    def put(self, body, base):
+        return self.call("PUT", "/api/config", body, If_Match=str(base))
+
+    def silence(self):
+        """Look for workers that have fallen silent."""
+        self.loop.run_until_complete(self.calls.look_for_silence())
+
+    def close(self):
+        self.host.store.close()
+        self.loop.close()
