--- a/benchmarks/control_scale.py
+++ b/benchmarks/control_scale.py
@@ -2,8 +2,8 @@
 
     python -m benchmarks.control_scale [--sizes 50,100,200] [--seconds 10]
 
-Three real processes at loopback addresses of their own; all hollow schedulers (feed followers without clients)
-and hollow workers (heartbeats without requests) share this process.  For each size, which is a number of
+Three real processes at loopback addresses of their own; all hollow schedulers (feed followers without
+clients) and hollow workers (heartbeats without requests) share this process.  For each size, a number of
 schedulers with twice as many workers, it prints a line for each control process: processor time as a share
 of one core, resident memory, bytes a second to and from the hollow processes; then how long a change of
 configuration took to reach every scheduler.  Bounded: each size ends after its seconds.
@@ -21,9 +21,11 @@
 from pathlib import Path
 from random import Random
 
+import httpx
 import yaml
 
 from molespur.system.feed.follower import FeedFollower
+from molespur.system.rpc import channel as channels
 from molespur.system.rpc.channel import Channel
 from molespur.system.settings.process import ProcessSettings, parse
 from molespur.system.shards.placement import CONFIGURATION
@@ -116,20 +118,16 @@
     address = CONTROL[number % 3]
     sequence = 0
     while True:
-        with_sequence = body[:-1] + f',"Sequence":{sequence}}}'
         try:
             reader, writer = await asyncio.open_connection(address, HTTP_PORT)
             while True:
                 sequence += 1
                 with_sequence = body[:-1] + f', "Sequence": {sequence}}}'
-                writer.write(
-                    (
-                        f"PUT /api/instances/i-{number} HTTP/1.1\r\nHost: c\r\nContent-Type: application/json\r\n"
-                        f"Content-Length: {len(with_sequence)}\r\n\r\n{with_sequence}"
-                    ).encode()
-                )
-                head = await reader.readuntil(b"\r\n\r\n")
-                length = int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0])
+                head = f"PUT /api/instances/i-{number} HTTP/1.1\r\nHost: c\r\n"
+                head += f"Content-Type: application/json\r\nContent-Length: {len(with_sequence)}\r\n\r\n"
+                writer.write((head + with_sequence).encode())
+                answer = await reader.readuntil(b"\r\n\r\n")
+                length = int(answer.lower().partition(b"content-length:")[2].split(b"\r\n")[0])
                 await reader.readexactly(length)
                 await asyncio.sleep(HEARTBEAT_S)
         except (OSError, asyncio.IncompleteReadError, ValueError):
@@ -153,8 +151,6 @@
 
 async def put_configuration(version: int) -> None:
     """Put a configuration in force, following redirects and trying again until it is taken."""
-    import httpx
-
     async with httpx.AsyncClient(follow_redirects=True, trust_env=False) as client:
         for attempt in range(40):
             with_base = {"If-Match": str(version - 1)}
@@ -237,9 +233,8 @@
         await asyncio.sleep(0.005)
     reached = sum(h.seen_at > put_at for h in hollow)
     last = max((h.seen_at for h in hollow), default=taken_at)
-    print(
-        f"  a change: taken after {taken_at - put_at:.0f} ms, at {reached} of {len(hollow)} after {last - put_at:.0f} ms"
-    )
+    print(f"  a change: taken after {taken_at - put_at:.0f} ms, at {reached} of {len(hollow)}", end=" ")
+    print(f"after {last - put_at:.0f} ms")
 
 
 def main() -> None:
@@ -250,8 +245,6 @@
     parser.add_argument("--sizes", default="25,50,100,200")
     parser.add_argument("--seconds", type=float, default=10.0)
     options = parser.parse_args()
-    import molespur.system.rpc.channel as channels
-
     channels.Channel = CountedChannel
     for size in options.sizes.split(","):
         asyncio.run(measure(int(size), options.seconds))
