--- a/molespur/__main__.py
+++ b/molespur/__main__.py
@@ -1,5 +1,6 @@
 """The one binary: a scheduler in service without arguments, else a command."""
 
+import gc
 import sys
 
 FLEET_COMMANDS = ("data-plane", "control-plane", "check-settings", "check-configuration")
@@ -8,6 +9,7 @@
 def main() -> int:
     """Run what the arguments say, and import no more than that needs."""
     if len(sys.argv) > 1 and sys.argv[1] in FLEET_COMMANDS:
+        gc.disable()  # until the role runs: imports make nothing that has to be collected
         from .system.cli import main as fleet
 
         return fleet(sys.argv[1:])
--- a/molespur/system/cli.py
+++ b/molespur/system/cli.py
@@ -70,5 +70,6 @@
     role = Role(settings)
     gc.collect()
     gc.freeze()  # what the imports made is never garbage
+    gc.enable()
     asyncio.run(role.run())
     return 0
--- /dev/null
+++ b/tests/system/test_pair_policy.py
@@ -0,0 +1,150 @@
+"""The choice of a pair: what is forecast, what is preferred, and what earlier faults of it taught."""
+
+from random import Random
+
+import pytest
+
+from molespur.policy.pair import Demand, EngineShape, PairPolicy
+from molespur.policy.tracking import Part, Report, WorkerTrack
+
+ENGINE = EngineShape(18_432.0, 550_000.0, 400_000.0)
+LONG = (("a" * 8, 2_500.0), ("b" * 8, 3_800.0), ("own1", 2_800.0))
+SHORT = (("c" * 8, 100.0), ("d" * 8, 70.0), ("own2", 540.0))
+
+
+def worker(name, phase, zone="a"):
+    return WorkerTrack(name, f"{name}:80", zone, phase, 64, capacity_tokens=240_000.0)
+
+
+def fleet():
+    return [worker(f"p{n}", "prefill") for n in range(4)] + [worker(f"d{n}", "decode") for n in range(3)]
+
+
+def demand(parts, now=0.0, aim=400.0, **more):
+    tokens = sum(tokens for _, tokens in parts)
+    return Demand("r", now + aim, now + 3000.0, ENGINE, tokens, parts, **more)
+
+
+def choices(policy, workers, asked, count=200, now=0.0):
+    return [policy.choose(now, workers, asked).way for _ in range(count)]
+
+
+def test_a_long_prompt_is_read_apart_mostly_at_the_home_of_its_prefix():
+    ways = choices(PairPolicy("a", Random(1)), fleet(), demand(LONG))
+    assert all(way.prefill is not None for way in ways)
+    homes = [way.prefill.worker.id for way in ways]
+    assert max(homes.count(name) for name in set(homes)) > 180
+
+
+def test_all_schedulers_have_the_same_home_for_a_prefix():
+    homes = set()
+    for seed in range(8):
+        ways = choices(PairPolicy("a", Random(seed)), fleet(), demand(LONG), 20)
+        names = [way.prefill.worker.id for way in ways]
+        homes.add(max(set(names), key=names.count))
+    assert len(homes) == 1
+
+
+def test_a_short_prompt_goes_to_an_idle_decode_worker_and_not_to_a_busy_home():
+    policy, workers = PairPolicy("a", Random(2)), fleet()
+    for track in workers[:4]:
+        track.reading = 8_000.0
+    ways = choices(policy, workers, demand(SHORT))
+    assert sum(way.prefill is None for way in ways) > 180
+
+
+def test_a_long_read_does_not_hold_up_a_decode_worker_while_readers_are_there():
+    policy, workers = PairPolicy("a", Random(3)), fleet()
+    for track in workers[:4]:
+        track.reading = 20_000.0
+    assert all(way.prefill is not None for way in choices(policy, workers, demand(LONG)))
+    assert all(way.run.part is Part.DIRECT for way in choices(policy, workers[4:], demand(LONG), 20))
+
+
+def test_a_running_stream_does_not_make_its_worker_look_late():
+    policy, workers = PairPolicy("a", Random(4)), fleet()
+    asked = demand(SHORT)
+    way = next(w for w in choices(policy, workers, asked) if w.prefill is None)
+    policy.begin(0.0, way.run, asked, 1)
+    policy.first_answer(40.0, way.run, asked, 1, 40.0)
+    track = way.run.worker
+    assert track.overdue(5_000.0) == 0.0 and track.unfinished == 1
+    policy.ended(5_000.0, way.run, 1)
+    assert track.unfinished == 0 and track.reading == 0.0
+
+
+def test_a_worker_that_gives_no_answer_looks_late_and_is_avoided():
+    policy, workers = PairPolicy("a", Random(5)), fleet()
+    asked = demand(SHORT)
+    way = next(w for w in choices(policy, workers, asked) if w.prefill is None)
+    policy.begin(0.0, way.run, asked, 1)
+    later = demand(SHORT, 2_000.0)
+    chosen = [policy.choose(2_000.0, workers, later).way.run.worker.id for _ in range(100)]
+    assert way.run.worker.id not in chosen
+
+
+def test_reports_of_others_count_and_fade():
+    track = worker("d", "decode")
+    track.report = Report(0.0, active=20, queued=5)
+    track.unfinished = 5
+    assert track.others(100.0) == 20.0
+    assert 0 < track.others(5_000.0) < 10.0
+
+
+def test_repeated_failures_let_a_worker_rest_and_a_whole_fleet_does_not_rest():
+    policy, workers = PairPolicy("a", Random(6)), fleet()
+    bad = workers[4]
+    for _ in range(3):
+        bad.failed(0.0)
+    assert bad.resting(10.0) and not bad.resting(3_000.0)
+    ways = choices(policy, workers, demand(SHORT))
+    assert all(way.run.worker is not bad for way in ways)
+    for track in workers:
+        for _ in range(3):
+            track.failed(0.0)
+    assert policy.choose(10.0, workers, demand(SHORT)) is not None
+
+
+def test_a_worker_silent_to_control_is_used_only_if_it_served_lately():
+    policy, workers = PairPolicy("a", Random(7)), fleet()
+    quiet = workers[4]
+    quiet.silent = True
+    assert all(way.run.worker is not quiet for way in choices(policy, workers, demand(SHORT)))
+    quiet.heard_at = -100.0
+    assert any(way.run.worker is quiet for way in choices(policy, workers, demand(SHORT)))
+
+
+def test_the_model_learns_the_pace_of_each_part():
+    policy, workers = PairPolicy("a", Random(8)), fleet()
+    now = 0.0
+    for number in range(200):
+        now += 50.0
+        asked = demand((("x" * 8, 10.0), (f"own{number}", 2_000.0)), now)
+        choice = policy.choose(now, workers, asked)
+        step = choice.way.prefill or choice.way.run
+        policy.begin(now, step, asked, number)
+        policy.first_answer(now, step, asked, number, 3.0 * step.run + step.wait)
+        policy.ended(now, step, number)
+    asked = demand((("y" * 8, 10.0), ("own", 2_000.0)), now)
+    step = policy.choose(now, workers, asked).way.prefill
+    assert step.forecast > 1.8 * step.run
+
+
+def test_prefixes_unused_longest_give_way():
+    track = worker("p", "prefill")
+    track.capacity_tokens = 1_000.0
+    track.remember((("a", 400.0), ("b", 400.0)))
+    track.remember((("a", 400.0),))
+    track.remember((("c", 400.0),))
+    assert track.matched((("a", 400.0), ("b", 400.0))) == 400.0
+    assert track.matched((("c", 400.0),)) == 400.0
+
+
+@pytest.mark.parametrize(
+    ("part", "read", "rank"), [(Part.DECODE, 9e9, 0), (Part.PREFILL, 500.0, 2), (Part.PREFILL, 50_000.0, 8)]
+)
+def test_short_reads_go_first_and_hand_overs_before_any(part, read, rank):
+    policy = PairPolicy("a", Random(9))
+    step = policy.choose(0.0, fleet(), demand(LONG)).way.run
+    step.part, step.read = part, read
+    assert step.priority == rank
