--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -23,7 +23,7 @@
 
 LOOK_S = 0.1
 FEED_HEARTBEAT_S = 0.4
-REPORT_S = 1.0
+REPORT_S = 0.6
 SILENCE_CHECK_S = 0.3
 
 
--- a/molespur/system/feed/follower.py
+++ b/molespur/system/feed/follower.py
@@ -18,7 +18,7 @@
 STALE_MS = 1500.0  # a source whose leaders were silent this long is left for a fresher one
 PATIENCE_MS = 1200.0  # least time on one source before another is tried
 WATCH_S = 0.2
-HEARTBEAT_MS = 1000.0
+HEARTBEAT_MS = 600.0
 
 
 class FeedFollower:
--- a/molespur/system/workers/phases.py
+++ b/molespur/system/workers/phases.py
@@ -13,7 +13,7 @@
 READ_TOKENS_PER_S = 28_000.0  # what one prefill worker is given at most: half of what it can read
 RUNNING_SHARE = 0.3  # part of a decode worker's slots that are given out
 LEAST_TOKENS_PER_S = 2_000.0  # with less to read nothing is changed
-SETTLE_MS = 1_200.0  # a change must be called for this long
+SETTLE_MS = 600.0  # a change must be called for this long
 REVERSE_MS = 8_000.0  # least time between changes in opposite directions
 REST_MS = 6_000.0  # least time between two orders to one worker
 
