Let schedulers tell each other their unfinished work and where prefixes were sent

Cause: seven to nine schedulers each saw a part of the queue at a prefill worker (trace: 35 ms reads took 87 to 117 ms at a quarter to a half of its load), and a report is 200 ms old when it comes. Ruled out: more reports (priced, and too old for queues of 60 ms); two homes for a prefix (reads shared parts twice). Change: datagrams every 40 ms where something changed, between at most 16 neighbours on the ring that the control plane names; waits count reads of the same or a higher rank; reports every 12 s where peers tell.

--- a/molespur/policy/pair.py
+++ b/molespur/policy/pair.py
@@ -12,7 +12,7 @@
 
 from .model import FinishTimeModel
 from .placement import draw, meeting, warm_first
-from .tracking import Part, WorkerTrack
+from .tracking import Part, WorkerTrack, rank_of
 
 PREFILL_TOKENS_PER_MS = 50.0  # prior; the model learns the true pace
 DIRECT_TOKENS_PER_MS = 25.0
@@ -35,8 +35,6 @@
 DUE_FORECASTS, DUE_SLACK_MS = 1.5, 100.0  # a first answer is late after so many forecasts and this
 USABLE_SILENT_MS = 2500.0  # a worker silent to the control plane is used if own calls went well this lately
 PANIC_SHARE = 0.5
-PRIORITIES = ((0.0, 0), (40.0, 2), (80.0, 3), (140.0, 5), (260.0, 6))  # longest read (ms) of each rank
-LAST_PRIORITY = 8
 RUN_GAIN = 0.05
 
 
@@ -80,15 +78,9 @@
     match: float
     forecast: float
     read: float = 0.0
+    rank: int = 0  # place in a worker's order, 0 first: hand-overs, then short reads before long ones
     reread: float = 0.0  # shared tokens of `read` that another worker has probably read
 
-    @property
-    def priority(self):
-        """Rank at the worker, 0 first: short reads go before long ones, and a memory hand-over before any."""
-        pace = PREFILL_TOKENS_PER_MS if self.part is Part.PREFILL else DIRECT_TOKENS_PER_MS
-        read = 0.0 if self.part is Part.DECODE else self.read / pace
-        return next((rank for longest, rank in PRIORITIES if read <= longest), LAST_PRIORITY)
-
 
 @dataclass(slots=True)
 class Way:
@@ -209,7 +201,7 @@
         cost = step.forecast + self._crossing(worker)
         if part is Part.DIRECT:
             cost += REREAD_COST_MS * step.reread
-            cost += DIRECT_COST * (step.read + worker.reading) / DIRECT_TOKENS_PER_MS
+            cost += DIRECT_COST * (step.read + worker.ahead(step.rank)) / DIRECT_TOKENS_PER_MS
         return Way((step,), step.forecast, step.match, cost)
 
     def _read_step(self, now, worker, part, demand, home=False):
@@ -223,14 +215,15 @@
         reread = 0.0 if home else max(shared - matched, 0.0)
         pace = PREFILL_TOKENS_PER_MS if part is Part.PREFILL else DIRECT_TOKENS_PER_MS
         run = unread / pace + FIRST_TOKEN_MS
-        mean_read = demand.tokens / PREFILL_TOKENS_PER_MS / 2
+        rank = rank_of(unread / pace)
+        wait = worker.ahead(rank) / pace
         others = worker.others(now)
-        if part is Part.PREFILL:
-            wait = worker.reading / pace + others * mean_read
-        else:
-            wait = worker.reading / pace + self._slot_wait(worker, others)
+        if part is Part.DIRECT:
+            wait += self._slot_wait(worker, others)
+        elif not worker.peer_scale:
+            wait += others * demand.tokens / PREFILL_TOKENS_PER_MS / 2
         step = self._step(now, worker, part, run, wait, match, unread)
-        step.reread = reread
+        step.reread, step.rank = reread, rank
         return step
 
     def _handover(self, now, source, worker, demand):
@@ -238,7 +231,7 @@
         bits = max(demand.tokens - matched, 0.0) * demand.engine.token_bytes * 8
         factor = 1.0 if source.zone == worker.zone else ZONE_FACTOR
         move = bits / max(demand.engine.bandwidth_mbps * 1000.0, 1.0) * factor
-        wait = self._slot_wait(worker, worker.others(now)) + worker.reading / DIRECT_TOKENS_PER_MS / 4
+        wait = self._slot_wait(worker, worker.others(now)) + worker.ahead(0) / DIRECT_TOKENS_PER_MS / 4
         return self._step(now, worker, Part.DECODE, move + FIRST_TOKEN_MS, wait, 1.0, 0.0)
 
     @staticmethod
@@ -277,15 +270,14 @@
         worker = step.worker
         worker.unfinished += 1
         worker.awaited[key] = now + DUE_FORECASTS * step.forecast + DUE_SLACK_MS
-        worker.reading += step.read
+        worker.reads[step.rank] += step.read
         if step.part is not Part.PLAIN:
             worker.remember(demand.parts)
 
     def first_answer(self, now: float, step: Step, demand: Demand, key, elapsed: float) -> None:
         """The prompt has been read, or the first event or whole answer has come, after `elapsed` ms."""
         step.worker.awaited.pop(key, None)
-        step.worker.reading = max(step.worker.reading - step.read, 0.0)
-        step.read = 0.0
+        self._read_done(step)
         step.worker.served(now, step.part, step.forecast, elapsed)
         self.model.train(
             step.part, step.run, step.wait, 0.0, step.use, step.match, min(elapsed, 10 * step.forecast)
@@ -302,14 +294,19 @@
         worker = step.worker
         worker.unfinished -= 1
         worker.awaited.pop(key, None)
-        worker.reading = max(worker.reading - step.read, 0.0)
-        step.read = 0.0
+        self._read_done(step)
         if failed:
             worker.failed(now)
             self.model.train(
                 step.part, step.run, step.wait, 0.0, step.use, step.match, max(elapsed, step.forecast)
             )
 
+    @staticmethod
+    def _read_done(step):
+        reads = step.worker.reads
+        reads[step.rank] = max(reads[step.rank] - step.read, 0.0)
+        step.read = 0.0
+
 
 def _forecast(way):
     return way.forecast
--- a/molespur/policy/tracking.py
+++ b/molespur/policy/tracking.py
@@ -11,6 +11,16 @@
 PACE_GAIN, PACE_LEAST, PACE_MOST = 0.06, -0.7, 2.3
 
 
+RANK_READ_MS = (0.0, 40.0, 80.0, 140.0, 260.0)  # longest read of each rank; a longer one has the last
+RANKS = len(RANK_READ_MS) + 1
+PIECE_TOKENS = 2048.0  # a read that has begun is not put back before the end of a piece
+
+
+def rank_of(read_ms):
+    """Rank of a read by its length, 0 first."""
+    return next((rank for rank, longest in enumerate(RANK_READ_MS) if read_ms <= longest), RANKS - 1)
+
+
 class Part(Enum):
     """The part that a worker plays for a request; the model has a pace for each."""
 
@@ -52,7 +62,10 @@
     usable: bool = True
     silent: bool = False
     capacity_tokens: float = 0.0
-    reading: float = 0.0  # prompt tokens of own unfinished calls that are to be read there
+    reads: list = field(default_factory=lambda: [0.0] * RANKS)  # own prompt tokens to be read there, by rank
+    peer_reads: list = field(default_factory=lambda: [0.0] * RANKS)  # the same of schedulers that tell
+    peer_running: float = 0.0  # unfinished calls of schedulers that tell
+    peer_scale: float = 0.0  # schedulers for each that tells; 0: none tells, so that reports have to do
     unfinished: int = 0  # own calls there
     awaited: OrderedDict = field(
         default_factory=OrderedDict
@@ -85,11 +98,25 @@
             self.prefix_tokens -= self.prefixes.popitem(last=False)[1]
 
     def others(self, now):
-        """Requests of other schedulers there, by the last report and its age."""
+        """Requests of other schedulers there: by their own word, else by the last report and its age."""
+        if self.peer_scale:
+            return self.peer_running * self.peer_scale
         reported = self.report.active + self.report.queued
         trust = REPORT_KEPT_MS / (REPORT_KEPT_MS + max(now - self.report.at - LAG_MS, 0.0))
         return max(reported - self.unfinished, 0.0) * trust
 
+    @property
+    def reading(self):
+        """Own prompt tokens to be read there."""
+        return sum(self.reads)
+
+    def ahead(self, rank):
+        """Prompt tokens that are read there before a new read of this rank."""
+        scale = self.peer_scale
+        first = sum(self.reads[: rank + 1]) + scale * sum(self.peer_reads[: rank + 1])
+        later = sum(self.reads[rank + 1 :]) + scale * sum(self.peer_reads[rank + 1 :])
+        return first + min(later, PIECE_TOKENS) / 2
+
     def overdue(self, now):
         """By how much the oldest call there that has no answer yet is late."""
         if not self.awaited:
--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -109,7 +109,7 @@
                 self.calls.replied(frame.reply)
 
     def _feed_heartbeat(self) -> None:
-        self.feed.heartbeat(len(self.schedulers.alive(clock())))
+        self.feed.heartbeat(self.schedulers.alive(clock()))
 
     async def _repeat(self) -> None:
         """What is done again and again."""
--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -203,6 +203,7 @@
         meter = self.ingress.state.meter(self.service.name)
         meter.read(begun, step.read)
         meter.running += step.part is not Part.PREFILL
+        self.ingress.state.peer_work.placed(step.worker, self.demand.shared)
         failed = True
         expected = (step.part.value, step.worker.id, step.run, step.wait, step.forecast)
         try:
@@ -235,7 +236,7 @@
             *extra,
         ]
         if step.part is not Part.PLAIN:
-            headers.append((b"Priority", b"%d" % step.priority))
+            headers.append((b"Priority", b"%d" % step.rank))
         response = await self.ingress.upstreams.call(
             step.worker.address,
             self.request.method,
--- a/molespur/system/data_plane/reports.py
+++ b/molespur/system/data_plane/reports.py
@@ -9,6 +9,7 @@
 from .upstream import UpstreamError, Upstreams
 
 INTERVAL_S = 4.0  # between two reports of one worker
+PEERS_INTERVAL_S = 12.0  # the same where other schedulers tell their work: reports are priced
 TIMEOUT_S = 0.6
 
 
@@ -33,7 +34,9 @@
             if targets:
                 service, track = min(targets, key=lambda target: target[1].report.at)
                 await self._ask(service, track)
-            await asyncio.sleep(INTERVAL_S / max(len(targets), 1) * (0.8 + 0.4 * self.random.random()))
+            told = targets and targets[0][1].peer_scale > 0
+            interval = PEERS_INTERVAL_S if told else INTERVAL_S
+            await asyncio.sleep(interval / max(len(targets), 1) * (0.8 + 0.4 * self.random.random()))
 
     async def _ask(self, service, track) -> None:
         track.report.at = self.clock()  # one that does not answer waits for its next turn like the others
--- a/molespur/system/data_plane/role.py
+++ b/molespur/system/data_plane/role.py
@@ -12,6 +12,7 @@
 from ..serving import SettingsWatch, serve, wait_for_stop
 from ..settings.process import ProcessSettings
 from .ingress import AnswerCut, Ingress
+from .peers import PeerSocket
 from .reports import ReportPoller
 from .state import DataPlaneState
 from .upstream import Upstreams
@@ -59,6 +60,9 @@
         self.ingress = Ingress(self.state, self.upstreams, clock)
         self.follower = FeedFollower(settings, clock, random, self.state.update, self.state.loads)
         self.reports = ReportPoller(self.state, self.upstreams, clock, random)
+        self.peers = PeerSocket(settings.peer_address, self.state.peer_work, clock)
+        self.peers.schedulers = lambda: self.follower.schedulers
+        self.follower.on_peers = self.peers.name_peers
         self.stopping = False
 
     def ready(self) -> bool:
@@ -80,7 +84,13 @@
         closing, ended = asyncio.Event(), asyncio.Event()
         loop = asyncio.get_running_loop()
         watch = SettingsWatch(self.follower.reseed)
-        repeated = (self.follower.run(), self.reports.run(), self._housekeeping(), watch.run())
+        repeated = (
+            self.follower.run(),
+            self.reports.run(),
+            self.peers.run(),
+            self._housekeeping(),
+            watch.run(),
+        )
         background = [loop.create_task(c) for c in repeated]
         grace = max(self.settings.bounds.grace_period_s - LEAVE_S - MARGIN_S, 1.0)
         ingress = loop.create_task(
--- a/molespur/system/data_plane/state.py
+++ b/molespur/system/data_plane/state.py
@@ -1,6 +1,7 @@
 """What a data-plane process knows: the configuration in force, the workers, its part of the budgets."""
 
 import json
+from collections.abc import Iterator
 from random import Random
 
 from absl import logging
@@ -15,6 +16,7 @@
 from ..shards.placement import CONFIGURATION
 from .budget import RetryBudget
 from .load import LoadMeter
+from .peer_work import PeerWorkTable
 from .routes import RouteTable
 
 CONNECTION_SHARE = 0.9  # part of a worker's connections that all schedulers together may use
@@ -39,8 +41,13 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.meters: dict[str, LoadMeter] = {}
         self.schedulers = 0
+        self.peer_work = PeerWorkTable(settings.node_name, self._tracks)
         self.gone: list[str] = []  # addresses whose connections can be closed
 
+    def _tracks(self) -> Iterator[WorkerTrack]:
+        for workers in self.workers.values():
+            yield from workers.values()
+
     # -- The feed ------------------------------------------------------------------------------
 
     def update(self, group: str, snapshot: bool, payload: bytes) -> None:
--- a/molespur/system/feed/follower.py
+++ b/molespur/system/feed/follower.py
@@ -35,6 +35,7 @@
         self.settings, self.clock, self.random = settings, clock, random
         self.on_update, self.loads = on_update, loads
         self.offsets: dict[str, int] = {}
+        self.on_peers: Callable[[list[str]], None] = lambda _addresses: None
         self.schedulers = 0  # how many the control plane knows of; 0: unknown
         self.zones = {address: "" for address in settings.seed_rpc_addresses()}
         self.source: Dialer | None = None
@@ -81,6 +82,7 @@
         beat = pb.SchedulerHeartbeat(
             node=self.settings.node_name, zone=self.settings.zone, leaving=self.leaving
         )
+        beat.peer_address = self.settings.peer_address
         beat.loads.extend(self.loads(self.clock()))
         frame = pb.Frame(scheduler_heartbeat=beat)
         for address in wanted:
@@ -142,6 +144,8 @@
     def _source_heartbeat(self, beat: pb.FeedHeartbeat) -> None:
         self.leader_silence_ms = float(beat.leader_silence_ms)
         self.schedulers = beat.schedulers
+        if beat.peers_told:
+            self.on_peers(list(beat.peers))
         if beat.core:
             zones = {core.rpc_address: core.zone for core in beat.core}
             for address in self.settings.seed_rpc_addresses():
--- a/molespur/system/feed/source.py
+++ b/molespur/system/feed/source.py
@@ -7,10 +7,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ..membership.ring import ring_position
 from ..rpc import molespur_pb2 as pb
 from ..rpc.channel import Channel
 from ..shards.host import ReplicaHost
 
+MAX_PEERS = 16  # schedulers that one exchanges its load with
 FRESH_MS = 2000.0  # a replica whose leader was silent longer starts no new follower
 
 
@@ -22,6 +24,22 @@
     node: str
     offsets: dict[str, int] = field(default_factory=dict)
     started: set[str] = field(default_factory=set)  # groups that it is sent changes of
+    peers: list[str] | None = None  # the schedulers that it was told to exchange its load with
+
+
+def peers_of(node: str, addresses: dict[str, str]) -> list[str]:
+    """The schedulers that one exchanges its load with: all others, or its neighbours where there are many.
+
+    Who is whose neighbour is the same seen from both: positions on a ring, half of them on each side.
+    """
+    ring = sorted((ring_position(other), other) for other in {*addresses, node})
+    if len(ring) <= MAX_PEERS + 1:
+        chosen = [other for _, other in ring if other != node]
+    else:
+        at = next(number for number, (_, other) in enumerate(ring) if other == node)
+        steps = [*range(-MAX_PEERS // 2, 0), *range(1, MAX_PEERS // 2 + 1)]
+        chosen = [ring[(at + step) % len(ring)][1] for step in steps]
+    return sorted(addresses[other] for other in chosen if other in addresses)
 
 
 class FeedSource:
@@ -78,17 +96,24 @@
         for follower in self.followers.values():
             follower.started.discard(name)
 
-    def heartbeat(self, schedulers: int) -> None:
-        """Tell every follower that this process lives, and how fresh it is."""
+    def heartbeat(self, schedulers: dict[str, pb.SchedulerHeartbeat]) -> None:
+        """Tell every follower that this process lives, how fresh it is, and which schedulers there are."""
         frame = pb.Frame()
         beat = frame.feed_heartbeat
         beat.leader_silence_ms = int(min(max(self.host.leader_silence_ms(), 0), 1_000_000))
-        beat.schedulers = schedulers
+        beat.schedulers = len(schedulers)
         for member in self.host.members():
             beat.core.add(
                 rpc_address=member.rpc_address, control_address=member.control_address, zone=member.zone
             )
+        addresses = {node: told.peer_address for node, told in schedulers.items() if told.peer_address}
         for follower in list(self.followers.values()):
+            peers = peers_of(follower.node, addresses)
+            beat.peers_told = peers != follower.peers
+            del beat.peers[:]
+            if beat.peers_told:
+                beat.peers.extend(peers)
+                follower.peers = peers
             follower.channel.send(frame)
 
     @staticmethod
--- a/molespur/system/settings/process.py
+++ b/molespur/system/settings/process.py
@@ -71,6 +71,11 @@
         """This process's own address for other processes of the fleet."""
         return f"{self.ip}:{self.rpc_port}"
 
+    @property
+    def peer_address(self) -> str:
+        """Where a data-plane process takes datagrams of others."""
+        return f"{self.ip}:{self.port_range[1]}"
+
     def seed_rpc_addresses(self) -> list[str]:
         """The seeds' addresses for other processes of the fleet: all machines use the same ports."""
         return [f"{seed.rpartition(':')[0]}:{self.rpc_port}" for seed in self.seed_nodes]
--- a/tests/system/test_pair_policy.py
+++ b/tests/system/test_pair_policy.py
@@ -2,10 +2,8 @@
 
 from random import Random
 
-import pytest
-
 from molespur.policy.pair import Demand, EngineShape, PairPolicy
-from molespur.policy.tracking import Part, Report, WorkerTrack
+from molespur.policy.tracking import RANKS, Part, Report, WorkerTrack
 
 ENGINE = EngineShape(18_432.0, 550_000.0, 400_000.0)
 LONG = (("a" * 8, 2_500.0), ("b" * 8, 3_800.0), ("own1", 2_800.0))
@@ -48,7 +46,7 @@
 def test_a_short_prompt_goes_to_an_idle_decode_worker_and_not_to_a_busy_home():
     policy, workers = PairPolicy("a", Random(2)), fleet()
     for track in workers[:4]:
-        track.reading = 8_000.0
+        track.reads[1] = 8_000.0
     ways = choices(policy, workers, demand(SHORT))
     assert sum(way.prefill is None for way in ways) > 180
 
@@ -56,7 +54,7 @@
 def test_a_long_read_does_not_hold_up_a_decode_worker_while_readers_are_there():
     policy, workers = PairPolicy("a", Random(3)), fleet()
     for track in workers[:4]:
-        track.reading = 20_000.0
+        track.reads[1] = 20_000.0
     assert all(way.prefill is not None for way in choices(policy, workers, demand(LONG)))
     assert all(way.run.part is Part.DIRECT for way in choices(policy, workers[4:], demand(LONG), 20))
 
@@ -140,11 +138,26 @@
     assert track.matched((("c", 400.0),)) == 400.0
 
 
-@pytest.mark.parametrize(
-    ("part", "read", "rank"), [(Part.DECODE, 9e9, 0), (Part.PREFILL, 500.0, 2), (Part.PREFILL, 50_000.0, 8)]
-)
-def test_short_reads_go_first_and_hand_overs_before_any(part, read, rank):
-    policy = PairPolicy("a", Random(9))
-    step = policy.choose(0.0, fleet(), demand(LONG)).way.run
-    step.part, step.read = part, read
-    assert step.priority == rank
+def test_short_reads_go_first_and_hand_overs_before_any():
+    policy, workers = PairPolicy("a", Random(9)), fleet()
+    ways = choices(policy, workers, demand(LONG), 20)
+    assert {way.run.rank for way in ways} == {0} and all(way.prefill.rank > 1 for way in ways)
+    cold = demand((("z" * 8, 10.0), ("own3", 30_000.0)))
+    assert {way.prefill.rank for way in choices(policy, workers, cold, 20)} == {RANKS - 1}
+
+
+def test_a_read_waits_for_what_is_as_urgent_and_for_half_a_piece_of_what_is_not():
+    track = worker("p", "prefill")
+    track.reads[1], track.reads[4] = 500.0, 9_000.0
+    assert track.ahead(1) == 500.0 + 1_024.0
+    assert track.ahead(4) == 9_500.0
+
+
+def test_what_other_schedulers_tell_counts_like_own_work():
+    policy, workers = PairPolicy("a", Random(10)), fleet()
+    for track in workers:
+        track.peer_scale = 1.0
+    for track in workers[:3]:
+        track.peer_reads[1] = 30_000.0
+    asked = demand((("w" * 8, 10.0), ("own4", 4_000.0)))
+    assert {way.prefill.worker.id for way in choices(policy, workers, asked, 50)} == {"p3"}
--- /dev/null
+++ b/tests/system/test_peer_work.py
@@ -0,0 +1,112 @@
+"""What schedulers tell each other: losses, late and senseless datagrams, peers that fall silent."""
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from molespur.policy.tracking import RANKS, WorkerTrack
+from molespur.system.data_plane.peer_work import MAX_WORKERS, PeerWorkTable
+from molespur.system.feed.source import MAX_PEERS, peers_of
+from molespur.system.rpc import molespur_pb2 as pb
+
+
+def scheduler(name, workers=3):
+    tracks = [
+        WorkerTrack(f"w{n}", f"w{n}:80", "a", "prefill", 64, capacity_tokens=1e6) for n in range(workers)
+    ]
+    return PeerWorkTable(name, lambda: tracks), tracks
+
+
+def test_work_and_prefixes_reach_the_others():
+    (a, mine), (b, theirs) = scheduler("a"), scheduler("b")
+    mine[1].unfinished, mine[1].reads[2] = 3, 500.0
+    a.placed(mine[1], (("part", 900.0),))
+    for datagram in a.datagrams(0.0):
+        b.take(5.0, datagram)
+    b.settle(10.0, 5)
+    assert theirs[1].peer_running == 3 and theirs[1].peer_reads[2] == 500.0
+    assert theirs[1].peer_scale == 4.0 and theirs[1].others(10.0) == 12.0
+    assert theirs[1].matched((("part", 900.0),)) == 900.0
+    assert a.datagrams(20.0) == [], "nothing has changed"
+    mine[1].unfinished, mine[1].reads[2] = 0, 0.0
+    for datagram in a.datagrams(40.0):
+        b.take(45.0, datagram)
+    assert theirs[1].peer_running == 0 and sum(theirs[1].peer_reads) == 0.0
+
+
+def test_a_peer_that_falls_silent_has_no_work_that_counts():
+    (a, mine), (b, theirs) = scheduler("a"), scheduler("b")
+    mine[0].unfinished = 4
+    for datagram in a.datagrams(0.0):
+        b.take(0.0, datagram)
+    b.settle(100.0, 2)
+    assert theirs[0].others(100.0) == 4
+    b.settle(5_000.0, 2)
+    assert theirs[0].peer_running == 0 and theirs[0].peer_scale == 0.0
+
+
+def test_late_and_senseless_datagrams_are_counted_and_dropped():
+    (a, mine), (b, theirs) = scheduler("a"), scheduler("b")
+    mine[0].unfinished = 1
+    first = a.datagrams(0.0)[0]
+    mine[0].unfinished = 2
+    b.take(1.0, a.datagrams(50.0)[0])
+    b.take(2.0, first)
+    b.take(3.0, b"\xff\xff")
+    b.take(4.0, pb.PeerWork(node="x", sequence=1, workers=[pb.WorkerWork(reads=[1])]).SerializeToString())
+    b.take(5.0, pb.PeerWork(node="b", sequence=99).SerializeToString())
+    assert theirs[0].peer_running == 2
+    assert b.dropped == {"late": 1, "unreadable": 1, "nonsense": 2}
+
+
+def test_a_restarted_peer_is_heard_again():
+    (_, _), (b, theirs) = scheduler("a"), scheduler("b")
+    b.take(0.0, pb.PeerWork(node="a", sequence=900, whole=True).SerializeToString())
+    b.settle(4_000.0, 2)
+    fresh, mine = scheduler("a")
+    mine[0].unfinished = 1
+    b.take(4_100.0, fresh.datagrams(0.0)[0])
+    assert theirs[0].peer_running == 1
+
+
+def test_many_workers_are_told_in_several_datagrams():
+    (a, mine), (b, theirs) = scheduler("a", 2 * MAX_WORKERS + 1), scheduler("b", 2 * MAX_WORKERS + 1)
+    for track in mine:
+        track.unfinished = 1
+    datagrams = a.datagrams(0.0)
+    assert len(datagrams) == 3
+    for datagram in datagrams:
+        b.take(1.0, datagram)
+    assert [track.peer_running for track in theirs] == [1] * len(theirs)
+
+
+@settings(max_examples=60, deadline=None)
+@given(seed=st.integers(0, 9999), loss=st.sampled_from([0.0, 0.3, 0.7]))
+def test_whatever_is_lost_the_sums_come_right(seed, loss):
+    random = Random(seed)
+    (a, mine), (b, theirs) = scheduler("a"), scheduler("b")
+    now = 0.0
+    for _ in range(60):
+        now += 40.0
+        track = random.choice(mine)
+        track.unfinished = random.randrange(4)
+        track.reads[random.randrange(RANKS)] = float(random.randrange(3)) * 100
+        for datagram in a.datagrams(now):
+            if random.random() >= loss:
+                b.take(now, datagram)
+    for _ in range(30):
+        now += 40.0
+        for datagram in a.datagrams(now):
+            b.take(now, datagram)
+    assert [(t.peer_running, t.peer_reads) for t in theirs] == [(t.unfinished, t.reads) for t in mine]
+
+
+def test_neighbours_are_few_and_each_others():
+    addresses = {f"edge-{n}": f"10.0.{n // 200}.{n % 200}:1" for n in range(390)}
+    peers = {node: set(peers_of(node, addresses)) for node in addresses}
+    assert {len(p) for p in peers.values()} == {MAX_PEERS}
+    nodes = {address: node for node, address in addresses.items()}
+    assert all(addresses[node] in peers[nodes[other]] for node in peers for other in peers[node])
+    few = {node: addresses[node] for node in list(addresses)[:9]}
+    assert all(len(peers_of(node, few)) == 8 for node in few)
