--- a/molespur/system/data_plane/peer_work.py
+++ b/molespur/system/data_plane/peer_work.py
@@ -143,7 +143,7 @@
             peer.work[worker] = work
 
     def settle(self, now: float, schedulers: int) -> None:
-        """Forget the work of peers that have fallen silent; `schedulers`: how many there are, with this one."""
+        """Forget the work of peers that have fallen silent; `schedulers` counts this one too."""
         known = {worker_hash(track.id): track for track in self.tracks()}
         for node in [n for n, peer in self.peers.items() if now - peer.heard_at > SILENT_MS]:
             peer = self.peers.pop(node)
