Carry calls to workers on connections of our own, give up silent runs that may go elsewhere, test the feed

Cause: httpcore's backend took a fifth of a request (profile), a worker gone dark held a resumable stream until its deadline, and a 2xx of type JSON without a stamp could have gone to a client (check_head, found by reading it again).

--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -31,6 +31,11 @@
 
 BODY_TIMEOUT_S = 10.0
 PREFILL_PATIENCE = 4.0, 400.0  # forecasts, and ms, after which a prefill call is given up
+RUN_PATIENCE = 4.0, 700.0  # the same for a run that may be tried elsewhere, until its first answer
+PAUSES, LEAST_PAUSE_MS = (
+    4.0,
+    800.0,
+)  # allowed pauses, and ms, of silence after which such a stream has stalled
 HANDLE_FREE_S = 1.0
 NOT_FORWARDED = frozenset((b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade"))
 
@@ -224,7 +229,9 @@
             logging.vlog(1, "%s: %s at %s: run %.0f wait %.0f forecast %.0f, first answer %.0f, all %.0f ms",
                          self.route.name, *expected, self.first_at - begun, now - begun)  # fmt: skip
 
-    async def _call(self, step: Step, extra: list[tuple[bytes, bytes]]) -> UpstreamResponse:
+    async def _call(
+        self, step: Step, extra: list[tuple[bytes, bytes]], stamped: bool = True
+    ) -> UpstreamResponse:
         left = self.demand.deadline_at - self.clock()
         headers = self.request.headers
         if any(name == b"Last-Event-Id" for name, _ in extra):
@@ -246,7 +253,7 @@
             self.ingress.state.connections(self.service),
         )
         try:
-            check_head(response.head, self.request.attempt_id)
+            check_head(response.head, self.request.attempt_id, stamped)
         except UpstreamError:
             await response.close()
             raise
@@ -263,7 +270,7 @@
         patience = max(forecasts * step.forecast, least) / 1000.0
         try:
             async with asyncio.timeout(patience):
-                response = await self._call(step, [(b"Molespur-Serving-Phase", b"prefill")])
+                response = await self._call(step, [(b"Molespur-Serving-Phase", b"prefill")], stamped=False)
                 try:
                     body = await response.read()
                 finally:
@@ -291,12 +298,31 @@
             extra.append((b"Kv-From", f"{action.source.address}/{action.handle}".encode()))
         if action.resume and self.events.last_id:
             extra.append((b"Last-Event-Id", self.events.last_id))
+        patience = self._patience(step)
+        try:
+            async with asyncio.timeout(patience) as silence:
+                return await self._run_within(step, key, begun, extra, silence)
+        except TimeoutError as error:
+            if not silence.expired():
+                raise
+            self.events.drop_rest()
+            raise UpstreamError(Failure.MAY_HAVE_RUN, "silence") from error
+
+    def _patience(self, step: Step) -> float | None:
+        """Seconds of silence after which a run is given up; None where nothing else could be tried."""
+        left = self.route.max_attempts - self.exchange.runs - 1
+        if not self.route.repeatable or left <= 0:
+            return None
+        forecasts, least = RUN_PATIENCE
+        return max(forecasts * step.forecast, least) / 1000.0
+
+    async def _run_within(self, step: Step, key: int, begun: float, extra, silence) -> machine.Event:
         response = await self._call(step, extra)
         self.held = None
         try:
             strike(FaultPoint.AFTER_HEAD)
             if self.route.type == STREAMING and 200 <= response.head.status < 300:
-                return await self._relay_events(step, key, begun, response)
+                return await self._relay_events(step, key, begun, response, silence)
             return await self._relay_whole(step, key, begun, response)
         finally:
             await response.close()
@@ -316,9 +342,11 @@
         return machine.AnswerEnded()
 
     async def _relay_events(
-        self, step: Step, key: int, begun: float, response: UpstreamResponse
+        self, step: Step, key: int, begun: float, response: UpstreamResponse, silence: asyncio.Timeout
     ) -> machine.Event:
         """A stream: each whole event goes on as it comes."""
+        loop = asyncio.get_running_loop()
+        pause = max(PAUSES * self.route.gap_aim_ms, LEAST_PAUSE_MS) / 1000.0
         framed = response.head.get(b"transfer-encoding") or response.head.get(b"content-length")
         first = True
         try:
@@ -326,6 +354,8 @@
                 if first:
                     first = False
                     self._first_answer(step, key, begun)
+                if silence.when() is not None:
+                    silence.reschedule(loop.time() + pause)
                 whole = self.events.feed(chunk)
                 if whole:
                     await self._send_events(response.head, whole)
@@ -373,8 +403,11 @@
     """The client's answer can't be ended: its connection is closed without an end."""
 
 
-def check_head(head: Head, attempt_id: bytes) -> None:
-    """Raise UpstreamError unless this is a worker's answer to this attempt that can go to the client."""
+def check_head(head: Head, attempt_id: bytes, stamped: bool = True) -> None:
+    """Raise UpstreamError unless this is a worker's answer to this attempt.
+
+    `stamped`: it is to go to the client, so a success has to carry the worker's stamp.
+    """
     if head.get(ATTEMPT_ID) != attempt_id:
         if head.get(NOT_EXECUTED) is not None or head.status == 421:
             raise UpstreamError(Failure.REJECTED, f"status {head.status}")
@@ -383,9 +416,7 @@
         raise UpstreamError(Failure.REJECTED, f"status {head.status}")
     if head.get(b"content-encoding") is not None:
         raise UpstreamError(Failure.MAY_HAVE_RUN, "an encoded body")
-    if head.status < 200 or (
-        head.status < 300 and head.get(STAMP) is None and head.get(b"content-type") != b"application/json"
-    ):
+    if head.status < 200 or (stamped and head.status < 300 and head.get(STAMP) is None):
         raise UpstreamError(Failure.MAY_HAVE_RUN, f"status {head.status} without a stamp")
     if head.status in (429, 503, 408) or 300 <= head.status < 400:
         raise UpstreamError(Failure.MAY_HAVE_RUN, f"status {head.status} without a promise")
--- a/molespur/system/data_plane/upstream.py
+++ b/molespur/system/data_plane/upstream.py
@@ -1,4 +1,4 @@
-"""Calls to workers by httpx: one transport for each worker, raw bytes both ways, no retries of its own.
+"""Calls to workers by httpx: a transport for each worker, raw bytes both ways, no retries of its own.
 
 A call fails with `UpstreamError`, which says how far it came.
 """
@@ -6,17 +6,19 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
+import httpcore
 import httpx
 
 from ..faults import FaultPoint, strike
 from .exchange import Failure
+from .network import WorkerNetwork
 
 CONNECT_TIMEOUT_S = 0.5
 WRITE_TIMEOUT_S = 2.0
 KEEP_ALIVE_S = 4.0
 READ_LIMIT = 8 << 20
-NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
-BROKEN_ERRORS = (httpx.TransportError, httpx.InvalidURL)
+NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+BROKEN_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
 
 ATTEMPT_ID = b"molespur-attempt-id"
 NOT_EXECUTED = b"molespur-not-executed"
@@ -44,6 +46,54 @@
         return next((value for key, value in self.headers if key == name), None)
 
 
+class WorkerTransport(httpx.AsyncBaseTransport):
+    """httpx's transport to one worker, on connections of our own; it repeats nothing."""
+
+    def __init__(self, connections: int):
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=connections,
+            max_keepalive_connections=connections,
+            keepalive_expiry=KEEP_ALIVE_S,
+            retries=0,
+            network_backend=WorkerNetwork(),
+        )
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        """Send a request and wait for the head of its answer.  Raises httpcore's errors."""
+        url = request.url
+        sent = httpcore.Request(
+            method=request.method,
+            url=httpcore.URL(scheme=url.raw_scheme, host=url.raw_host, port=url.port, target=url.raw_path),
+            headers=request.headers.raw,
+            content=request.stream,
+            extensions=request.extensions,
+        )
+        answer = await self._pool.handle_async_request(sent)
+        return httpx.Response(
+            status_code=answer.status, headers=answer.headers, stream=PoolStream(answer.stream)
+        )
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+
+class PoolStream(httpx.AsyncByteStream):
+    """The body of an answer on its way from the pool."""
+
+    def __init__(self, stream):
+        self._stream = stream
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """The body as it arrives.  Raises httpcore's errors."""
+        async for part in self._stream:
+            yield part
+
+    async def aclose(self) -> None:
+        """Give the connection back to the pool."""
+        await self._stream.aclose()
+
+
 class UpstreamResponse:
     """An answer whose body is still to come."""
 
@@ -77,19 +127,12 @@
     """The connections to all workers."""
 
     def __init__(self):
-        self._transports: dict[str, httpx.AsyncHTTPTransport] = {}
+        self._transports: dict[str, WorkerTransport] = {}
 
-    def _transport(self, address: str, connections: int) -> httpx.AsyncHTTPTransport:
+    def _transport(self, address: str, connections: int) -> WorkerTransport:
         transport = self._transports.get(address)
         if transport is None:
-            limits = httpx.Limits(
-                max_connections=connections,
-                max_keepalive_connections=connections,
-                keepalive_expiry=KEEP_ALIVE_S,
-            )
-            transport = self._transports[address] = httpx.AsyncHTTPTransport(
-                limits=limits, retries=0, trust_env=False, verify=False
-            )
+            transport = self._transports[address] = WorkerTransport(connections)
         return transport
 
     async def call(
--- a/molespur/system/feed/follower.py
+++ b/molespur/system/feed/follower.py
@@ -17,6 +17,7 @@
 SILENCE_MS = 1000.0  # a source without a word for this long is left
 STALE_MS = 1500.0  # a source whose leaders were silent this long is left for a fresher one
 PATIENCE_MS = 1200.0  # least time on one source before another is tried
+HOMEWARD_MS = 3000.0  # least time on a source of another zone before one of the own zone is tried
 WATCH_S = 0.2
 HEARTBEAT_MS = 600.0
 
@@ -44,6 +45,7 @@
         self.leader_silence_ms = 0.0
         self.beat_at = float("-inf")
         self.leaving = False
+        self.homeward_at = float("-inf")  # when it last left a source for one of its own zone
         self._order: list[str] = []
 
     async def run(self) -> None:
@@ -98,13 +100,25 @@
         if self.source is not None:
             silent = now - max(self.heard_at, self.since) > SILENCE_MS
             stale = self.leader_silence_ms > STALE_MS and now - self.since > PATIENCE_MS
-            if not silent and not stale:
+            far = self._far(now)
+            if not silent and not stale and not far:
                 return
-            logging.info("feed: leaving %s: %s", self.source.address, "silent" if silent else "stale")
+            why = "silent" if silent else "stale" if stale else "another is nearer"
+            logging.info("feed: leaving %s: %s", self.source.address, why)
+            if far:
+                self.homeward_at, self._order = now, []
             self.source.stop()
             self.source = None
         self._next_source(now)
 
+    def _far(self, now: float) -> bool:
+        """Whether to try a process of the own zone: bytes between zones are paid for."""
+        own = self.settings.zone
+        zone = self.zones.get(self.source.address, "")
+        near = any(other == own for other in self.zones.values())
+        settled = min(now - self.since, now - self.homeward_at) > HOMEWARD_MS
+        return bool(zone) and zone != own and near and settled and self.fresh(now)
+
     def _next_source(self, now: float) -> None:
         if not self._order:
             addresses = list(self.zones)
--- /dev/null
+++ b/tests/system/test_feed.py
@@ -0,0 +1,204 @@
+"""The feed, both ends: what a follower is sent, what it takes, and when it turns to another source."""
+
+from random import Random
+
+import pytest
+from control import OneControlPlane
+
+from molespur.system.feed import follower as following
+from molespur.system.feed.follower import FeedFollower
+from molespur.system.feed.source import FeedSource
+from molespur.system.rpc import molespur_pb2 as pb
+from molespur.system.settings.process import ProcessSettings
+from molespur.system.shards.placement import CONFIGURATION
+
+BODY = b'{"Version":%d,"Routes":[],"Services":[]}'
+
+
+class Pipe:
+    """A channel that keeps what is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, frame):
+        self.sent.append(pb.Frame.FromString(frame.SerializeToString()))
+
+    def updates(self, group=CONFIGURATION):
+        return [f.update for f in self.sent if f.WhichOneof("body") == "update" and f.update.group == group]
+
+
+@pytest.fixture
+def plane(tmp_path):
+    made = OneControlPlane(tmp_path)
+    yield made
+    made.close()
+
+
+def source_of(plane):
+    source = FeedSource(plane.host, lambda: plane.now)
+    plane.host.on_change = source.changed
+    return source
+
+
+def versions(pipe):
+    return [pb.ConfigurationState.FromString(update.payload).version for update in pipe.updates()]
+
+
+def test_a_follower_gets_a_snapshot_then_each_change(plane):
+    plane.put(BODY % 1, 0)
+    source, pipe = source_of(plane), Pipe()
+    source.subscribe(pipe, pb.Subscribe(node="edge-1"))
+    assert [u.snapshot for u in pipe.updates()] == [True]
+    plane.put(BODY % 3, 1)
+    assert versions(pipe) == [1, 3] and not pipe.updates()[-1].snapshot
+
+
+def test_a_follower_that_was_away_gets_only_what_it_lacks(plane):
+    source = source_of(plane)
+    for version in (1, 2, 3):
+        plane.put(BODY % version, version - 1)
+    first = Pipe()
+    source.subscribe(first, pb.Subscribe(node="edge-1"))
+    at = first.updates()[-1].index
+    plane.put(BODY % 4, 3)
+    again = Pipe()
+    source.subscribe(again, pb.Subscribe(node="edge-1", offsets=[pb.Offset(group=CONFIGURATION, index=at)]))
+    assert versions(again) == [4] and not again.updates()[0].snapshot
+
+
+def test_an_offset_that_is_too_old_means_a_snapshot(plane):
+    source = source_of(plane)
+    for version in range(1, 300):
+        plane.put(BODY % version, version - 1)
+    pipe = Pipe()
+    source.subscribe(pipe, pb.Subscribe(node="edge-1", offsets=[pb.Offset(group=CONFIGURATION, index=2)]))
+    assert versions(pipe) == [299] and pipe.updates()[0].snapshot
+
+
+def test_a_source_that_is_behind_its_follower_sends_nothing(plane):
+    plane.put(BODY % 1, 0)
+    source, pipe = source_of(plane), Pipe()
+    ahead = pb.Offset(group=CONFIGURATION, index=10_000)
+    source.subscribe(pipe, pb.Subscribe(node="edge-1", offsets=[ahead]))
+    assert pipe.updates() == []
+
+
+def test_a_source_that_has_lost_its_leader_starts_nobody(plane):
+    plane.put(BODY % 1, 0)
+    plane.lose_power()
+    plane.host.groups[CONFIGURATION].replica._follow("")
+    plane.host.groups[CONFIGURATION].replica.leader_heard_at = plane.now - 60_000.0
+    source, pipe = source_of(plane), Pipe()
+    source.subscribe(pipe, pb.Subscribe(node="edge-1"))
+    assert pipe.updates() == []
+    plane.pass_time(3_000.0)
+    source.start_waiting()
+    assert versions(pipe) == [1]
+
+
+# -- The follower -----------------------------------------------------------------------------------
+
+
+class FakeDialer:
+    """Stands for a dialer whose channel is open at once."""
+
+    made = []
+
+    def __init__(self, address, on_frame, on_open=None):
+        self.address, self.on_frame, self.channel, self.stopped = address, on_frame, Pipe(), False
+        FakeDialer.made.append(self)
+        if on_open is not None:
+            on_open(self.channel)
+
+    def send(self, frame):
+        self.channel.send(frame)
+
+    def stop(self):
+        self.stopped = True
+
+
+@pytest.fixture
+def follower(monkeypatch):
+    monkeypatch.setattr(following, "Dialer", FakeDialer)
+    FakeDialer.made = []
+    settings = ProcessSettings(
+        "edge-1", "10.0.0.9", "a", (7000, 7010), ("10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80")
+    )
+    made = FeedFollower(
+        settings, lambda: made.now, Random(1), lambda *update: made.taken.append(update), lambda _: []
+    )
+    made.now, made.taken = 0.0, []
+    return made
+
+
+def frame_from(follower, frame, source=None):
+    source = source or follower.source
+    source.on_frame(source.channel, frame)
+
+
+def beat(silence=0, zones=("a", "b", "c")):
+    core = [pb.CoreNode(rpc_address=f"10.0.0.{n + 1}:7000", zone=zone) for n, zone in enumerate(zones)]
+    return pb.Frame(feed_heartbeat=pb.FeedHeartbeat(leader_silence_ms=silence, schedulers=3, core=core))
+
+
+def watch(follower, ms, frame=None):
+    for _ in range(int(ms / 200)):
+        follower.now += 200.0
+        if frame is not None:
+            frame_from(follower, frame)
+        follower._watch(follower.now)
+
+
+def test_what_is_in_force_never_goes_back(follower):
+    follower._watch(0.0)
+    for index, snapshot in ((9, True), (7, True), (9, False), (12, False)):
+        frame_from(
+            follower,
+            pb.Frame(update=pb.FeedUpdate(group="g", index=index, snapshot=snapshot, payload=b"%d" % index)),
+        )
+    assert [payload for _, _, payload in follower.taken] == [b"9", b"12"]
+    assert follower.offsets == {"g": 12}
+
+
+def test_a_silent_or_stale_source_is_left_for_another(follower):
+    follower._watch(0.0)
+    first = follower.source
+    watch(follower, 800, beat())
+    assert follower.source is first
+    watch(follower, 1400)
+    second = follower.source
+    assert second is not first and first.stopped
+    watch(follower, 1600, beat(silence=5000))
+    assert follower.source is not second and second.stopped
+
+
+def test_frames_of_a_source_that_was_left_are_not_taken(follower):
+    follower._watch(0.0)
+    first = follower.source
+    watch(follower, 1400)
+    frame_from(follower, pb.Frame(update=pb.FeedUpdate(group="g", index=3, payload=b"old")), first)
+    assert follower.taken == []
+
+
+def test_a_source_of_the_own_zone_is_taken_when_there_is_one(follower):
+    follower._watch(0.0)
+    zones = {"10.0.0.1:7000": "b", "10.0.0.2:7000": "b", "10.0.0.3:7000": "b"}
+    own = next(address for address in zones if address != follower.source.address)
+    zones[own] = "a"
+    watch(follower, 4000, beat(zones=tuple(zones.values())))
+    assert follower.source.address == own
+    watch(follower, 8000, beat(zones=tuple(zones.values())))
+    assert follower.source.address == own
+
+
+def test_heartbeats_go_to_the_monitors_and_say_when_it_leaves(follower):
+    follower._watch(0.0)
+    follower.leave()
+    beats = [
+        f.scheduler_heartbeat
+        for d in FakeDialer.made
+        for f in d.channel.sent
+        if f.WhichOneof("body") == "scheduler_heartbeat"
+    ]
+    assert len(beats) == 2 and all(b.leaving and b.node == "edge-1" for b in beats)
--- a/tests/system/test_wire.py
+++ b/tests/system/test_wire.py
@@ -316,3 +316,61 @@
             assert status == 503 and header(head, b"Retry-After") is not None
 
     run(scenario())
+
+
+def test_a_stalled_stream_that_may_be_resumed_goes_on_elsewhere(monkeypatch):
+    monkeypatch.setattr("molespur.system.data_plane.ingress.LEAST_PAUSE_MS", 30.0)
+
+    async def scenario():
+        def stall(request):
+            if header(request, b"Last-Event-Id") is None:
+                return [stream_head(request), chunk(event(1) + b"id: 2"), asyncio.Event()]
+            return [stream_head(request, b"s.2"), chunk(event(2)), LAST_CHUNK]
+
+        workers = ScriptedWorker("w", stall), ScriptedWorker("v", stall)
+        async with data_plane(configuration("streaming", Resumable=True, MaxAttempts=2), *workers) as (
+            port,
+            ingress,
+        ):
+            ingress.state.budget("s").minimum = 50.0
+            client = await Client.connect(port)
+            await client.send(request())
+            _, _, body, whole = await client.response()
+            assert whole and body == event(1) + event(2)
+
+    run(scenario())
+
+
+def test_a_worker_that_says_nothing_is_given_up_only_where_that_is_harmless(monkeypatch):
+    monkeypatch.setattr("molespur.system.data_plane.ingress.RUN_PATIENCE", (0.0, 30.0))
+
+    async def scenario(kind, expected):
+        first = []
+
+        def hang_once(request):
+            first.append(request)
+            return [asyncio.Event()] if len(first) == 1 else answer(request)
+
+        workers = ScriptedWorker("w", hang_once), ScriptedWorker("v", hang_once)
+        async with data_plane(configuration(kind, MaxAttempts=2, TimeoutMs=400), *workers) as (port, ingress):
+            ingress.state.budget("s").minimum = 50.0
+            client = await Client.connect(port)
+            await client.send(request())
+            assert (await client.response())[0] == expected
+            assert len(first) == (2 if kind == "idempotent" else 1)
+
+    run(scenario("idempotent", 200))
+    run(scenario("non_idempotent", 504))
+
+
+def test_a_success_for_a_client_needs_the_workers_stamp_even_as_json():
+    async def scenario():
+        worker = ScriptedWorker(
+            "w", lambda r: answer(r, b"{}", extra=b"Content-Type: application/json\r\n", stamp=False)
+        )
+        async with data_plane(configuration(), worker) as (port, _):
+            client = await Client.connect(port)
+            await client.send(request())
+            assert (await client.response())[0] == 502
+
+    run(scenario())
