Wait for busy workers as long as they answer anything

Change: patience.py: a call is given up only when its worker has answered nothing at all for so long.

--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -17,6 +17,7 @@
 from .client_request import ClientRequest, demand_of, read_head
 from .events import EventFilter
 from .exchange import Exchange, Failure
+from .patience import Patience, patience
 from .state import DataPlaneState
 from .upstream import (
     ATTEMPT_ID,
@@ -267,16 +268,13 @@
 
     async def _read_prompt(self, step: Step, key: int, begun: float) -> machine.Event:
         forecasts, least = PREFILL_PATIENCE
-        patience = max(forecasts * step.forecast, least) / 1000.0
-        try:
-            async with asyncio.timeout(patience):
-                response = await self._call(step, [(b"Molespur-Serving-Phase", b"prefill")], stamped=False)
-                try:
-                    body = await response.read()
-                finally:
-                    await response.close()
-        except TimeoutError as error:
-            raise UpstreamError(Failure.MAY_HAVE_RUN, "no answer to the prefill call") from error
+        seconds = max(forecasts * step.forecast, least) / 1000.0
+        async with patience(seconds, step.worker, self.clock):
+            response = await self._call(step, [(b"Molespur-Serving-Phase", b"prefill")], stamped=False)
+            try:
+                body = await response.read()
+            finally:
+                await response.close()
         if response.head.status != 200:
             raise UpstreamError(Failure.MAY_HAVE_RUN, f"status {response.head.status}")
         handle = read_handle(body)
@@ -298,15 +296,12 @@
             extra.append((b"Kv-From", f"{action.source.address}/{action.handle}".encode()))
         if action.resume and self.events.last_id:
             extra.append((b"Last-Event-Id", self.events.last_id))
-        patience = self._patience(step)
         try:
-            async with asyncio.timeout(patience) as silence:
-                return await self._run_within(step, key, begun, extra, silence)
-        except TimeoutError as error:
-            if not silence.expired():
-                raise
+            async with patience(self._patience(step), step.worker, self.clock) as waiting:
+                return await self._run_within(step, key, begun, extra, waiting)
+        except UpstreamError:
             self.events.drop_rest()
-            raise UpstreamError(Failure.MAY_HAVE_RUN, "silence") from error
+            raise
 
     def _patience(self, step: Step) -> float | None:
         """Seconds of silence after which a run is given up; None where nothing else could be tried."""
@@ -316,13 +311,15 @@
         forecasts, least = RUN_PATIENCE
         return max(forecasts * step.forecast, least) / 1000.0
 
-    async def _run_within(self, step: Step, key: int, begun: float, extra, silence) -> machine.Event:
+    async def _run_within(
+        self, step: Step, key: int, begun: float, extra, waiting: Patience | None
+    ) -> machine.Event:
         response = await self._call(step, extra)
         self.held = None
         try:
             strike(FaultPoint.AFTER_HEAD)
             if self.route.type == STREAMING and 200 <= response.head.status < 300:
-                return await self._relay_events(step, key, begun, response, silence)
+                return await self._relay_events(step, key, begun, response, waiting)
             return await self._relay_whole(step, key, begun, response)
         finally:
             await response.close()
@@ -342,10 +339,9 @@
         return machine.AnswerEnded()
 
     async def _relay_events(
-        self, step: Step, key: int, begun: float, response: UpstreamResponse, silence: asyncio.Timeout
+        self, step: Step, key: int, begun: float, response: UpstreamResponse, waiting: Patience | None
     ) -> machine.Event:
         """A stream: each whole event goes on as it comes."""
-        loop = asyncio.get_running_loop()
         pause = max(PAUSES * self.route.gap_aim_ms, LEAST_PAUSE_MS) / 1000.0
         framed = response.head.get(b"transfer-encoding") or response.head.get(b"content-length")
         first = True
@@ -354,8 +350,8 @@
                 if first:
                     first = False
                     self._first_answer(step, key, begun)
-                if silence.when() is not None:
-                    silence.reschedule(loop.time() + pause)
+                if waiting is not None:
+                    waiting.answered(pause)
                 whole = self.events.feed(chunk)
                 if whole:
                     await self._send_events(response.head, whole)
