Let the exchange between schedulers cost by what changes, not by how many workers there are

Cause: measured for the target of 820 workers: every turn and datagram went over all of them (PeerWorkTable.datagrams, take).

--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -210,6 +210,7 @@
         meter.read(begun, step.read)
         meter.running += step.part is not Part.PREFILL
         self.ingress.state.peer_work.placed(step.worker, self.demand.shared)
+        self.ingress.state.peer_work.touch(step.worker)
         failed = True
         expected = (step.part.value, step.worker.id, step.run, step.wait, step.forecast)
         try:
@@ -227,6 +228,7 @@
             now = self.clock()
             self.policy.ended(now, step, key, failed, now - begun)
             meter.running -= step.part is not Part.PREFILL
+            self.ingress.state.peer_work.touch(step.worker)
             logging.vlog(1, "%s: %s at %s: run %.0f wait %.0f forecast %.0f, first answer %.0f, all %.0f ms",
                          self.route.name, *expected, self.first_at - begun, now - begun)  # fmt: skip
 
@@ -263,6 +265,7 @@
     def _first_answer(self, step: Step, key: int, begun: float) -> None:
         self.first_at = self.clock()
         self.policy.first_answer(self.first_at, step, self.demand, key, self.first_at - begun)
+        self.ingress.state.peer_work.touch(step.worker)
 
     # -- The prompt read apart -------------------------------------------------------------------
 
--- a/molespur/system/data_plane/peer_work.py
+++ b/molespur/system/data_plane/peer_work.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from zlib import crc32
 
@@ -46,17 +46,23 @@
 class PeerWorkTable:
     """Own work to be told, and others' work as they have told it; kept in the workers' tracks."""
 
-    def __init__(self, node: str, tracks: Callable[[], Iterable[WorkerTrack]]):
-        self.node, self.tracks = node, tracks
+    def __init__(self, node: str, workers: dict[int, WorkerTrack]):
+        """`workers`: all that are known, by `worker_hash`; kept by the caller."""
+        self.node, self.workers = node, workers
         self.peers: dict[str, Peer] = {}
         self.dropped: Counter = Counter()  # reason -> datagrams that were not taken
         self._sequence = 0
         self._whole_at = float("-inf")
-        self._told: dict[int, Work] = {}
+        self._told: dict[int, Work] = {}  # own work that the peers know of
+        self._touched: set[int] = set()
         self._placed: deque[pb.PlacedPart] = deque(maxlen=4 * MAX_PLACED)
 
     # -- Own work ------------------------------------------------------------------------------
 
+    def touch(self, track: WorkerTrack) -> None:
+        """Own work at a worker has changed."""
+        self._touched.add(worker_hash(track.id))
+
     def placed(self, track: WorkerTrack, parts: Iterable[tuple[str, float]]) -> None:
         """Shared parts of a prompt have been sent to a worker."""
         worker = worker_hash(track.id)
@@ -65,19 +71,27 @@
     def datagrams(self, now: float) -> list[bytes]:
         """What is to be sent to every peer now: what has changed, and now and then everything."""
         whole = now - self._whole_at >= WHOLE_MS
+        looked_at = self._touched | set(self._told) if whole else self._touched
+        self._touched = set()
         changed = []
-        for track in self.tracks():
-            worker = worker_hash(track.id)
-            work = Work(track.unfinished, tuple(int(tokens) for tokens in track.reads))
-            if work != self._told.get(worker, Work()) or (whole and work != Work()):
+        for worker in looked_at:
+            work, before = self._own(worker), self._told.pop(worker, Work())
+            if work != before or (whole and work != Work()):
                 changed.append(pb.WorkerWork(worker=worker, running=work.running, reads=work.reads))
-            self._told[worker] = work
+            if work != Work():
+                self._told[worker] = work
         if not changed and not self._placed and not whole:
             return []
         if whole:
             self._whole_at = now
         return self._cut(changed, whole)
 
+    def _own(self, worker: int) -> Work:
+        track = self.workers.get(worker)
+        if track is None:
+            return Work()
+        return Work(track.unfinished, tuple(int(tokens) for tokens in track.reads))
+
     def _cut(self, changed: list[pb.WorkerWork], whole: bool) -> list[bytes]:
         """Messages small enough for a datagram each; one that is whole stands alone."""
         made = []
@@ -109,16 +123,16 @@
             self.dropped["late"] += 1
             return
         peer.sequence, peer.heard_at = message.sequence, now
-        known = {worker_hash(track.id): track for track in self.tracks()}
         told = {work.worker: Work(work.running, tuple(work.reads)) for work in message.workers}
         if message.whole:
             for worker in [w for w in peer.work if w not in told]:
-                self._put(peer, known, worker, Work())
+                self._put(peer, worker, Work())
         for worker, work in told.items():
-            self._put(peer, known, worker, work)
+            self._put(peer, worker, work)
         for placed in message.placed:
-            if placed.worker in known:
-                known[placed.worker].remember(((placed.part, float(placed.tokens)),))
+            track = self.workers.get(placed.worker)
+            if track is not None:
+                track.remember(((placed.part, float(placed.tokens)),))
 
     def _good(self, message: pb.PeerWork) -> bool:
         return (
@@ -130,10 +144,9 @@
             and all(0 < len(p.part) <= MAX_PART_LENGTH and p.tokens <= MAX_TOKENS for p in message.placed)
         )
 
-    @staticmethod
-    def _put(peer: Peer, known: dict[int, WorkerTrack], worker: int, work: Work) -> None:
+    def _put(self, peer: Peer, worker: int, work: Work) -> None:
         """The one place where a peer's work at a worker changes."""
-        track, before = known.get(worker), peer.work.pop(worker, Work())
+        track, before = self.workers.get(worker), peer.work.pop(worker, Work())
         if track is not None:
             track.peer_running = max(track.peer_running + work.running - before.running, 0.0)
             for rank in range(RANKS):
@@ -144,11 +157,10 @@
 
     def settle(self, now: float, schedulers: int) -> None:
         """Forget the work of peers that have fallen silent; `schedulers` counts this one too."""
-        known = {worker_hash(track.id): track for track in self.tracks()}
         for node in [n for n, peer in self.peers.items() if now - peer.heard_at > SILENT_MS]:
             peer = self.peers.pop(node)
             for worker in list(peer.work):
-                self._put(peer, known, worker, Work())
+                self._put(peer, worker, Work())
         scale = max(schedulers - 1, len(self.peers)) / len(self.peers) if self.peers else 0.0
-        for track in known.values():
+        for track in self.workers.values():
             track.peer_scale = scale
--- a/molespur/system/data_plane/peers.py
+++ b/molespur/system/data_plane/peers.py
@@ -8,6 +8,7 @@
 from .peer_work import PeerWorkTable
 
 INTERVAL_S = 0.04
+FULL_RATE_PEERS = 8  # with more peers own work is told less often, so that datagrams stay as many
 SETTLE_TURNS = 5  # turns between looks for peers that have fallen silent
 MAX_DATAGRAM = 4096
 
@@ -44,7 +45,7 @@
         self._transport, _ = await loop.create_datagram_endpoint(lambda: self, (host, int(port)))
         turn = 0
         while True:
-            await asyncio.sleep(INTERVAL_S)
+            await asyncio.sleep(INTERVAL_S * max(1.0, len(self.peers) / FULL_RATE_PEERS))
             turn += 1
             now = self.clock()
             if turn % SETTLE_TURNS == 0:
--- a/molespur/system/data_plane/state.py
+++ b/molespur/system/data_plane/state.py
@@ -1,7 +1,6 @@
 """What a data-plane process knows: the configuration in force, the workers, its part of the budgets."""
 
 import json
-from collections.abc import Iterator
 from random import Random
 
 from absl import logging
@@ -16,7 +15,7 @@
 from ..shards.placement import CONFIGURATION
 from .budget import RetryBudget
 from .load import LoadMeter
-from .peer_work import PeerWorkTable
+from .peer_work import PeerWorkTable, worker_hash
 from .routes import RouteTable
 
 CONNECTION_SHARE = 0.9  # part of a worker's connections that all schedulers together may use
@@ -41,13 +40,10 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.meters: dict[str, LoadMeter] = {}
         self.schedulers = 0
-        self.peer_work = PeerWorkTable(settings.node_name, self._tracks)
+        self.by_hash: dict[int, WorkerTrack] = {}
+        self.peer_work = PeerWorkTable(settings.node_name, self.by_hash)
         self.gone: list[str] = []  # addresses whose connections can be closed
 
-    def _tracks(self) -> Iterator[WorkerTrack]:
-        for workers in self.workers.values():
-            yield from workers.values()
-
     # -- The feed ------------------------------------------------------------------------------
 
     def update(self, group: str, snapshot: bool, payload: bytes) -> None:
@@ -91,6 +87,7 @@
             track = known[worker.id] = WorkerTrack(
                 worker.id, worker.address, worker.zone, worker.phase, worker.capacity
             )
+            self.by_hash[worker_hash(worker.id)] = track
             self._set_capacity(worker.service)
         track.phase = worker.phase
         track.usable = worker.state not in (pb.DRAINING, pb.SWITCHING)
@@ -101,6 +98,7 @@
         track = self.workers.get(self.service_of.pop(worker_id, ""), {}).pop(worker_id, None)
         if track is not None:
             track.usable = False
+            self.by_hash.pop(worker_hash(worker_id), None)
             self.gone.append(track.address)
 
     def _set_capacity(self, service: str) -> None:
--- a/tests/system/test_peer_work.py
+++ b/tests/system/test_peer_work.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from molespur.policy.tracking import RANKS, WorkerTrack
-from molespur.system.data_plane.peer_work import MAX_WORKERS, PeerWorkTable
+from molespur.system.data_plane.peer_work import MAX_WORKERS, PeerWorkTable, worker_hash
 from molespur.system.feed.source import MAX_PEERS, peers_of
 from molespur.system.rpc import molespur_pb2 as pb
 
@@ -15,22 +15,30 @@
     tracks = [
         WorkerTrack(f"w{n}", f"w{n}:80", "a", "prefill", 64, capacity_tokens=1e6) for n in range(workers)
     ]
-    return PeerWorkTable(name, lambda: tracks), tracks
+    table = PeerWorkTable(name, {worker_hash(track.id): track for track in tracks})
+    return table, tracks
+
+
+def tell(table, tracks, now):
+    """The datagrams after a change at any of these workers."""
+    for track in tracks:
+        table.touch(track)
+    return table.datagrams(now)
 
 
 def test_work_and_prefixes_reach_the_others():
     (a, mine), (b, theirs) = scheduler("a"), scheduler("b")
     mine[1].unfinished, mine[1].reads[2] = 3, 500.0
     a.placed(mine[1], (("part", 900.0),))
-    for datagram in a.datagrams(0.0):
+    for datagram in tell(a, mine, 0.0):
         b.take(5.0, datagram)
     b.settle(10.0, 5)
     assert theirs[1].peer_running == 3 and theirs[1].peer_reads[2] == 500.0
     assert theirs[1].peer_scale == 4.0 and theirs[1].others(10.0) == 12.0
     assert theirs[1].matched((("part", 900.0),)) == 900.0
-    assert a.datagrams(20.0) == [], "nothing has changed"
+    assert tell(a, mine, 20.0) == [], "nothing has changed"
     mine[1].unfinished, mine[1].reads[2] = 0, 0.0
-    for datagram in a.datagrams(40.0):
+    for datagram in tell(a, mine, 40.0):
         b.take(45.0, datagram)
     assert theirs[1].peer_running == 0 and sum(theirs[1].peer_reads) == 0.0
 
@@ -38,7 +46,7 @@
 def test_a_peer_that_falls_silent_has_no_work_that_counts():
     (a, mine), (b, theirs) = scheduler("a"), scheduler("b")
     mine[0].unfinished = 4
-    for datagram in a.datagrams(0.0):
+    for datagram in tell(a, mine, 0.0):
         b.take(0.0, datagram)
     b.settle(100.0, 2)
     assert theirs[0].others(100.0) == 4
@@ -49,9 +57,9 @@
 def test_late_and_senseless_datagrams_are_counted_and_dropped():
     (a, mine), (b, theirs) = scheduler("a"), scheduler("b")
     mine[0].unfinished = 1
-    first = a.datagrams(0.0)[0]
+    first = tell(a, mine, 0.0)[0]
     mine[0].unfinished = 2
-    b.take(1.0, a.datagrams(50.0)[0])
+    b.take(1.0, tell(a, mine, 50.0)[0])
     b.take(2.0, first)
     b.take(3.0, b"\xff\xff")
     b.take(4.0, pb.PeerWork(node="x", sequence=1, workers=[pb.WorkerWork(reads=[1])]).SerializeToString())
@@ -66,7 +74,7 @@
     b.settle(4_000.0, 2)
     fresh, mine = scheduler("a")
     mine[0].unfinished = 1
-    b.take(4_100.0, fresh.datagrams(0.0)[0])
+    b.take(4_100.0, tell(fresh, mine, 0.0)[0])
     assert theirs[0].peer_running == 1
 
 
@@ -74,7 +82,7 @@
     (a, mine), (b, theirs) = scheduler("a", 2 * MAX_WORKERS + 1), scheduler("b", 2 * MAX_WORKERS + 1)
     for track in mine:
         track.unfinished = 1
-    datagrams = a.datagrams(0.0)
+    datagrams = tell(a, mine, 0.0)
     assert len(datagrams) == 3
     for datagram in datagrams:
         b.take(1.0, datagram)
@@ -92,12 +100,12 @@
         track = random.choice(mine)
         track.unfinished = random.randrange(4)
         track.reads[random.randrange(RANKS)] = float(random.randrange(3)) * 100
-        for datagram in a.datagrams(now):
+        for datagram in tell(a, mine, now):
             if random.random() >= loss:
                 b.take(now, datagram)
     for _ in range(30):
         now += 40.0
-        for datagram in a.datagrams(now):
+        for datagram in tell(a, mine, now):
             b.take(now, datagram)
     assert [(t.peer_running, t.peer_reads) for t in theirs] == [(t.unfinished, t.reads) for t in mine]
 
