See a worker's change of part at once, and change parts only where the split is off

Change: planners by group; hysteresis of 0.6 workers; a shorter first settling; the owner asks for the report when the switch is due.

--- a/molespur/system/control_plane/orders.py
+++ b/molespur/system/control_plane/orders.py
@@ -13,15 +13,18 @@
 from ..errors import FleetError
 from ..membership.schedulers import SchedulerMonitor
 from ..rpc import molespur_pb2 as pb
+from ..settings import configuration
 from ..settings.process import ProcessSettings
 from ..shards.host import ReplicaHost
-from ..shards.placement import WORKER_GROUPS
+from ..shards.placement import CONFIGURATION, WORKER_GROUPS
 from ..workers.phases import PhaseOrder, PhasePlanner
 from .calls import ControlCalls
 
 ORDER_TIMEOUT_S = 0.8
 HANDOVER_MS = 1000.0  # on top of the lease, before a new owner gives orders
 TAKEN = (200, 202)
+DEFAULT_SWITCH_S = 2.0
+REPORTS, REPORT_PAUSE_S = 4, 0.25  # asked of a worker under orders, before its heartbeat is waited for
 
 
 class PhaseOrders:
@@ -38,14 +41,14 @@
         self.settings, self.host, self.calls, self.schedulers = settings, host, calls, schedulers
         self.clock = clock
         self.owner_since: dict[str, float] = {}
-        self.planners: dict[str, PhasePlanner] = {}
+        self.planners: dict[tuple[str, str], PhasePlanner] = {}  # by group and service
         self._client = None  # made with the first order: most processes never give one
         self._tasks: set[asyncio.Task] = set()
 
     def became_owner(self, group: str) -> None:
         """This process has a group's lead."""
         self.owner_since[group] = self.clock()
-        self.planners = {}
+        self.planners = {key: planner for key, planner in self.planners.items() if key[0] != group}
 
     def look(self, now: float) -> None:
         """Give the orders that are called for now, one a service."""
@@ -58,7 +61,7 @@
                 if worker.phase:
                     services.setdefault(worker.service, []).append(worker)
             for service, workers in services.items():
-                planner = self.planners.setdefault(service, PhasePlanner())
+                planner = self.planners.setdefault((group, service), PhasePlanner())
                 order = planner.plan(now, workers, self.schedulers.load(now, service))
                 if order is not None:
                     task = asyncio.get_running_loop().create_task(self._give(group, order))
@@ -89,8 +92,41 @@
         logging.info("%s ordered to %s: %d", worker.id, order.phase, response.status_code)
         if response.status_code not in TAKEN:
             return
-        changed = self.calls.liveness[group].order_given(self.clock(), worker, order.phase)
+        liveness = self.calls.liveness[group]
+        await self._note(group, liveness.order_given(self.clock(), worker, order.phase))
+        await asyncio.sleep(self._switch_s(worker.service))
+        for _ in range(REPORTS):
+            if await self._has_switched(worker, order.phase):
+                changed = liveness.order_done(worker.id)
+                if changed is not None:
+                    await self._note(group, changed)
+                return
+            await asyncio.sleep(REPORT_PAUSE_S)
+
+    async def _note(self, group: str, worker: pb.Worker) -> None:
+        """Put a worker's record into the shard."""
         try:
-            await self.host.propose(group, pb.WorkerCommand(workers=[changed]).SerializeToString())
+            await self.host.propose(group, pb.WorkerCommand(workers=[worker]).SerializeToString())
         except FleetError as error:
             logging.warning("order to %s not noted: %s", worker.id, error)
+
+    def _switch_s(self, service: str) -> float:
+        """How long a worker of a service takes to change its part, by the configuration."""
+        body = self.host.groups[CONFIGURATION].machine.body
+        try:
+            services = configuration.parse(body).services
+        except FleetError:
+            return DEFAULT_SWITCH_S
+        engines = [s.engine for s in services if s.name == service and s.engine is not None]
+        return engines[0].role_switch_s if engines else DEFAULT_SWITCH_S
+
+    async def _has_switched(self, worker: pb.Worker, phase: str) -> bool:
+        """Whether a worker says that it has changed its part: its next heartbeat may be a second away."""
+        import httpx
+
+        try:
+            response = await self._client.get(f"http://{worker.address}/api/report")
+            report = response.json()
+            return report.get("Phase") == phase and not report.get("Utilization")
+        except (httpx.HTTPError, ValueError, AttributeError):
+            return False
--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -23,7 +23,7 @@
 
 LOOK_S = 0.1
 FEED_HEARTBEAT_S = 0.4
-REPORT_S = 0.6
+REPORT_S = 0.3
 SILENCE_CHECK_S = 0.3
 
 
@@ -119,10 +119,9 @@
             await asyncio.sleep(LOOK_S)
             now = clock()
             self.feed.start_waiting()
-            if now - beaten < FEED_HEARTBEAT_S * 1000:
-                continue
-            beaten = now
-            self._feed_heartbeat()
+            if now - beaten >= FEED_HEARTBEAT_S * 1000:
+                beaten = now
+                self._feed_heartbeat()
             if now - reported >= REPORT_S * 1000:
                 reported = now
                 report = pb.Frame(monitor_report=pb.MonitorReport(alive=self.schedulers.own(now)))
--- a/molespur/system/workers/liveness.py
+++ b/molespur/system/workers/liveness.py
@@ -48,6 +48,16 @@
         changed.state, changed.phase = pb.SWITCHING, phase
         return changed
 
+    def order_done(self, worker_id: str) -> pb.Worker | None:
+        """A worker says that it has changed its part; return its record if one waits for that."""
+        known = self.directory.workers.get(worker_id)
+        if self.ordered.pop(worker_id, None) is None or known is None or known.state != pb.SWITCHING:
+            return None
+        changed = pb.Worker()
+        changed.CopyFrom(known)
+        changed.state = pb.READY
+        return changed
+
     def heartbeat(self, now: float, worker: pb.Worker) -> pb.Worker | None:
         """Take a heartbeat; return the worker if its record has to change."""
         if worker.id in self.directory.removed:
--- a/molespur/system/workers/phases.py
+++ b/molespur/system/workers/phases.py
@@ -13,7 +13,9 @@
 READ_TOKENS_PER_S = 28_000.0  # what one prefill worker is given at most: half of what it can read
 RUNNING_SHARE = 0.3  # part of a decode worker's slots that are given out
 LEAST_TOKENS_PER_S = 2_000.0  # with less to read nothing is changed
+HYSTERESIS = 0.6  # workers by which the split must be off
 SETTLE_MS = 600.0  # a change must be called for this long
+FIRST_SETTLE_MS = 250.0  # the same for the first one, when traffic has just begun
 REVERSE_MS = 8_000.0  # least time between changes in opposite directions
 REST_MS = 6_000.0  # least time between two orders to one worker
 
@@ -35,15 +37,15 @@
         self.turned_at = float("-inf")
         self.ordered_at: dict[str, float] = {}
 
-    def target(self, workers: list[pb.Worker], load: pb.ServiceLoad) -> int:
-        """How many workers should read prompts."""
+    def target(self, workers: list[pb.Worker], load: pb.ServiceLoad) -> float:
+        """How many workers should read prompts, before rounding."""
         zones = len({worker.zone for worker in workers})
         readers = load.read_tokens_per_s / READ_TOKENS_PER_S
         slots = sum(worker.capacity for worker in workers) / len(workers)
         runners = max(load.running / (RUNNING_SHARE * max(slots, 1.0)), 0.1)
-        wanted = round(readers / (readers + runners) * len(workers))
+        wanted = readers / (readers + runners) * len(workers)
         least_runners = min(max(zones, 2), len(workers) // 2)
-        return max(min(wanted, len(workers) - least_runners), 1)
+        return max(min(wanted, len(workers) - least_runners), 1.0)
 
     def plan(self, now: float, workers: list[pb.Worker], load: pb.ServiceLoad) -> PhaseOrder | None:
         """The next order, if one is called for."""
@@ -52,7 +54,8 @@
             self.wanted_since = None
             return None
         readers = sum(worker.phase == PREFILL for worker in alive)
-        direction = (self.target(alive, load) > readers) - (self.target(alive, load) < readers)
+        lacking = self.target(alive, load) - readers
+        direction = (lacking > HYSTERESIS) - (lacking < -HYSTERESIS)
         if direction == 0:
             self.wanted_since = None
             return None
@@ -60,7 +63,8 @@
             if self.direction and direction != self.direction and now - self.turned_at < REVERSE_MS:
                 return None
             self.wanted_since, self.direction = now, direction
-        if now - self.wanted_since < SETTLE_MS:
+        settle = SETTLE_MS if self.ordered_at else FIRST_SETTLE_MS
+        if now - self.wanted_since < settle:
             return None
         return self._order(now, alive, PREFILL if direction > 0 else DECODE)
 
