End a process that has lost a part of itself, and say why

Cause: found by reading: a server that could not bind or a background task that failed left a process that looked alive (role.run awaited its tasks only at the stop). Change: until_stop runs them in a task group; the leaves of its exception group are printed, exit code 1; a closed port for peers only switches the exchange off.

--- a/molespur/system/cli.py
+++ b/molespur/system/cli.py
@@ -71,5 +71,18 @@
     gc.collect()
     gc.freeze()  # what the imports made is never garbage
     gc.enable()
-    asyncio.run(role.run())
-    return 0
+    code = 0
+    try:
+        asyncio.run(role.run())
+    except* Exception as failures:
+        code = 1
+        for cause in leaves(failures):
+            print(f"molespur: {cause!r}", file=sys.stderr)
+    return code
+
+
+def leaves(failure: BaseException) -> list[BaseException]:
+    """The errors at the bottom of exception groups and chains of causes."""
+    if isinstance(failure, BaseExceptionGroup):
+        return [leaf for part in failure.exceptions for leaf in leaves(part)]
+    return leaves(failure.__cause__) if failure.__cause__ is not None else [failure]
--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -10,12 +10,13 @@
 from ..membership.schedulers import SchedulerMonitor
 from ..rpc import molespur_pb2 as pb
 from ..rpc.channel import Channel
-from ..serving import SettingsWatch, serve, wait_for_stop
+from ..serving import SettingsWatch, serve, unexpected_end, until_stop, wait_for_stop
 from ..settings.process import ProcessSettings
 from ..shards.configuration import ConfigurationMachine
 from ..shards.host import ReplicaHost
 from ..shards.placement import CONFIGURATION, WORKER_GROUPS
 from ..storage.store import Store
+from ..storage.writer import DiskWriter
 from ..workers.directory import WorkerDirectory
 from .calls import ControlCalls
 from .http import create_app
@@ -57,20 +58,26 @@
         stop = wait_for_stop()
         loop = asyncio.get_running_loop()
         watch = SettingsWatch(self.host.reseed)
-        background = [loop.create_task(c) for c in (self.host.run(), self._repeat(), watch.run())]
-        await asyncio.sleep(0)  # the disk writer has started
+        ended = asyncio.Event()
+        repeated = (self.host.run(), self._repeat(), watch.run())
+        self.host.start(DiskWriter(self.host.store, self.host.written))
         listener = await loop.create_server(self._accept, self.settings.ip, self.settings.rpc_port)
         served = asyncio.Event()
         http = loop.create_task(serve(create_app(self.calls), self.settings.listen["ControlPlane"], served))
         logging.info("control plane %s: replica %s", self.settings.node_name, self.host.replica_id)
+        leaving = loop.create_task(self._leave(stop, served, ended, http))
+        await until_stop(ended, *repeated, unexpected_end(http, served))
+        await leaving
+        listener.close()
+
+    async def _leave(self, stop, served, ended, http) -> None:
+        """Wait to be told to stop, then hand over what this process leads."""
         await stop.wait()
         logging.info("stopping")
         await self.host.stop()
         served.set()
         await http
-        listener.close()
-        for task in background:
-            task.cancel()
+        ended.set()
 
     def _accept(self) -> Channel:
         channel = Channel(self._frame, self._lost)
--- a/molespur/system/data_plane/peers.py
+++ b/molespur/system/data_plane/peers.py
@@ -42,7 +42,11 @@
         """Tell and settle until cancelled."""
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(lambda: self, (host, int(port)))
+        try:
+            self._transport, _ = await loop.create_datagram_endpoint(lambda: self, (host, int(port)))
+        except OSError as error:
+            logging.error("no exchange with other schedulers: %s: %s", self.address, error)
+            await asyncio.Event().wait()
         turn = 0
         while True:
             await asyncio.sleep(INTERVAL_S * max(1.0, len(self.peers) / FULL_RATE_PEERS))
--- a/molespur/system/data_plane/role.py
+++ b/molespur/system/data_plane/role.py
@@ -9,7 +9,7 @@
 from quart import Quart, Response
 
 from ..feed.follower import FeedFollower
-from ..serving import SettingsWatch, serve, wait_for_stop
+from ..serving import SettingsWatch, serve, unexpected_end, until_stop, wait_for_stop
 from ..settings.process import ProcessSettings
 from .ingress import AnswerCut, Ingress
 from .peers import PeerSocket
@@ -91,13 +91,18 @@
             self._housekeeping(),
             watch.run(),
         )
-        background = [loop.create_task(c) for c in repeated]
         grace = max(self.settings.bounds.grace_period_s - LEAVE_S - MARGIN_S, 1.0)
         ingress = loop.create_task(
             serve(IngressApp(self.ingress), self.settings.listen["Frontend"], closing, CLIENT_IDLE_S, grace)
         )
         readiness = loop.create_task(serve(self._readiness_app(), self.settings.listen["Readiness"], ended))
         logging.info("data plane %s", self.settings.node_name)
+        leaving = loop.create_task(self._leave(stop, closing, ended, ingress, readiness))
+        await until_stop(ended, *repeated, unexpected_end(ingress, closing), unexpected_end(readiness, ended))
+        await leaving
+
+    async def _leave(self, stop, closing, ended, ingress, readiness) -> None:
+        """Wait to be told to stop, then serve on until the platform sends nobody any more."""
         await stop.wait()
         logging.info("stopping with %d open requests", self.ingress.open_requests)
         self.stopping = self.ingress.stopping = True
@@ -107,8 +112,6 @@
         await ingress
         ended.set()
         await readiness
-        for task in background:
-            task.cancel()
 
     async def _housekeeping(self) -> None:
         while True:
--- a/molespur/system/serving.py
+++ b/molespur/system/serving.py
@@ -4,7 +4,7 @@
 import logging as standard_logging
 import os
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
 
 from absl import logging
@@ -30,6 +30,38 @@
     return stop
 
 
+async def until_stop(stop: asyncio.Event, *endless: Coroutine) -> None:
+    """Run coroutines that never end until the event is set.
+
+    One that fails ends them all and is raised, in an exception group: a process that has lost a part of
+    itself must not look alive.
+    """
+
+    async def end_group() -> None:
+        await stop.wait()
+        raise _Stopped
+
+    try:
+        async with asyncio.TaskGroup() as group:
+            for coroutine in endless:
+                group.create_task(coroutine)
+            group.create_task(end_group())
+    except* _Stopped:
+        pass
+
+
+async def unexpected_end(server: asyncio.Task, told: asyncio.Event) -> None:
+    """Wait for a server for ever; raise what ended it if it was not told to end."""
+    await asyncio.wait([server])
+    if not told.is_set():
+        raise RuntimeError("a server has ended by itself") from server.exception()
+    await asyncio.Event().wait()
+
+
+class _Stopped(Exception):
+    """The process was told to stop."""
+
+
 class SettingsWatch:
     """Reads the settings file again on SIGHUP and when it has changed; a faulty one is passed over."""
 
--- a/molespur/system/shards/host.py
+++ b/molespur/system/shards/host.py
@@ -16,7 +16,6 @@
 from ..rpc import molespur_pb2 as pb
 from ..rpc.channel import Dialer
 from ..storage.store import Store, bootstrap_identity, new_identity
-from ..storage.writer import DiskWriter
 from .membership_changes import MembershipPlanner
 
 TICK_S = 0.05
@@ -56,7 +55,7 @@
         self, settings, store: Store, machines: dict[str, object], clock: Callable[[], float], random: Random
     ):
         self.settings, self.store, self.clock = settings, store, clock
-        self.writer: DiskWriter | None = None
+        self.writer = None
         self.dialers: dict[str, Dialer] = {}
         self.on_change: Callable[[str, int, bytes], None] = lambda *_: None
         self.on_restore: Callable[[str], None] = lambda *_: None
@@ -108,7 +107,6 @@
 
     async def run(self) -> None:
         """Tick until cancelled."""
-        self.start(DiskWriter(self.store, self.written))
         for address in self.settings.seed_rpc_addresses():
             self._dial(address)
         while True:
--- a/tests/system/test_processes.py
+++ b/tests/system/test_processes.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -64,3 +65,12 @@
     _, said = process.communicate(timeout=20)
     assert process.returncode == 2
     assert said.startswith("molespur: bad-settings: ") and said.count("\n") == 1
+
+
+def test_a_process_that_cannot_listen_ends_and_says_why(tmp_path):
+    text = SETTINGS.format(role="data-plane", host=3, folder=tmp_path / "disk")
+    with socket.create_server(("127.0.12.3", 19044)):
+        process = start("data-plane", tmp_path, text)
+        _, said = process.communicate(timeout=20)
+    assert process.returncode == 1
+    assert said.splitlines()[-1].startswith("molespur: ") and "ddress" in said.splitlines()[-1]
