--- a/molespur/system/workers/phases.py
+++ b/molespur/system/workers/phases.py
@@ -11,7 +11,7 @@
 
 PREFILL, DECODE = "prefill", "decode"
 READ_TOKENS_PER_S = 28_000.0  # what one prefill worker is given at most: half of what it can read
-RUNNING_SHARE = 0.3  # part of a decode worker's slots that are given out
+RUNNING_SHARE = 0.5  # part of a decode worker's slots that are given out
 LEAST_TOKENS_PER_S = 2_000.0  # with less to read nothing is changed
 HYSTERESIS = 0.6  # workers by which the split must be off
 SETTLE_MS = 600.0  # a change must be called for this long
