--- a/tests/system/test_faults.py
+++ b/tests/system/test_faults.py
@@ -6,7 +6,7 @@
 
 import pytest
 from control import OneControlPlane, PowerLoss
-from test_wire import PROMPT, configuration, prefill, stream
+from test_data_plane_wire import PROMPT, configuration, prefill, stream
 from wire import LAST_CHUNK, Client, ScriptedWorker, answer, chunk, data_plane, event, request, run
 
 from molespur.system import faults
