--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -44,7 +44,7 @@
         self.host = ReplicaHost(settings, store, machines, clock, Random())
         self.calls = ControlCalls(self.host, clock, settings.heartbeat_interval_ms)
         self.feed = FeedSource(self.host, clock)
-        self.schedulers = SchedulerMonitor()
+        self.schedulers = SchedulerMonitor(clock())
         self.orders = PhaseOrders(settings, self.host, self.calls, self.schedulers, clock)
         self.channels: set[Channel] = set()
         self.host.on_change = self.feed.changed
@@ -116,7 +116,8 @@
                 self.calls.replied(frame.reply)
 
     def _feed_heartbeat(self) -> None:
-        self.feed.heartbeat(self.schedulers.alive(clock()))
+        now = clock()
+        self.feed.heartbeat(self.schedulers.alive(now), self.schedulers.count(now))
 
     async def _repeat(self) -> None:
         """What is done again and again."""
--- a/molespur/system/data_plane/role.py
+++ b/molespur/system/data_plane/role.py
@@ -11,7 +11,8 @@
 from ..feed.follower import FeedFollower
 from ..serving import SettingsWatch, serve, unexpected_end, until_stop, wait_for_stop
 from ..settings.process import ProcessSettings
-from .ingress import AnswerCut, Ingress
+from .client_call import AnswerCut
+from .ingress import Ingress
 from .peers import PeerSocket
 from .reports import ReportPoller
 from .state import DataPlaneState
--- a/molespur/system/feed/source.py
+++ b/molespur/system/feed/source.py
@@ -96,12 +96,15 @@
         for follower in self.followers.values():
             follower.started.discard(name)
 
-    def heartbeat(self, schedulers: dict[str, pb.SchedulerHeartbeat]) -> None:
-        """Tell every follower that this process lives, how fresh it is, and which schedulers there are."""
+    def heartbeat(self, schedulers: dict[str, pb.SchedulerHeartbeat], count: int) -> None:
+        """Tell every follower that this process lives, how fresh it is, and which schedulers there are.
+
+        `count`: how many these are for certain; 0: not known yet.
+        """
         frame = pb.Frame()
         beat = frame.feed_heartbeat
         beat.leader_silence_ms = int(min(max(self.host.leader_silence_ms(), 0), 1_000_000))
-        beat.schedulers = len(schedulers)
+        beat.schedulers = count
         for member in self.host.members():
             beat.core.add(
                 rpc_address=member.rpc_address, control_address=member.control_address, zone=member.zone
--- a/molespur/system/membership/schedulers.py
+++ b/molespur/system/membership/schedulers.py
@@ -20,6 +20,7 @@
 class SchedulerMonitor:
     """The schedulers that this process watches, and what other monitors report of theirs."""
 
+    started_at: float = 0.0
     heard: dict[str, Report] = field(default_factory=dict)
     told: dict[str, Report] = field(default_factory=dict)
 
@@ -47,6 +48,13 @@
         everyone.update({beat.node: beat for beat in self.own(now)})
         return everyone
 
+    def count(self, now: float) -> int:
+        """How many schedulers there are; 0 while this process may not have heard of all yet.
+
+        Budgets are divided by it, so a number that is too low would be spent over and over.
+        """
+        return len(self.alive(now)) if now - self.started_at > ALIVE_MS else 0
+
     def load(self, now: float, service: str) -> pb.ServiceLoad:
         """What all schedulers together send to a service."""
         total = pb.ServiceLoad(service=service)
--- a/tests/system/test_control_parts.py
+++ b/tests/system/test_control_parts.py
@@ -294,6 +294,14 @@
     assert moved == 0, "only the nodes of the process that left are watched by others"
 
 
+def test_a_monitor_that_has_just_started_does_not_know_how_many_there_are():
+    monitor = SchedulerMonitor(started_at=1_000.0)
+    monitor.heartbeat(1_100.0, pb.SchedulerHeartbeat(node="a"))
+    assert monitor.count(1_200.0) == 0
+    monitor.heartbeat(5_000.0, pb.SchedulerHeartbeat(node="a"))
+    assert monitor.count(5_000.0) == 1
+
+
 def test_schedulers_are_counted_over_all_monitors():
     monitor = SchedulerMonitor()
     monitor.heartbeat(0.0, pb.SchedulerHeartbeat(node="a"))
--- a/tests/system/test_data_plane_parts.py
+++ b/tests/system/test_data_plane_parts.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies as st
 
 from molespur.system.data_plane.budget import RetryBudget
+from molespur.system.data_plane.client_call import check_head, read_handle
 from molespur.system.data_plane.client_request import demand_of, read_head
 from molespur.system.data_plane.events import EventFilter
-from molespur.system.data_plane.ingress import check_head, read_handle
 from molespur.system.data_plane.load import LoadMeter
 from molespur.system.data_plane.routes import RouteTable
 from molespur.system.data_plane.upstream import Head, UpstreamError
