--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -211,3 +211,47 @@
     for down in sorted(group.down):
         group.restart(down)
     settled(group, kept)
+
+
+def test_a_leader_does_not_count_itself_before_its_own_disk_has_the_entry():
+    group = VirtualGroup(11)
+    group.run(3000)
+    leader = group.leader()
+    cut_off = next(address for address in group.processes if address != leader.address)
+    group.isolate(cut_off)
+    write = group.write
+    group.write = lambda process, record: None if process is leader else write(process, record)
+    proposed = group.propose(b"on one disk of three")
+    group.run(400)
+    assert proposed is not None and proposed.index not in group.committed
+
+
+def test_an_entry_of_an_earlier_term_is_committed_only_with_one_of_the_own_term():
+    """The case of figure 8 of the Raft paper: a majority that holds an old entry is not enough."""
+    names = ["10.0.0.1:1#0", "10.0.0.2:1#0", "10.0.0.3:1#0"]
+    members = [pb.Member(replica_id=name, rpc_address=name[:-2], voter=True) for name in names]
+    first = raft.Snapshot(1, 1, pb.Membership(members=members), b"")
+    old = pb.LogEntry(index=2, term=2, kind=pb.COMMAND, data=b"old")
+    leader = raft.Replica("test", names[0], Random(1), raft.HardState(3, ""), first, [old])
+    written = []
+
+    def take(now, event):
+        written.extend(a.sequence for a in leader.handle(now, event) if isinstance(a, raft.Persist))
+
+    def answered(now, term, index):
+        reply = pb.ConsensusMessage(group="test", sender=names[1], receiver=names[0], term=term)
+        reply.append_reply.success, reply.append_reply.match_index = True, index
+        take(now, raft.Received(reply))
+
+    take(5_000.0, raft.Tick())
+    for pre_vote in (True, False):
+        vote = pb.ConsensusMessage(group="test", sender=names[1], receiver=names[0], term=4)
+        vote.vote_reply.pre_vote, vote.vote_reply.granted = pre_vote, True
+        take(5_001.0, raft.Received(vote))
+        take(5_002.0, raft.Persisted(max(written, default=0)))
+    take(5_003.0, raft.Persisted(max(written)))
+    assert leader.role is raft.Role.LEADER and leader.last_index == 3
+    answered(5_004.0, 4, 2)
+    assert leader.commit_index == 1, "two of three hold the old entry, and it may still be overwritten"
+    answered(5_005.0, 4, 3)
+    assert leader.commit_index == 3
