Answer reads of the configuration by ReadIndex instead of a lease

Cause: a voter that restarts forgets that it heard a leader (leader_heard_at in consensus/replica.py), so two of three that restart within a lease can elect another leader while the old one, cut off, still answers GET /api/config from an older state. Ruled out: longer election time-outs after a start (1.2 s of outage after each loss of power). Change: a read opens a round, appends carry it and answers echo it; the read is answered once a majority has answered that round (consensus/read_index.py).

--- a/molespur/system/consensus/records.py
+++ b/molespur/system/consensus/records.py
@@ -66,7 +66,14 @@
     state: bytes
 
 
-Event = Tick | Received | Propose | Persisted | TransferLeadership | ChangeMembership | Compact
+@dataclass(slots=True)
+class Read:
+    """Confirm that the state may be read; answered by `ReadConfirmed` or `ReadRefused` with its number."""
+
+    number: int
+
+
+Event = Tick | Received | Propose | Persisted | TransferLeadership | ChangeMembership | Compact | Read
 
 # -- Actions ---------------------------------------------------------------------------------------
 
@@ -125,6 +132,20 @@
     """The proposal was not taken."""
 
 
+@dataclass(slots=True)
+class ReadConfirmed:
+    """What is applied now holds all that was acknowledged before this read began."""
+
+    number: int
+
+
+@dataclass(slots=True)
+class ReadRefused:
+    """This replica can't tell whether its state is the newest."""
+
+    number: int
+
+
 @dataclass(slots=True)
 class Apply:
     """This entry is committed; entries come in order, each once."""
@@ -147,7 +168,7 @@
     leader: pb.Member | None
 
 
-Action = Send | Persist | Proposed | NotLeader | Apply | Restore | RoleChanged
+Action = Send | Persist | Proposed | NotLeader | ReadConfirmed | ReadRefused | Apply | Restore | RoleChanged
 
 
 @dataclass(slots=True)
@@ -158,6 +179,7 @@
     next: int = 1
     heard_at: float = 0.0
     acknowledged_send: float = 0.0  # send time of the newest append that it has answered
+    acknowledged_round: int = 0  # newest round of reads that it has answered
     waiting_since: float | None = None  # an append with entries, or a snapshot, is out since then
     waiting_for: int = 0  # the last index that it holds
 
--- a/molespur/system/consensus/replica.py
+++ b/molespur/system/consensus/replica.py
@@ -4,14 +4,15 @@
 on a steady clock.  The caller carries actions out: it writes `Persist` records in order and answers
 each with `Persisted`; the messages that a record carries may leave only after it is on the disk.
 
-The algorithm is Raft (Ongaro, 2014) with pre-vote, check-quorum, leader leases, learners, single-step
-membership change and leadership transfer.
+The algorithm is Raft (Ongaro, 2014) with pre-vote, check-quorum, leader leases, ReadIndex reads, learners,
+single-step membership change and leadership transfer.
 """
 
 from collections.abc import Sequence
 from random import Random
 
 from ..rpc import molespur_pb2 as pb
+from .read_index import ReadIndex
 from .records import (
     Action,
     Apply,
@@ -25,6 +26,9 @@
     Progress,
     Propose,
     Proposed,
+    Read,
+    ReadConfirmed,
+    ReadRefused,
     Received,
     Restore,
     Role,
@@ -70,6 +74,7 @@
         self.role, self.leader_id = Role.OUTSIDER, ""
         self.progress: dict[str, Progress] = {}
         self.votes: set[str] = set()
+        self.reads = ReadIndex()
         self.leader_heard_at = float("-inf")
         self.transfer_to = ""
         self.now = now
@@ -120,11 +125,17 @@
         return now - self.leader_heard_at
 
     def has_lease(self, now: float) -> bool:
-        """Whether this leader may answer reads: no other can lead now, and it has applied all before it."""
+        """Whether a majority has followed this leader so lately that, unless voters restart, no other leads.
+
+        Good for duties that a fence guards; reads ask a majority instead (`Read`).
+        """
         if self.role is not Role.LEADER or self.transfer_to:
             return False
-        own_term_committed = self._term_at(self.commit_index) == self.hard_state.term
-        return own_term_committed and now - self._quorum_heard_at(now) < LEASE_MS
+        return self._own_term_committed() and now - self._quorum_heard_at(now) < LEASE_MS
+
+    def _own_term_committed(self) -> bool:
+        """Whether an entry of the own term is committed, and so all that earlier terms have committed."""
+        return self._term_at(self.commit_index) == self.hard_state.term
 
     # -- The one entrance ----------------------------------------------------------------------
 
@@ -146,6 +157,8 @@
                 self._change_membership(membership)
             case Compact(index, state):
                 self._compact(index, state)
+            case Read(number):
+                self._read(number)
         if self._persist is not None:
             self._sequence += 1
             self._persist.sequence = self._sequence
@@ -202,6 +215,7 @@
         if role is not Role.LEADER:
             self.transfer_to = ""
             self.progress = {}
+            self._actions.extend(ReadRefused(number) for number in self.reads.drop())
         if role is not Role.CANDIDATE and role is not Role.PRE_CANDIDATE:
             self.votes = set()
         if changed:
@@ -407,6 +421,7 @@
             entries, previous_term = list(request.entries), request.previous_term
         reply = self._message(message.sender)
         reply.append_reply.sent_at_ms = request.sent_at_ms
+        reply.append_reply.read_round = request.read_round
         if self._term_at(previous) != previous_term:
             reply.append_reply.success = False
             reply.append_reply.match_index = min(self.last_index, previous - 1)
@@ -428,6 +443,7 @@
         reply = self._message(message.sender)
         reply.append_reply.success = True
         reply.append_reply.sent_at_ms = sent.sent_at_ms
+        reply.append_reply.read_round = sent.read_round
         if sent.index > self.commit_index:
             self.snapshot = Snapshot(sent.index, sent.term, sent.membership, sent.state)
             self.entries = []
@@ -456,8 +472,8 @@
     def _change_membership(self, membership: pb.Membership) -> None:
         if self.role is not Role.LEADER or not self.membership_committed or self.transfer_to:
             return
-        if self._term_at(self.commit_index) != self.hard_state.term:
-            return  # an entry of the own term must be committed first
+        if not self._own_term_committed():
+            return
         new = {m.replica_id for m in membership.members if m.voter}
         if len(new ^ set(self.voters())) > 1 or self.id not in new:
             return
@@ -493,6 +509,7 @@
         request.previous_index, request.previous_term = progress.next - 1, previous_term
         request.commit_index = self.commit_index
         request.sent_at_ms = int(self.now)
+        request.read_round = self.reads.round
         if progress.waiting_since is None:
             entries = self._batch(progress.next)
             if entries:
@@ -516,6 +533,7 @@
         sent.index, sent.term, sent.state = self.snapshot.index, self.snapshot.term, self.snapshot.state
         sent.membership.CopyFrom(self.snapshot.membership)
         sent.sent_at_ms = int(self.now)
+        sent.read_round = self.reads.round
         progress.waiting_since, progress.waiting_for = self.now, sent.index
         self._send(member, message)
 
@@ -526,6 +544,8 @@
         reply = message.append_reply
         progress.heard_at = self.now
         progress.acknowledged_send = max(progress.acknowledged_send, float(reply.sent_at_ms))
+        progress.acknowledged_round = max(progress.acknowledged_round, reply.read_round)
+        self._confirm_reads()
         if reply.success:
             if reply.match_index > progress.match:
                 progress.match = reply.match_index
@@ -571,6 +591,29 @@
         elif self.role is Role.LEADER:
             self._advance_commit()
 
+    # -- Reads -------------------------------------------------------------------------------------
+
+    def _read(self, number: int) -> None:
+        if self.role is not Role.LEADER or not self._own_term_committed():
+            self._actions.append(ReadRefused(number))
+            return
+        self.reads.begin(number)
+        self._broadcast()
+        self._confirm_reads()
+
+    def _confirm_reads(self) -> None:
+        rounds = [
+            self.reads.round
+            if v == self.id
+            else self.progress[v].acknowledged_round
+            if v in self.progress
+            else 0
+            for v in self.voters()
+        ]
+        if rounds:
+            majority = sorted(rounds, reverse=True)[len(rounds) // 2]
+            self._actions.extend(ReadConfirmed(number) for number in self.reads.confirmed(majority))
+
     # -- Planned work ----------------------------------------------------------------------------
 
     def _transfer(self) -> None:
--- a/molespur/system/control_plane/calls.py
+++ b/molespur/system/control_plane/calls.py
@@ -145,11 +145,9 @@
         if outcome is PutOutcome.NOT_NEWER:
             raise FleetError(ErrorKind.INVALID_CONFIGURATION, f"Version: not above {machine.version}")
 
-    def configuration(self) -> bytes | None:
-        """The newest configuration, None before the first.  Raises FleetError(NO_LEADER) without a lease."""
-        if not self.host.has_lease(CONFIGURATION):
-            raise FleetError(ErrorKind.NO_LEADER, CONFIGURATION)
-        machine = self.host.groups[CONFIGURATION].machine
+    async def configuration(self) -> bytes | None:
+        """The newest configuration, None before the first.  Raises FleetError(NO_LEADER) when unsure."""
+        machine = await self.host.read(CONFIGURATION)
         return machine.body if machine.version else None
 
     def configuration_owner(self) -> str | None:
--- a/molespur/system/control_plane/http.py
+++ b/molespur/system/control_plane/http.py
@@ -57,7 +57,7 @@
         owner = calls.configuration_owner()
         if owner is not None:
             return Response("", 307, {"Location": f"http://{owner}/api/config"})
-        body = calls.configuration()
+        body = await calls.configuration()
         return Response("", 404) if body is None else Response(body, content_type=JSON)
 
     @app.get("/api/readyz")
--- a/molespur/system/shards/host.py
+++ b/molespur/system/shards/host.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from itertools import count
 from random import Random
 
 from absl import logging
@@ -45,6 +46,7 @@
     history_from: int = 0  # every change after this index is in `history`
     history: deque = field(default_factory=lambda: deque(maxlen=HISTORY))
     waiters: dict[int, Waiter] = field(default_factory=dict)
+    reads: dict[int, asyncio.Future] = field(default_factory=dict)
     log_bytes: int = 0
 
 
@@ -70,6 +72,7 @@
         )
         self.groups = {name: self._open(name, machine, random) for name, machine in machines.items()}
         self.joined_at = float("-inf")
+        self._read_numbers = count(1)
 
     # -- Start ---------------------------------------------------------------------------------
 
@@ -149,7 +152,7 @@
         return self.groups[group].replica.role is raft.Role.LEADER
 
     def has_lease(self, group: str) -> bool:
-        """Whether what this process has of the group is certainly the newest."""
+        """Whether this process leads the group and a majority has followed it lately."""
         return self.groups[group].replica.has_lease(self.clock())
 
     def leader(self, group: str) -> pb.Member | None:
@@ -191,6 +194,25 @@
         except TimeoutError as error:
             raise FleetError(ErrorKind.OUTCOME_UNKNOWN, name) from error
 
+    async def read(self, name: str) -> object:
+        """The group's state machine once it certainly holds all that was acknowledged before this call.
+
+        Raises FleetError(NO_LEADER) when this process can't tell.
+        """
+        group = self.groups[name]
+        number = next(self._read_numbers)
+        outcome = group.reads[number] = asyncio.get_running_loop().create_future()
+        self._handle(group, raft.Read(number))
+        try:
+            confirmed = await asyncio.wait_for(outcome, PROPOSAL_S)
+        except TimeoutError:
+            confirmed = False
+        finally:
+            del group.reads[number]
+        if not confirmed:
+            raise FleetError(ErrorKind.NO_LEADER, name)
+        return group.machine
+
     def receive(self, message: pb.ConsensusMessage) -> None:
         """Take a message of another replica, if it is for the identity of this disk."""
         group = self.groups.get(message.group)
@@ -230,12 +252,22 @@
                     group.history.clear()
                     group.history_from = snapshot.index
                     self.on_restore(group.name)
+                case raft.ReadConfirmed(number):
+                    self._read_ended(group, number, True)
+                case raft.ReadRefused(number):
+                    self._read_ended(group, number, False)
                 case raft.RoleChanged(role, leader):
                     logging.info(
                         "%s: %s, leader %s", group.name, role.value, leader.replica_id if leader else "?"
                     )
                     self.on_role(group.name)
 
+    @staticmethod
+    def _read_ended(group: HostedGroup, number: int, confirmed: bool) -> None:
+        outcome = group.reads.get(number)
+        if outcome is not None and not outcome.done():
+            outcome.set_result(confirmed)
+
     def _apply(self, group: HostedGroup, entry: pb.LogEntry) -> None:
         waiter = group.waiters.pop(entry.index, None)
         result = None
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -61,6 +61,60 @@
     assert group.leader() is not old
 
 
+def test_a_read_is_answered_with_all_that_was_acknowledged():
+    group = VirtualGroup(3)
+    group.run(3000)
+    group.propose(b"a")
+    group.run(200)
+    leader = group.leader()
+    leader.handle(raft.Read(1))
+    assert 1 not in leader.reads, "nobody has answered yet"
+    group.run(50)
+    assert leader.reads[1] == [b"a"]
+    follower = next(p for p in group.processes.values() if p is not leader)
+    follower.handle(raft.Read(1))
+    assert follower.reads[1] is None
+
+
+def test_a_deposed_leader_answers_no_read_even_while_its_lease_seems_to_last():
+    """Voters that restart forget that they heard a leader, so a lease proves nothing about them."""
+    stale_reads = 0
+    for seed in range(40):
+        group = VirtualGroup(seed)
+        group.run(3000)
+        old = group.leader()
+        group.isolate(old.address)
+        for address in group.processes:
+            if address != old.address:
+                group.kill(address)
+                group.restart(address)
+        for number in range(60):
+            group.run(20)
+            new = group.leader()
+            if new is not old and group.acknowledged(group.propose(b"new")):
+                break
+            proposed = group.propose(b"new") if new is not old else None
+            group.run(12)
+            if group.acknowledged(proposed):
+                break
+        assert b"new" not in old.machine.commands
+        stale_reads += old.replica.has_lease(group.now)
+        old.handle(raft.Read(number))
+        group.run(5000)
+        assert old.reads.get(number) is None, "an older state was read after a newer was acknowledged"
+    assert stale_reads > 0, "no seed shows what the lease alone would have allowed"
+
+
+def test_reads_that_wait_are_refused_when_the_lead_is_lost():
+    group = VirtualGroup(7)
+    group.run(3000)
+    leader = group.leader()
+    group.isolate(leader.address)
+    leader.handle(raft.Read(5))
+    group.run(4000)
+    assert leader.reads == {5: None}
+
+
 def test_an_entry_counts_only_once_a_majority_has_synced_it():
     group = VirtualGroup(4, sync_ms=5.0)
     group.run(3000)
--- a/tests/system/virtual_group.py
+++ b/tests/system/virtual_group.py
@@ -67,6 +67,7 @@
             group.now,
         )
         self.planner = MembershipPlanner(3)
+        self.reads = {}  # number -> commands that the read was answered with; None: refused
 
     def handle(self, event):
         actions = self.replica.handle(self.group.now, event)
@@ -82,6 +83,10 @@
                     self.group.applied(entry)
                 case raft.Restore(snapshot):
                     self.machine.restore(snapshot.state)
+                case raft.ReadConfirmed(number):
+                    self.reads[number] = list(self.machine.commands)
+                case raft.ReadRefused(number):
+                    self.reads[number] = None
         return actions
 
     def tick(self):
