--- a/molespur/system/consensus/read_index.py
+++ b/molespur/system/consensus/read_index.py
@@ -1,4 +1,7 @@
-"""Reads of a leader that wait until a majority has confirmed its lead (ReadIndex; Ongaro, 2014, 6.4).  Pure."""
+"""Reads of a leader that wait until a majority has confirmed its lead: ReadIndex.  Pure.
+
+Source: Ongaro, 2014, section 6.4.
+"""
 
 from collections import deque
 from dataclasses import dataclass
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -88,7 +88,8 @@
             if address != old.address:
                 group.kill(address)
                 group.restart(address)
-        for number in range(60):
+        number = 1
+        for _ in range(60):
             group.run(20)
             new = group.leader()
             if new is not old and group.acknowledged(group.propose(b"new")):
