--- a/molespur/__main__.py
+++ b/molespur/__main__.py
@@ -1,6 +1,7 @@
 """The one binary: a scheduler in service without arguments, else a command."""
 
 import gc
+import os
 import sys
 
 FLEET_COMMANDS = ("data-plane", "control-plane", "check-settings", "check-configuration")
@@ -10,6 +11,10 @@
     """Run what the arguments say, and import no more than that needs."""
     if len(sys.argv) > 1 and sys.argv[1] in FLEET_COMMANDS:
         gc.disable()  # until the role runs: imports make nothing that has to be collected
+        if sys.argv[1] == "data-plane":
+            from .system.early_listener import open_early
+
+            open_early(os.environ.get("MOLESPUR_SETTINGS", ""), "Frontend")
         from .system.cli import main as fleet
 
         return fleet(sys.argv[1:])
--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -13,6 +13,8 @@
 from .upstream import UpstreamError, Upstreams
 
 BODY_TIMEOUT_S = 10.0
+STATE_WAIT_MS = 800.0  # longest wait of a request for the first state from the feed, after a start
+STATE_WAIT_SHARE = 0.25  # and the part of its time that it may take
 HANDLE_FREE_S = 1.0
 
 
@@ -39,6 +41,7 @@
         try:
             request = read_head(scope, self.state.limits)
             request.body = await self._read_body(receive)
+            await self._wait_for_state(request)
             route, service = self._route(request)
         except FleetError as error:
             await self.answer(send, error.kind)
@@ -80,6 +83,15 @@
         except TimeoutError as error:
             raise FleetError(ErrorKind.BODY_TOO_SLOW) from error
 
+    async def _wait_for_state(self, request: ClientRequest) -> None:
+        """Just after a start: wait a moment for what the feed has to tell first."""
+        if self.state.complete.is_set():
+            return
+        longest = min(STATE_WAIT_MS, STATE_WAIT_SHARE * request.deadline_ms)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(longest / 1000.0):
+                await self.state.complete.wait()
+
     def _route(self, request: ClientRequest) -> tuple[Route, Service]:
         if self.state.routes is None:
             raise FleetError(ErrorKind.NO_CONFIGURATION)
--- a/molespur/system/data_plane/state.py
+++ b/molespur/system/data_plane/state.py
@@ -1,5 +1,6 @@
 """What a data-plane process knows: the configuration in force, the workers, its part of the budgets."""
 
+import asyncio
 import json
 from random import Random
 
@@ -12,7 +13,7 @@
 from ..settings import configuration
 from ..settings.configuration import Configuration, Limits, Service
 from ..settings.process import ProcessSettings
-from ..shards.placement import CONFIGURATION
+from ..shards.placement import CONFIGURATION, GROUPS
 from .budget import RetryBudget
 from .load import LoadMeter
 from .peer_work import PeerWorkTable, worker_hash
@@ -40,6 +41,7 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.meters: dict[str, LoadMeter] = {}
         self.schedulers = 0
+        self.complete = asyncio.Event()  # a configuration and a first snapshot of every shard have come
         self.by_hash: dict[int, WorkerTrack] = {}
         self.peer_work = PeerWorkTable(settings.node_name, self.by_hash)
         self.gone: list[str] = []  # addresses whose connections can be closed
@@ -48,13 +50,19 @@
 
     def update(self, group: str, snapshot: bool, payload: bytes) -> None:
         """Take one step of the feed."""
+        self.groups.setdefault(group, set())
         if group == CONFIGURATION:
             self._put_configuration(pb.ConfigurationState.FromString(payload))
-            return
+        else:
+            self._put_workers(group, snapshot, payload)
+        if self.configuration is not None and all(name in self.groups for name in GROUPS):
+            self.complete.set()
+
+    def _put_workers(self, group: str, snapshot: bool, payload: bytes) -> None:
         workers = pb.WorkerSet.FromString(payload).workers
         if snapshot:
             told = {worker.id for worker in workers}
-            for worker_id in self.groups.get(group, set()) - told:
+            for worker_id in self.groups[group] - told:
                 self._remove(group, worker_id)
         for worker in workers:
             if worker.state == pb.GONE:
@@ -79,7 +87,7 @@
         logging.info("configuration %d in force: %d routes", parsed.version, len(parsed.routes))
 
     def _put_worker(self, group: str, worker: pb.Worker) -> None:
-        self.groups.setdefault(group, set()).add(worker.id)
+        self.groups[group].add(worker.id)
         self.service_of[worker.id] = worker.service
         known = self.workers.setdefault(worker.service, {})
         track = known.get(worker.id)
--- a/molespur/system/serving.py
+++ b/molespur/system/serving.py
@@ -11,12 +11,12 @@
 from hypercorn.asyncio import serve as hypercorn_serve
 from hypercorn.config import Config
 
+from . import early_listener
 from .errors import FleetError
 from .settings.process import VARIABLE, ProcessSettings, load
 
 KEEP_ALIVE_S = 30.0
 GRACEFUL_S = 1.0
-BACKLOG = 1024
 HEADER_BYTES = 64 << 10
 SETTINGS_LOOK_S = 2.0
 
@@ -105,7 +105,8 @@
 ) -> None:
     """Serve until the event is set, then let open requests end within `graceful_s` seconds."""
     config = Config()
-    config.bind = [address]
+    opened = early_listener.take(address)
+    config.bind = [address] if opened is None else [f"fd://{opened.detach()}"]
     config.keep_alive_timeout = keep_alive_s
     config.graceful_timeout = graceful_s
     config.h11_max_incomplete_size = header_bytes
@@ -113,7 +114,7 @@
     config.include_date_header = False
     config.accesslog = None
     config.errorlog = standard_logging.getLogger("hypercorn")
-    config.backlog = BACKLOG
+    config.backlog = early_listener.BACKLOG
     config.keep_alive_max_requests = 1_000_000_000
     config.h11_pass_raw_headers = True
     await hypercorn_serve(app, config, shutdown_trigger=stop.wait)
--- a/molespur/system/workers/phases.py
+++ b/molespur/system/workers/phases.py
@@ -13,6 +13,7 @@
 READ_TOKENS_PER_S = 28_000.0  # what one prefill worker is given at most: half of what it can read
 RUNNING_SHARE = 0.5  # part of a decode worker's slots that are given out
 LEAST_TOKENS_PER_S = 2_000.0  # with less to read nothing is changed
+COLD_READERS = 0.6  # part that should read prompts when traffic begins: no prefix is cached anywhere yet
 HYSTERESIS = 0.6  # workers by which the split must be off
 SETTLE_MS = 600.0  # a change must be called for this long
 FIRST_SETTLE_MS = 250.0  # the same for the first one, when traffic has just begun
@@ -36,21 +37,28 @@
         self.direction = 0
         self.turned_at = float("-inf")
         self.ordered_at: dict[str, float] = {}
+        self.loaded = False  # some traffic has been seen
 
     def target(self, workers: list[pb.Worker], load: pb.ServiceLoad) -> float:
         """How many workers should read prompts, before rounding."""
         zones = len({worker.zone for worker in workers})
-        readers = load.read_tokens_per_s / READ_TOKENS_PER_S
-        slots = sum(worker.capacity for worker in workers) / len(workers)
-        runners = max(load.running / (RUNNING_SHARE * max(slots, 1.0)), 0.1)
-        wanted = readers / (readers + runners) * len(workers)
+        if self.loaded:
+            readers = load.read_tokens_per_s / READ_TOKENS_PER_S
+            slots = sum(worker.capacity for worker in workers) / len(workers)
+            runners = max(load.running / (RUNNING_SHARE * max(slots, 1.0)), 0.1)
+            share = readers / (readers + runners)
+        else:
+            share = COLD_READERS
         least_runners = min(max(zones, 2), len(workers) // 2)
-        return max(min(wanted, len(workers) - least_runners), 1.0)
+        return max(min(share * len(workers), len(workers) - least_runners), 1.0)
 
     def plan(self, now: float, workers: list[pb.Worker], load: pb.ServiceLoad) -> PhaseOrder | None:
         """The next order, if one is called for."""
         alive = [worker for worker in workers if worker.state in (pb.READY, pb.SWITCHING) and worker.phase]
-        if len(alive) < 2 or load.read_tokens_per_s < LEAST_TOKENS_PER_S:
+        busy = load.read_tokens_per_s >= LEAST_TOKENS_PER_S
+        if busy and not self.loaded:
+            self.loaded, self.direction = True, 0
+        if len(alive) < 2 or not (busy or not self.loaded):
             self.wanted_since = None
             return None
         readers = sum(worker.phase == PREFILL for worker in alive)
--- a/tests/system/test_data_plane_wire.py
+++ b/tests/system/test_data_plane_wire.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+from random import Random
 
 import pytest
 from wire import (
@@ -10,15 +12,25 @@
     ScriptedWorker,
     answer,
     chunk,
+    clock,
     data_plane,
     event,
     header,
     not_executed,
     request,
     run,
+    settings,
     stream_head,
+    tell,
 )
 
+from molespur.system import early_listener
+from molespur.system.data_plane.ingress import Ingress
+from molespur.system.data_plane.role import IngressApp
+from molespur.system.data_plane.state import DataPlaneState
+from molespur.system.data_plane.upstream import Upstreams
+from molespur.system.serving import serve
+
 
 def configuration(route_type="non_idempotent", engine=False, **route):
     shape = {"Capacity": 8, "KvCapacityTokens": 1000, "KvTokenBytes": 10, "BandwidthMbps": 1000}
@@ -62,6 +74,61 @@
     run(scenario())
 
 
+def test_a_request_just_after_a_start_waits_for_the_first_state():
+    async def scenario():
+        worker = ScriptedWorker("w", answer)
+        async with data_plane(None, worker) as (port, ingress):
+            client = await Client.connect(port)
+            await client.send(request())
+            while not ingress.open_requests:
+                await asyncio.sleep(0)
+            tell(ingress.state, configuration(), worker)
+            assert (await client.response())[0] == 200
+
+    run(scenario())
+
+
+def test_a_request_that_no_state_comes_for_is_told_when_to_come_back():
+    async def scenario():
+        async with data_plane(None) as (port, _):
+            client = await Client.connect(port)
+            await client.send(request(deadline=8))
+            status, head, _body, _whole = await client.response()
+            assert status == 503 and float(header(head, b"Retry-After")) > 0
+
+    run(scenario())
+
+
+def test_clients_can_connect_before_the_server_is_there(tmp_path):
+    async def scenario():
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            port = probe.getsockname()[1]
+        (tmp_path / "boot.yaml").write_text(f'Listen: {{Frontend: "127.0.0.1:{port}"}}\n')
+        early_listener.open_early(str(tmp_path / "boot.yaml"), "Frontend")
+        client = await Client.connect(port)
+        await client.send(request())
+        state = DataPlaneState(settings(), Random(1))
+        worker = ScriptedWorker("w", answer)
+        await worker.start()
+        tell(state, configuration(), worker)
+        stop = asyncio.Event()
+        app = IngressApp(Ingress(state, Upstreams(), clock))
+        serving = asyncio.create_task(serve(app, f"127.0.0.1:{port}", stop, graceful_s=0.2))
+        assert (await client.response())[0] == 200
+        stop.set()
+        await serving
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("text", ["", "- a list", "Listen: {}", "Listen: {Frontend: 7}", "Listen: [", "a: b"])
+def test_a_settings_file_that_names_no_listener_opens_none(tmp_path, text):
+    (tmp_path / "boot.yaml").write_text(text)
+    early_listener.open_early(str(tmp_path / "boot.yaml"), "Frontend")
+    early_listener.open_early(str(tmp_path / "missing.yaml"), "Frontend")
+    assert early_listener.take("7") is None
+
+
 def test_a_chunked_request_arrives_whole():
     async def scenario():
         worker = ScriptedWorker("w", answer)
