Count the move between zones when the decode worker is drawn

Cause: choose_decode (policy/pair.py) drew among all decode workers by forecast alone, so that more than half of the moves went between zones, where they take twice as long and are priced higher; only the first choice of the pair counted it.

--- a/molespur/policy/pair.py
+++ b/molespur/policy/pair.py
@@ -151,7 +151,8 @@
         steps = [self._handover(now, source, w, demand) for w in usable]
         if not steps:
             return None
-        return draw(self.random, steps, [s.forecast + self._crossing(s.worker) for s in steps])
+        costs = [s.forecast + self._crossing(s.worker) + _move_crossing(source, s.worker) for s in steps]
+        return draw(self.random, steps, costs)
 
     def _usable(self, now, workers, avoid):
         known = [
@@ -176,7 +177,7 @@
                 move = self._handover(now, reader, runner, demand)
                 cost = read.forecast + move.forecast + HANDOVER_COST_MS
                 cost += self._crossing(reader) + self._crossing(runner)
-                cost += HANDOVER_COST_MS * (reader.zone != runner.zone) + REREAD_COST_MS * read.reread
+                cost += _move_crossing(reader, runner) + REREAD_COST_MS * read.reread
                 ways.append(Way((read, move), read.forecast + move.forecast, read.match, cost))
         return ways
 
@@ -308,6 +309,11 @@
         step.read = 0.0
 
 
+def _move_crossing(reader, runner):
+    """What the draw counts for a move of memory between zones (ms): it is slower and dearer."""
+    return HANDOVER_COST_MS * (reader.zone != runner.zone)
+
+
 def _forecast(way):
     return way.forecast
 
