Keep connections to workers in a pool of our own, by what a worker says and a call bears

Reports are asked once a minute where peers tell their work. A call is waited for longer where few of the schedulers are heard (root of their number for each heard).

--- a/molespur/system/data_plane/client_call.py
+++ b/molespur/system/data_plane/client_call.py
@@ -32,6 +32,7 @@
 
 PREFILL_PATIENCE = 4.0, 400.0  # forecasts, and ms, after which a prefill call is given up
 RUN_PATIENCE = 4.0, 700.0  # the same for a run that may be tried elsewhere, until its first answer
+MOST_DOUBT = 3.0  # with few schedulers heard, forecasts are poor: so many times longer at most
 PAUSES = 4.0  # allowed pauses of silence after which such a stream has stalled,
 LEAST_PAUSE_MS = 800.0  # and this long at least
 NOT_FORWARDED = frozenset((b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade"))
@@ -143,6 +144,7 @@
             headers,
             self.request.body,
             self.ingress.state.connections(self.service),
+            repeatable=step.part is Part.PREFILL or self.route.repeatable,
         )
         try:
             check_head(response.head, self.request.attempt_id, stamped)
@@ -159,8 +161,7 @@
     # -- The prompt read apart -------------------------------------------------------------------
 
     async def _read_prompt(self, step: Step, key: int, begun: float) -> machine.Event:
-        forecasts, least = PREFILL_PATIENCE
-        seconds = max(forecasts * step.forecast, least) / 1000.0
+        seconds = seconds_of_patience(step, *PREFILL_PATIENCE)
         async with patience(seconds, step.worker, self.clock):
             response = await self._call(step, [(b"Molespur-Serving-Phase", b"prefill")], stamped=False)
             try:
@@ -200,8 +201,7 @@
         left = self.route.max_attempts - self.exchange.runs - 1
         if not self.route.repeatable or left <= 0:
             return None
-        forecasts, least = RUN_PATIENCE
-        return max(forecasts * step.forecast, least) / 1000.0
+        return seconds_of_patience(step, *RUN_PATIENCE)
 
     async def _run_within(
         self, step: Step, key: int, begun: float, extra, waiting: Patience | None
@@ -287,6 +287,12 @@
         await self.ingress.answer(self.send, kind)
 
 
+def seconds_of_patience(step: Step, forecasts: float, least_ms: float) -> float:
+    """How long a call is waited for: the fewer of the schedulers are heard, the less a forecast is worth."""
+    doubt = min(max(step.worker.peer_scale, 1.0) ** 0.5, MOST_DOUBT)
+    return doubt * max(forecasts * step.forecast, least_ms) / 1000.0
+
+
 class AnswerCut(Exception):
     """The client's answer can't be ended: its connection is closed without an end."""
 
--- a/molespur/system/data_plane/reports.py
+++ b/molespur/system/data_plane/reports.py
@@ -9,7 +9,7 @@
 from .upstream import UpstreamError, Upstreams
 
 INTERVAL_S = 4.0  # between two reports of one worker
-PEERS_INTERVAL_S = 12.0  # the same where other schedulers tell their work: reports are priced
+PEERS_INTERVAL_S = 60.0  # the same where other schedulers tell their work, which is newer; reports are priced
 TIMEOUT_S = 0.6
 
 
--- a/molespur/system/data_plane/role.py
+++ b/molespur/system/data_plane/role.py
@@ -92,6 +92,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.state.count_schedulers(clock(), self.follower.schedulers)
+            self.upstreams.trim()
             gone, self.state.gone = self.state.gone, []
             for address in gone:
                 await self.upstreams.forget(address)
--- a/molespur/system/data_plane/upstream.py
+++ b/molespur/system/data_plane/upstream.py
@@ -11,11 +11,9 @@
 
 from ..faults import FaultPoint, strike
 from .exchange import Failure
-from .network import WorkerNetwork
+from .pool import ConnectionPool
 
-CONNECT_TIMEOUT_S = 0.5
 WRITE_TIMEOUT_S = 2.0
-KEEP_ALIVE_S = 4.0
 READ_LIMIT = 8 << 20
 NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 BROKEN_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
@@ -49,33 +47,27 @@
 class WorkerTransport(httpx.AsyncBaseTransport):
     """httpx's transport to one worker, on connections of our own; it repeats nothing."""
 
-    def __init__(self, connections: int):
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=connections,
-            max_keepalive_connections=connections,
-            keepalive_expiry=KEEP_ALIVE_S,
-            retries=0,
-            network_backend=WorkerNetwork(),
-        )
+    def __init__(self, url: httpx.URL, connections: int):
+        self.url = url
+        self.pool = ConnectionPool(url.raw_host, url.port, connections)
+        self._target = httpcore.URL(scheme=url.raw_scheme, host=url.raw_host, port=url.port, target=b"/")
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
         """Send a request and wait for the head of its answer.  Raises httpcore's errors."""
-        url = request.url
         sent = httpcore.Request(
             method=request.method,
-            url=httpcore.URL(scheme=url.raw_scheme, host=url.raw_host, port=url.port, target=url.raw_path),
+            url=self._target,
             headers=request.headers.raw,
             content=request.stream,
             extensions=request.extensions,
         )
-        answer = await self._pool.handle_async_request(sent)
-        return httpx.Response(
-            status_code=answer.status, headers=answer.headers, stream=PoolStream(answer.stream)
-        )
+        answer = await self.pool.call(sent, request.extensions["repeatable"])
+        stream = PoolStream(answer.stream)
+        return httpx.Response(status_code=answer.status, headers=answer.headers, stream=stream)
 
     async def aclose(self) -> None:
         """Close all connections."""
-        await self._pool.aclose()
+        await self.pool.aclose()
 
 
 class PoolStream(httpx.AsyncByteStream):
@@ -84,10 +76,9 @@
     def __init__(self, stream):
         self._stream = stream
 
-    async def __aiter__(self) -> AsyncIterator[bytes]:
+    def __aiter__(self) -> AsyncIterator[bytes]:
         """The body as it arrives.  Raises httpcore's errors."""
-        async for part in self._stream:
-            yield part
+        return self._stream.__aiter__()
 
     async def aclose(self) -> None:
         """Give the connection back to the pool."""
@@ -132,7 +123,9 @@
     def _transport(self, address: str, connections: int) -> WorkerTransport:
         transport = self._transports.get(address)
         if transport is None:
-            transport = self._transports[address] = WorkerTransport(connections)
+            url = httpx.URL(f"http://{address}/")
+            transport = self._transports[address] = WorkerTransport(url, connections)
+        transport.pool.limit = connections
         return transport
 
     async def call(
@@ -143,25 +136,18 @@
         headers: list[tuple[bytes, bytes]],
         body: bytes,
         connections: int,
+        repeatable: bool = True,
     ) -> UpstreamResponse:
-        """Send a request and wait for the head of its answer.  Raises UpstreamError."""
-        request = httpx.Request(
-            method,
-            f"http://{address}/",
-            headers=headers,
-            content=body,
-            extensions={
-                "target": target,
-                "timeout": {
-                    "connect": CONNECT_TIMEOUT_S,
-                    "pool": CONNECT_TIMEOUT_S,
-                    "write": WRITE_TIMEOUT_S,
-                },
-            },
-        )
+        """Send a request and wait for the head of its answer.  Raises UpstreamError.
+
+        `repeatable`: whether it may be sent again if its connection turns out to be forgotten.
+        """
+        transport = self._transport(address, connections)
+        extensions = {"target": target, "timeout": {"write": WRITE_TIMEOUT_S}, "repeatable": repeatable}
+        request = httpx.Request(method, transport.url, headers=headers, content=body, extensions=extensions)
         strike(FaultPoint.BEFORE_CONNECT)
         try:
-            response = await self._transport(address, connections).handle_async_request(request)
+            response = await transport.handle_async_request(request)
         except NOT_SENT_ERRORS as error:
             raise UpstreamError(Failure.NOT_SENT, repr(error)) from error
         except BROKEN_ERRORS as error:
@@ -169,6 +155,11 @@
         strike(FaultPoint.AFTER_SEND)
         return UpstreamResponse(response)
 
+    def trim(self) -> None:
+        """Close connections that have rested too long."""
+        for transport in self._transports.values():
+            transport.pool.trim()
+
     async def forget(self, address: str) -> None:
         """Close the connections to a worker that is gone."""
         transport = self._transports.pop(address, None)
