Add molespur system: a fleet's state and configuration from a terminal

status, workers, members and feed follow the feed of a control-plane process once, as a scheduler does, so nothing was added to the roles; config get, put and diff use the operator's API, with redirects and repeats. Tables or JSON, documented exit codes.

--- a/molespur/__main__.py
+++ b/molespur/__main__.py
@@ -18,6 +18,10 @@
         from .system.cli import main as fleet
 
         return fleet(sys.argv[1:])
+    if len(sys.argv) > 1 and sys.argv[1] == "system":
+        from .system.client.cli import main as client
+
+        return client(sys.argv[2:])
     if len(sys.argv) > 1:
         from .cli import main as command_line
 
--- /dev/null
+++ b/molespur/system/client/__init__.py
@@ -0,0 +1,1 @@
+"""What an operator asks of a running fleet from a terminal."""
--- /dev/null
+++ b/molespur/system/client/cli.py
@@ -0,0 +1,107 @@
+"""molespur system: look at a running router fleet, and change its configuration.
+
+Usage:
+  molespur system (status | workers | members | feed) [--settings=FILE] [--json]
+  molespur system config get [--settings=FILE]
+  molespur system config put FILE [--on=VERSION] [--settings=FILE]
+  molespur system config diff FILE [--settings=FILE]
+  molespur system --help
+
+Commands:
+  status       the fleet at a glance: configuration, schedulers, workers by state, shards that tell nothing
+  workers      every registered worker with its part and state
+  members      the processes of the control plane
+  feed         the offset up to which each shard has been told
+  config get   print the configuration in force
+  config put   check a configuration and put it in force on top of the current version
+  config diff  compare a file with the configuration in force
+
+Options:
+  --settings=FILE  settings whose SeedNodes and PortRange lead to the fleet; else MOLESPUR_SETTINGS names them
+  --on=VERSION     the version that the change builds on, in place of the current one
+  --json           JSON in place of a table
+
+Exit codes: 0 done, 1 refused or not reached, 2 wrong usage, settings or file, 3 a difference (`config diff`).
+"""
+
+import asyncio
+import json
+import os
+import sys
+from pathlib import Path
+
+from docopt import docopt
+
+from ..errors import ErrorKind, FleetError
+from ..settings import configuration as operator_configuration
+from ..settings import process
+from . import report
+from .configuration import ConfigurationClient, difference, version_of
+from .state import read_state
+
+DONE, FAILED, WRONG_USAGE, DIFFERENT = 0, 1, 2, 3
+REPORTS = {
+    "status": report.status,
+    "workers": report.worker_rows,
+    "members": report.member_rows,
+    "feed": report.feed_rows,
+}
+OWN_FAULTS = (ErrorKind.BAD_SETTINGS, ErrorKind.UNREADABLE)
+
+
+def main(arguments: list[str]) -> int:
+    """Carry out one command; return the exit code."""
+    options = docopt(__doc__, ["system", *arguments])
+    try:
+        return _run(options)
+    except FleetError as error:
+        print(f"molespur: {error}", file=sys.stderr)
+        return WRONG_USAGE if error.kind in OWN_FAULTS else FAILED
+    except OSError as error:
+        print(f"molespur: {error}", file=sys.stderr)
+        return WRONG_USAGE
+
+
+def _run(options: dict) -> int:
+    settings = _settings(options["--settings"])
+    if not options["config"]:
+        name = next(name for name in REPORTS if options[name])
+        state = asyncio.run(read_state(settings.seed_rpc_addresses()))
+        print(report.render(REPORTS[name](state), options["--json"]))
+        return DONE
+    client = ConfigurationClient(settings.seed_nodes)
+    if options["get"]:
+        print(json.dumps(client.get(), indent=1))
+        return DONE
+    body = Path(options["FILE"]).read_bytes()
+    proposed = _parsed(body)
+    if options["diff"]:
+        lines = difference(client.get(), proposed)
+        print("\n".join(lines) or "no difference")
+        return DIFFERENT if lines else DONE
+    return _put(client, body, proposed, options["--on"])
+
+
+def _put(client: ConfigurationClient, body: bytes, proposed: dict, base: str | None) -> int:
+    if base is not None and not base.isdigit():
+        raise FleetError(ErrorKind.UNREADABLE, f"--on: not a version: {base}")
+    base_version = version_of(client.get()) if base is None else int(base)
+    client.put(body, base_version)
+    print(f"version {version_of(proposed)} is in force, on top of {base_version}")
+    return DONE
+
+
+def _parsed(body: bytes) -> dict:
+    """A configuration that was checked as the control plane checks it.  Raises FleetError(UNREADABLE)."""
+    try:
+        operator_configuration.parse(body)
+    except FleetError as error:
+        raise FleetError(ErrorKind.UNREADABLE, error.detail) from error
+    return json.loads(body)
+
+
+def _settings(path: str | None) -> process.ProcessSettings:
+    environment = dict(os.environ)
+    if path is not None:
+        environment[process.VARIABLE] = path
+    return process.load(environment)
--- /dev/null
+++ b/tests/system/test_client.py
@@ -0,0 +1,217 @@
+"""`molespur system`: what is printed of a fleet's state, and the configuration changed from a terminal."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import httpx
+import pytest
+
+from molespur.system.client import cli, report
+from molespur.system.client.configuration import ConfigurationClient, difference
+from molespur.system.client.state import FleetState
+from molespur.system.errors import ErrorKind, FleetError
+from molespur.system.rpc import molespur_pb2 as pb
+from molespur.system.shards.placement import CONFIGURATION, WORKER_GROUPS
+
+ROOT = Path(__file__).resolve().parents[2]
+SETTINGS = """
+NodeName: "core-1"
+Ip: "127.0.14.1"
+Zone: "a"
+PortRange: [19160, 19175]
+SeedNodes: ["127.0.14.1:19146"]
+Listen:
+  ControlPlane: "127.0.14.1:19146"
+Bootstrap: true
+DataDirectory: "{folder}"
+"""
+
+
+def configuration(version, **limits):
+    route = {"Name": "r", "Host": "h", "PathPrefix": "/p/", "Type": "idempotent", "Service": "s"}
+    services = [{"Name": "s", "MaxConnections": 10}]
+    return {"Version": version, "Routes": [route], "Services": services, "Limits": limits}
+
+
+def worker(name, state=pb.READY, phase="decode"):
+    return pb.Worker(
+        id=name, service="s", address=f"10.0.0.{len(name)}:1", zone="a", state=state, phase=phase
+    )
+
+
+def update(group, index, payload, snapshot=True):
+    return pb.Frame(update=pb.FeedUpdate(group=group, index=index, snapshot=snapshot, payload=payload))
+
+
+@pytest.fixture
+def state():
+    state = FleetState(source="10.0.0.1:7000")
+    state.take(update(CONFIGURATION, 9, pb.ConfigurationState(version=4, body=b"{}").SerializeToString()))
+    known = pb.WorkerSet(workers=[worker("w-2", phase="prefill"), worker("w-1", pb.DRAINING)])
+    state.take(update(WORKER_GROUPS[0], 3, known.SerializeToString()))
+    beat = pb.FeedHeartbeat(schedulers=7, leader_silence_ms=40)
+    beat.core.add(rpc_address="10.0.0.1:7000", control_address="10.0.0.1:80", zone="a")
+    state.take(pb.Frame(feed_heartbeat=beat))
+    return state
+
+
+# -- Reports ---------------------------------------------------------------------------------------
+
+
+def test_status_counts_workers_by_state_and_names_what_is_missing(state):
+    told = report.status(state)
+    assert told["configuration"] == 4 and told["schedulers"] == 7 and told["control_plane"] == 1
+    assert told["workers"] == {"s draining": 1, "s ready": 1}
+    assert told["missing"] == [WORKER_GROUPS[1]]
+    assert "workers: s draining 1, s ready 1" in report.render(told, as_json=False)
+
+
+def test_changes_after_the_snapshot_count(state):
+    gone = pb.WorkerSet(workers=[worker("w-1", pb.GONE), worker("w-3")])
+    state.take(update(WORKER_GROUPS[0], 5, gone.SerializeToString(), snapshot=False))
+    state.take(update(WORKER_GROUPS[1], 2, b""))
+    assert [row["id"] for row in report.worker_rows(state)] == ["w-2", "w-3"]
+    assert report.feed_rows(state)[1] == {"shard": WORKER_GROUPS[0], "offset": 5}
+    assert state.missing() == []
+
+
+def test_a_state_of_which_nothing_is_known_says_so():
+    told = report.status(FleetState(source="x"))
+    assert told["configuration"] is None and told["missing"][-1] == "heartbeat"
+    assert "schedulers: unknown" in report.render(told, as_json=False)
+    assert report.render([], as_json=False) == "(none)"
+
+
+def test_tables_are_aligned_and_json_can_be_read(state):
+    lines = report.render(report.worker_rows(state), as_json=False).splitlines()
+    assert (
+        len({line.index("decode") if "decode" in line else line.index("prefill") for line in lines[1:]}) == 1
+    )
+    assert json.loads(report.render(report.member_rows(state), as_json=True))[0]["control"] == "10.0.0.1:80"
+
+
+# -- Configuration ---------------------------------------------------------------------------------
+
+
+def answering(*statuses):
+    """A transport that gives these answers in turn, and the requests that it was sent."""
+    left, sent = list(statuses), []
+
+    def answer(request):
+        sent.append(request)
+        status = left.pop(0) if len(left) > 1 else left[0]
+        if status is None:
+            raise httpx.ConnectError("down")
+        moved = {"Location": "http://10.0.0.2:80/api/config"} if status == 307 else {}
+        return httpx.Response(status, headers=moved, text="{}")
+
+    return httpx.MockTransport(answer), sent
+
+
+def test_a_change_is_sent_again_until_the_answer_is_clear():
+    transport, sent = answering(None, 503, 307, 200)
+    paused = []
+    ConfigurationClient(["10.0.0.1:80", "10.0.0.3:80"], transport, paused.append).put(b"{}", 3)
+    assert len(paused) == 1 and paused[0] > 0
+    assert [r.url.host for r in sent] == ["10.0.0.1", "10.0.0.3", "10.0.0.1", "10.0.0.2"]
+    assert {r.headers["If-Match"] for r in sent} == {"3"}
+
+
+@pytest.mark.parametrize(
+    ("status", "kind"),
+    [
+        (412, ErrorKind.VERSION_MISMATCH),
+        (400, ErrorKind.INVALID_CONFIGURATION),
+        (503, ErrorKind.OUTCOME_UNKNOWN),
+        (None, ErrorKind.OUTCOME_UNKNOWN),
+    ],
+)
+def test_a_refusal_is_final_and_silence_is_unknown(status, kind):
+    transport, sent = answering(status)
+    with pytest.raises(FleetError) as raised:
+        ConfigurationClient(["10.0.0.1:80"], transport, lambda _: None).put(b"{}", 3)
+    assert raised.value.kind is kind
+    assert len(sent) == (3 if kind is ErrorKind.OUTCOME_UNKNOWN else 1)
+
+
+def test_a_difference_names_what_changes():
+    assert difference(configuration(1), configuration(1)) == []
+    lines = difference(configuration(1), configuration(2, MaxBodyBytes=5))
+    assert '+  "MaxBodyBytes": 5' in lines and any(line.startswith("+++ version 2") for line in lines)
+    assert difference(None, configuration(1))[0].startswith("--- version 0")
+
+
+# -- A running control plane -----------------------------------------------------------------------
+
+
+def listens(host, port):
+    with socket.socket() as probe:
+        return probe.connect_ex((host, port)) == 0
+
+
+@pytest.fixture
+def control_plane(tmp_path):
+    settings = tmp_path / "boot.yaml"
+    settings.write_text(SETTINGS.format(folder=tmp_path / "disk"))
+    environment = {**os.environ, "MOLESPUR_SETTINGS": str(settings)}
+    process = subprocess.Popen(
+        [sys.executable, "-m", "molespur", "control-plane"],
+        cwd=ROOT,
+        env=environment,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        owned = set()
+        for line in process.stderr:
+            owned |= {name for name in (CONFIGURATION, *WORKER_GROUPS) if f"{name}: leader" in line}
+            if len(owned) == 3:
+                break
+        until = time.monotonic() + 20.0
+        while not listens("127.0.14.1", 19146) and time.monotonic() < until:
+            pass
+        yield settings
+    finally:
+        process.kill()
+        process.wait()
+
+
+def test_a_running_fleet_is_read_and_its_configuration_changed(control_plane, tmp_path, capsys):
+    given = f"--settings={control_plane}"
+    proposed = tmp_path / "configuration.json"
+    proposed.write_text(json.dumps(configuration(3)))
+    assert cli.main(["config", "diff", str(proposed), given]) == cli.DIFFERENT
+    assert cli.main(["config", "put", str(proposed), given]) == cli.DONE
+    assert cli.main(["config", "put", str(proposed), "--on=0", given]) == cli.DONE, "a repeat is taken again"
+    assert cli.main(["config", "diff", str(proposed), given]) == cli.DONE
+    proposed.write_text(json.dumps(configuration(5)))
+    assert cli.main(["config", "put", str(proposed), "--on=1", given]) == cli.FAILED
+    capsys.readouterr()
+    assert cli.main(["config", "get", given]) == cli.DONE
+    assert json.loads(capsys.readouterr().out)["Version"] == 3
+    assert cli.main(["status", "--json", given]) == cli.DONE
+    told = json.loads(capsys.readouterr().out)
+    assert told["configuration"] == 3 and told["missing"] == [] and told["control_plane"] == 1
+    assert cli.main(["members", given]) == cli.DONE
+    assert "127.0.14.1:19146" in capsys.readouterr().out
+
+
+def test_a_fleet_that_is_not_there_and_files_that_cannot_be_used(tmp_path, capsys):
+    settings = tmp_path / "boot.yaml"
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        port = probe.getsockname()[1]
+    text = SETTINGS.format(folder=tmp_path).replace("127.0.14.1", "127.0.0.1").replace("19160", str(port))
+    settings.write_text(text)
+    given = f"--settings={settings}"
+    assert cli.main(["status", given]) == cli.FAILED
+    (tmp_path / "bad.json").write_text("{")
+    assert cli.main(["config", "put", str(tmp_path / "bad.json"), given]) == cli.WRONG_USAGE
+    assert cli.main(["config", "put", str(tmp_path / "none.json"), given]) == cli.WRONG_USAGE
+    settings.write_text("- nothing")
+    assert cli.main(["workers", given]) == cli.WRONG_USAGE
+    assert all(line.startswith("molespur: ") for line in capsys.readouterr().err.splitlines())
