--- a/molespur/system/control_plane/orders.py
+++ b/molespur/system/control_plane/orders.py
@@ -56,6 +56,8 @@
             waited = now - self.owner_since.get(group, now)
             if not self.host.has_lease(group) or waited < self.settings.bounds.lease_ms + HANDOVER_MS:
                 continue
+            # read while the lead is certain: a later term belongs to another owner
+            fence = self.host.groups[group].replica.hard_state.term
             services: dict[str, list[pb.Worker]] = {}
             for worker in self.host.groups[group].machine.workers.values():
                 if worker.phase:
@@ -64,17 +66,17 @@
                 planner = self.planners.setdefault((group, service), PhasePlanner())
                 order = planner.plan(now, workers, self.schedulers.load(now, service))
                 if order is not None:
-                    task = asyncio.get_running_loop().create_task(self._give(group, order))
+                    task = asyncio.get_running_loop().create_task(self._give(group, order, fence))
                     self._tasks.add(task)
                     task.add_done_callback(self._tasks.discard)
 
-    async def _give(self, group: str, order: PhaseOrder) -> None:
+    async def _give(self, group: str, order: PhaseOrder, fence: int) -> None:
         worker = order.worker
         body = {
             "Operation": "Phase",
             "Phase": order.phase,
             "Holder": self.settings.node_name,
-            "FencingToken": self.host.groups[group].replica.hard_state.term,
+            "FencingToken": fence,
         }
         import httpx
 
--- /dev/null
+++ b/tests/system/test_orders.py
@@ -0,0 +1,107 @@
+"""Orders to workers: who may give them, and by which fence."""
+
+import asyncio
+import json
+from contextlib import asynccontextmanager
+
+import pytest
+from control import OneControlPlane
+
+from molespur.system.control_plane.orders import HANDOVER_MS, PhaseOrders
+from molespur.system.rpc import molespur_pb2 as pb
+from molespur.system.shards.placement import group_of_service
+
+SERVICE = "s"
+GROUP = group_of_service(SERVICE)
+
+
+class Busy:
+    """Stands for the schedulers: much to be read."""
+
+    def load(self, _now, service):
+        return pb.ServiceLoad(service=service, read_tokens_per_s=200_000.0, running=10.0)
+
+
+@asynccontextmanager
+async def order_taker():
+    """A worker's address that takes every order; gives its address and the orders."""
+    orders = []
+
+    async def serve(reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0] or 0)
+                orders.append(json.loads(await reader.readexactly(length)))
+                writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}", orders
+    server.close()
+
+
+@pytest.fixture
+def plane(tmp_path):
+    made = OneControlPlane(tmp_path)
+    yield made
+    made.close()
+
+
+def orders_of(plane):
+    made = PhaseOrders(plane.host.settings, plane.host, plane.calls, Busy(), lambda: plane.now)
+    made.became_owner(GROUP)
+    return made
+
+
+def register(plane, address):
+    directory = plane.host.groups[GROUP].machine
+    workers = [
+        pb.Worker(id=f"w-{n}", service=SERVICE, address=address, zone="a", phase="decode", capacity=64)
+        for n in range(6)
+    ]
+    directory.workers = {worker.id: worker for worker in workers}
+
+
+def look_until_ordered(plane, orders):
+    for _ in range(4):
+        orders.look(plane.now)
+        if orders._tasks:
+            return
+        plane.pass_time(300.0)
+
+
+def test_an_order_has_the_fence_of_the_time_when_the_lead_was_certain(plane):
+    async def scenario():
+        async with order_taker() as (address, taken):
+            register(plane, address)
+            orders = orders_of(plane)
+            plane.pass_time(plane.host.settings.bounds.lease_ms + HANDOVER_MS + 100.0)
+            led = plane.host.groups[GROUP].replica.hard_state.term
+            look_until_ordered(plane, orders)
+            plane.host.groups[GROUP].replica.hard_state.term += 3  # another owner's term is heard of
+            while not taken:
+                await asyncio.sleep(0)
+            assert {order["FencingToken"] for order in taken} == {led}
+            for task in orders._tasks:
+                task.cancel()
+
+    plane.loop.run_until_complete(asyncio.wait_for(scenario(), 20))
+
+
+def test_a_new_owner_waits_a_lease_before_its_first_order(plane):
+    async def scenario():
+        register(plane, "127.0.0.1:1")
+        orders = orders_of(plane)
+        wait = plane.host.settings.bounds.lease_ms + HANDOVER_MS
+        while plane.now - orders.owner_since[GROUP] < wait:
+            orders.look(plane.now)
+            assert not orders._tasks
+            plane.pass_time(200.0)
+        look_until_ordered(plane, orders)
+        assert orders._tasks
+        for task in orders._tasks:
+            task.cancel()
+
+    plane.loop.run_until_complete(scenario())
