--- a/tests/system/test_pair_policy.py
+++ b/tests/system/test_pair_policy.py
@@ -2,8 +2,11 @@
 
 from random import Random
 
-from molespur.policy.pair import Demand, EngineShape, PairPolicy
+import pytest
+
+from molespur.policy.pair import Demand, EngineShape, PairPolicy, Step
 from molespur.policy.tracking import RANKS, Part, Report, WorkerTrack
+from molespur.system.data_plane.client_call import seconds_of_patience
 
 ENGINE = EngineShape(18_432.0, 550_000.0, 400_000.0)
 LONG = (("a" * 8, 2_500.0), ("b" * 8, 3_800.0), ("own1", 2_800.0))
@@ -161,3 +164,19 @@
         track.peer_reads[1] = 30_000.0
     asked = demand((("w" * 8, 10.0), ("own4", 4_000.0)))
     assert {way.prefill.worker.id for way in choices(policy, workers, asked, 50)} == {"p3"}
+
+
+def test_a_move_between_zones_is_the_exception():
+    policy, workers = PairPolicy("a", Random(3)), [worker(f"d-{zone}", "decode", zone) for zone in "abc"]
+    source = worker("p-c", "prefill", "c")
+    asked = demand((("x", 6000.0), ("own", 3000.0)))
+    chosen = [policy.choose_decode(0.0, workers, asked, source, ()).worker.zone for _ in range(400)]
+    assert chosen.count("c") > 0.8 * len(chosen)
+
+
+@pytest.mark.parametrize(("peer_scale", "seconds"), [(0.0, 0.4), (1.0, 0.4), (4.0, 0.8), (100.0, 1.2)])
+def test_patience_grows_where_few_schedulers_are_heard(peer_scale, seconds):
+    known = worker("p", "prefill")
+    known.peer_scale = peer_scale
+    step = Step(known, Part.PREFILL, run=50.0, wait=0.0, use=0.0, match=1.0, forecast=60.0)
+    assert seconds_of_patience(step, 4.0, 400.0) == pytest.approx(seconds)
