Add an embedded demo: a small fleet, stand-in model workers, traffic and two losses

python -m molespur system demo starts three control-plane and two data-plane processes on loopback, six stand-in model workers (reading pace, batch, prefix cache, handles, change of part), sends open-loop traffic, kills a control-plane process, starts it again, loses a worker, and shows each second what clients met.

--- a/molespur/system/client/cli.py
+++ b/molespur/system/client/cli.py
@@ -5,6 +5,7 @@
   molespur system config get [--settings=FILE]
   molespur system config put FILE [--on=VERSION] [--settings=FILE]
   molespur system config diff FILE [--settings=FILE]
+  molespur system demo [--rate=PER_SECOND] [--seconds=SECONDS] [--json]
   molespur system --help
 
 Commands:
@@ -15,10 +16,14 @@
   config get   print the configuration in force
   config put   check a configuration and put it in force on top of the current version
   config diff  compare a file with the configuration in force
+  demo         start a small fleet on this machine with stand-in workers, send traffic, lose a control-plane
+               process and a worker, and show second by second what clients met
 
 Options:
   --settings=FILE  settings whose SeedNodes and PortRange lead to the fleet; else MOLESPUR_SETTINGS names them
   --on=VERSION     the version that the change builds on, in place of the current one
+  --rate=PER_SECOND   requests of the demo [default: 20]
+  --seconds=SECONDS   length of its traffic, at most 600 [default: 16]
   --json           JSON in place of a table
 
 Exit codes: 0 done, 1 refused or not reached, 2 wrong usage, settings or file, 3 a difference (`config diff`).
@@ -63,6 +68,8 @@
 
 
 def _run(options: dict) -> int:
+    if options["demo"]:
+        return _demo(options)
     settings = _settings(options["--settings"])
     if not options["config"]:
         name = next(name for name in REPORTS if options[name])
@@ -82,6 +89,25 @@
     return _put(client, body, proposed, options["--on"])
 
 
+def _demo(options: dict) -> int:
+    rate, seconds = _number(options, "--rate", 500.0), _number(options, "--seconds", 600.0)
+    from ..demo.run import run_demo
+
+    print(run_demo(rate, seconds, options["--json"]))
+    return DONE
+
+
+def _number(options: dict, name: str, most: float) -> float:
+    """A positive number from an option.  Raises FleetError(UNREADABLE)."""
+    try:
+        value = float(options[name])
+    except ValueError:
+        value = 0.0
+    if not 0.0 < value <= most:
+        raise FleetError(ErrorKind.UNREADABLE, f"{name}: want a number up to {most:g}: {options[name]}")
+    return value
+
+
 def _put(client: ConfigurationClient, body: bytes, proposed: dict, base: str | None) -> int:
     if base is not None and not base.isdigit():
         raise FleetError(ErrorKind.UNREADABLE, f"--on: not a version: {base}")
