--- /dev/null
+++ b/tests/system/virtual_fleet.py
@@ -0,0 +1,472 @@
+"""A whole control plane in one test: real roles on a virtual clock, network and disks, and a checker.
+
+Every process is a `ControlPlane` as it runs in service, but for its sockets, its disk and its clock.
+Schedulers are real followers of the feed.  Everything follows from one seed.
+"""
+
+import asyncio
+import json
+import selectors
+from random import Random
+
+from molespur.system.control_plane import role
+from molespur.system.control_plane.calls import worker_from_registration
+from molespur.system.control_plane.http import create_app
+from molespur.system.errors import FleetError
+from molespur.system.feed import follower as following
+from molespur.system.rpc import molespur_pb2 as pb
+from molespur.system.settings.process import FaultTolerance, ProcessSettings
+from molespur.system.shards import host
+from molespur.system.shards.placement import CONFIGURATION
+from molespur.system.storage.store import Loaded
+
+SYNC_S = 0.02
+LONGEST_S = 300.0  # of virtual time: a scenario that waits for what never comes fails
+LOST_ANSWERS = 0.08  # share of the answers that get lost on their way
+ORDER_S = 1e-6  # keeps frames of one connection in order
+ADDRESSES = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+HTTP_PORT, RPC_PORT = 80, 7000
+
+
+class VirtualSelector(selectors.DefaultSelector):
+    """Waits for no time: the loop's clock jumps to the next timer."""
+
+    jumped = 0.0
+
+    def select(self, timeout=None):
+        assert timeout is not None, "nothing will ever happen"
+        self.jumped += timeout
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose clock is virtual."""
+
+    def __init__(self):
+        super().__init__(VirtualSelector())
+
+    def time(self):
+        return self._selector.jumped
+
+
+class Disk:
+    """What a process has synced, in place of `Store`."""
+
+    def __init__(self):
+        self.replica_id, self.groups = None, {}
+
+    def identity(self):
+        return self.replica_id
+
+    def set_identity(self, replica_id):
+        self.replica_id = replica_id
+
+    def load(self, group):
+        state, snapshot, entries = self.groups.get(group, (role_states()[0], role_states()[1], {}))
+        kept = [entries[index] for index in sorted(entries) if index > snapshot.index]
+        return Loaded(type(state)(state.term, state.vote), snapshot, kept)
+
+    def write(self, records):
+        for group, record in records:
+            _, snapshot, entries = self.groups.get(group, (*role_states(), {}))
+            entries = dict(entries)
+            if record.snapshot is not None:
+                snapshot = record.snapshot
+                entries = {i: e for i, e in entries.items() if i > snapshot.index}
+            if record.truncate_from is not None:
+                entries = {i: e for i, e in entries.items() if i < record.truncate_from}
+            entries.update({entry.index: entry for entry in record.entries})
+            self.groups[group] = (record.hard_state, snapshot, entries)
+
+    def close(self):
+        pass
+
+
+def role_states():
+    """A hard state and a snapshot of a disk that holds nothing."""
+    from molespur.system.consensus.replica import HardState, Snapshot
+
+    return HardState(), Snapshot()
+
+
+class Writer:
+    """Writes to a disk after a time; what is on its way is lost with the process."""
+
+    def __init__(self, fleet, process):
+        self.fleet, self.process, self.waiting, self.busy = fleet, process, [], False
+
+    def write(self, group, record):
+        self.waiting.append((group, record))
+        if not self.busy:
+            self._begin()
+
+    def _begin(self):
+        self.busy = True
+        batch, self.waiting = self.waiting, []
+        self.fleet.loop.call_later(SYNC_S * self.process.disk_slowness, self._written, batch)
+
+    def _written(self, batch):
+        if not self.process.up:
+            return
+        self.process.disk.write(batch)
+        self.busy = False
+        if self.waiting:
+            self._begin()
+        for group, record in batch:
+            self.process.plane.host.written(group, record)
+
+    def stop(self):
+        pass
+
+
+class Link:
+    """One direction of a connection: frames keep their order, and after one is lost none arrives."""
+
+    def __init__(self, fleet, here, there, deliver):
+        self.fleet, self.here, self.there, self.deliver = fleet, here, there, deliver
+        self.label, self.open, self.arrives_at = there, True, 0.0
+
+    def send(self, frame):
+        if not self.open or self.fleet.apart(self.here, self.there):
+            self.open = False
+            return False
+        copy = pb.Frame.FromString(frame.SerializeToString())
+        delay = 0.001 + 0.003 * self.fleet.random.random()
+        self.arrives_at = max(self.arrives_at + ORDER_S, self.fleet.loop.time() + delay)
+        self.fleet.loop.call_at(self.arrives_at, self._arrive, copy)
+        return True
+
+    def _arrive(self, frame):
+        if self.fleet.apart(self.here, self.there):
+            self.open = False
+        if self.open:
+            self.deliver(frame)
+
+    def close(self):
+        self.open = False
+
+
+class PeerLink(Link):
+    """Frames from one control-plane process to another, which dials again by itself."""
+
+    def send(self, frame):
+        self.open = True
+        return super().send(frame)
+
+
+class Process:
+    """One control-plane process on its disk."""
+
+    def __init__(self, fleet, address, disk, bootstrap):
+        self.fleet, self.address, self.disk, self.up = fleet, address, disk, True
+        self.disk_slowness = 1.0
+        seeds = tuple(f"{a}:{HTTP_PORT}" for a in ADDRESSES)
+        settings = ProcessSettings(
+            f"core-{address}",
+            address,
+            address,
+            (RPC_PORT, RPC_PORT + 10),
+            seeds,
+            listen={"ControlPlane": f"{address}:{HTTP_PORT}"},
+            bootstrap=bootstrap,
+            data_directory=address,
+            fault_tolerance=FaultTolerance(nodes=1),
+        )
+        self.plane = role.ControlPlane(settings)
+        self.plane.host._dial = self._dial
+        self.plane.host.start(Writer(fleet, self))
+        self.client = create_app(self.plane.calls).test_client()
+        self.tasks = [fleet.loop.create_task(c) for c in (self.plane.host.run(), self.plane._repeat())]
+
+    def _dial(self, address):
+        dialers = self.plane.host.dialers
+        host = address.partition(":")[0]
+        if host and host != self.address and address not in dialers:
+            dialers[address] = PeerLink(
+                self.fleet, self.address, host, lambda f: self.fleet.frame(self.address, host, f)
+            )
+
+    def end(self):
+        self.up = False
+        for task in self.tasks:
+            task.cancel()
+
+
+class FollowerDialer:
+    """A scheduler's channel to a control-plane process, in place of `Dialer`."""
+
+    def __init__(self, fleet, name, address, on_frame, on_open=None):
+        self.fleet, self.name, self.address, self.on_frame = fleet, name, address, on_frame
+        self.host = address.partition(":")[0]
+        self.channel = None
+        if not fleet.apart(name, self.host):
+            process = fleet.processes[self.host]
+            back = Link(fleet, self.host, name, self._told)
+            self.channel = Link(
+                fleet, name, self.host, lambda frame: process.up and process.plane._frame(back, frame)
+            )
+            if on_open is not None:
+                on_open(self.channel)
+
+    def _told(self, frame):
+        if self.channel is not None:
+            self.on_frame(self.channel, frame)
+
+    def send(self, frame):
+        return self.channel is not None and self.channel.send(frame)
+
+    def stop(self):
+        if self.channel is not None:
+            self.channel.close()
+
+
+class VirtualFleet:
+    """Processes, schedulers, the network between them, and what everyone was told."""
+
+    def __init__(self, seed, monkeypatch, schedulers=2):
+        self.random, self.loop = Random(seed), VirtualLoop()
+        self.processes, self.cut, self.checker = {}, set(), Checker()
+        self._new_disk, self.identities = None, 0
+        self.acknowledged = asyncio.Event()  # set with each acknowledgement to the operator
+        monkeypatch.setattr(role, "Store", lambda _folder: self._new_disk)
+        monkeypatch.setattr(role, "clock", self.clock)
+        monkeypatch.setattr(role, "Random", lambda: Random(self.random.random()))
+        monkeypatch.setattr(host, "new_identity", self._new_identity)
+        self._monkeypatch = monkeypatch
+        self.schedulers = schedulers
+        self.followers = []
+
+    def clock(self):
+        return self.loop.time() * 1000.0
+
+    def _new_identity(self, address):
+        self.identities += 1
+        return f"{address}#{self.identities}"
+
+    def run(self, scenario):
+        """Run a coroutine function that takes the fleet, started with empty disks."""
+
+        async def whole():
+            for address in ADDRESSES:
+                self.start(address, Disk(), bootstrap=True)
+            for number in range(self.schedulers):
+                self._follow(f"edge-{number}")
+            await asyncio.wait_for(scenario(self), LONGEST_S)
+            for process in self.processes.values():
+                process.end()
+
+        try:
+            asyncio.set_event_loop(self.loop)
+            self.loop.run_until_complete(whole())
+        finally:
+            for task in asyncio.all_tasks(self.loop):
+                task.cancel()
+            self.loop.run_until_complete(asyncio.sleep(0))
+            asyncio.set_event_loop(None)
+            self.loop.close()
+
+    # -- Processes and network -----------------------------------------------------------------
+
+    def start(self, address, disk, bootstrap=False):
+        self._new_disk = disk
+        self.processes[address] = Process(self, address, disk, bootstrap)
+
+    def kill(self, address):
+        """The process ends; writes on their way are lost, as with power."""
+        self.processes[address].end()
+
+    def restart(self, address):
+        self.start(address, self.processes[address].disk)
+
+    def wipe(self, address):
+        """It comes back with an empty disk."""
+        self.start(address, Disk())
+
+    def apart(self, one, other):
+        down = any(end in self.processes and not self.processes[end].up for end in (one, other))
+        return down or frozenset((one, other)) in self.cut
+
+    def isolate(self, address):
+        names = [*ADDRESSES, *(name for name, _ in self.followers)]
+        self.cut |= {frozenset((address, other)) for other in names if other != address}
+
+    def heal(self):
+        self.cut.clear()
+
+    def frame(self, sender, receiver, frame):
+        process = self.processes[receiver]
+        if process.up:
+            back = Link(self, receiver, sender, lambda answer: self.frame(receiver, sender, answer))
+            process.plane._frame(back, frame)
+
+    def _follow(self, name):
+        settings = ProcessSettings(
+            name, f"10.1.0.{len(self.followers) + 1}", "10.0.0.1", (RPC_PORT, RPC_PORT + 10),
+            tuple(f"{address}:{HTTP_PORT}" for address in ADDRESSES),
+        )  # fmt: skip
+        seen = self.checker.follower(name)
+        made = following.FeedFollower(
+            settings, self.clock, Random(self.random.random()), seen, lambda _now: []
+        )
+        self._monkeypatch.setattr(
+            following, "Dialer", lambda *arguments: FollowerDialer(self, name, *arguments), raising=True
+        )
+        self.followers.append((name, made))
+        self.loop.create_task(self._run_follower(name, made))
+
+    async def _run_follower(self, name, made):
+        def dialer(*arguments):
+            return FollowerDialer(self, name, *arguments)
+
+        while True:
+            following.Dialer = dialer  # each turn of a follower is one step without a wait
+            now = self.clock()
+            made._watch(now)
+            if now >= made.beat_at:
+                made.beat_at = now + following.HEARTBEAT_MS
+                made.heartbeat()
+            await asyncio.sleep(following.WATCH_S)
+
+    # -- Callers -------------------------------------------------------------------------------
+
+    async def call(self, method, path, body, headers, address):
+        """(status, body, location) of one call; None when nothing answers."""
+        process = self.processes[address]
+        if not process.up:
+            return None
+        try:
+            async with asyncio.timeout(1.0):
+                response = await process.client.open(path, method=method, data=body, headers=headers)
+        except TimeoutError:
+            return None
+        if not process.up or self.random.random() < LOST_ANSWERS:
+            return None
+        return response.status_code, await response.get_data(), response.headers.get("Location", "")
+
+    async def ask(self, method, path, body=b"", headers=None, tries=12):
+        """A clear answer, as the operator and workers look for one: elsewhere after a failure; else None."""
+        address = self.random.choice(ADDRESSES)
+        for _ in range(tries):
+            answer = await self.call(method, path, body, headers or {}, address)
+            if answer is not None and answer[0] == 307:
+                address = answer[2].removeprefix("http://").partition(":")[0]
+                continue
+            if answer is not None and answer[0] < 500:
+                return answer[0], answer[1]
+            address = self.random.choice(ADDRESSES)
+            await asyncio.sleep(0.2)
+        return None
+
+    async def put(self, version, base, mark):
+        """Put a configuration; the checker is told what became of it."""
+        body = configuration(version, mark)
+        self.checker.sent(version, base, body)
+        answer = await self.ask("PUT", "/api/config", body, {"If-Match": str(base)})
+        self.checker.answered(body, None if answer is None else answer[0])
+        if answer is not None and answer[0] == 200:
+            self.acknowledged.set()
+        return answer
+
+    async def beat(self, name, state, sequence):
+        """One heartbeat of a worker; whether it was acknowledged."""
+        body = {
+            "Service": "s",
+            "Address": f"10.2.0.{name}:1",
+            "Zone": "a",
+            "State": state,
+            "Sequence": sequence,
+        }
+        answer = await self.ask("PUT", f"/api/instances/w-{name}", json.dumps(body).encode(), tries=4)
+        acknowledged = answer is not None and answer[0] == 200
+        if acknowledged and state == "draining":
+            self.checker.draining.add(f"w-{name}")
+        return acknowledged
+
+    async def settle(self):
+        """Everyone is up and together again, for a while."""
+        self.heal()
+        for address, process in list(self.processes.items()):
+            if not process.up:
+                self.restart(address)
+        await asyncio.sleep(12.0)
+
+
+def configuration(version, mark):
+    """A configuration that can be told from others of its version by its mark."""
+    route = {"Name": mark, "Host": "h", "PathPrefix": f"/{mark}/", "Type": "idempotent", "Service": "s"}
+    services = [{"Name": "s", "MaxConnections": 10}]
+    return json.dumps({"Version": version, "Routes": [route], "Services": services}).encode()
+
+
+class Checker:
+    """What was said to the operator, to workers and to schedulers, and what must hold between these."""
+
+    def __init__(self):
+        self.base_of, self.version_of = {}, {}  # by body
+        self.acknowledged, self.refused = set(), set()
+        self.in_force = {}  # version -> body, as any scheduler was told
+        self.draining = set()  # workers whose draining was acknowledged
+        self.ready = {}  # scheduler -> shard -> workers that it may send to
+
+    def sent(self, version, base, body):
+        self.base_of[body], self.version_of[body] = base, version
+
+    def answered(self, body, status):
+        if status == 200:
+            self.acknowledged.add(body)
+        elif status is not None:
+            self.refused.add(body)
+
+    def follower(self, name):
+        """What a scheduler does with each step of the feed: check it."""
+        newest, left = 0, set()
+        ready = self.ready.setdefault(name, {})
+
+        def configured(state):
+            nonlocal newest
+            assert state.version >= newest, f"{name} went back from {newest} to {state.version}"
+            newest = state.version
+            known = self.in_force.setdefault(state.version, state.body)
+            assert known == state.body, f"two configurations {state.version} in force"
+
+        def listed(group, snapshot, workers):
+            known = ready.setdefault(group, set())
+            if snapshot:
+                gone = known - {worker.id for worker in workers}
+                left.update(gone)
+                known -= gone
+            for worker in workers:
+                if worker.state in (pb.DRAINING, pb.GONE):
+                    left.add(worker.id)
+                    known.discard(worker.id)
+                else:
+                    assert worker.id not in left, f"{worker.id} came back at {name}"
+                    known.add(worker.id)
+
+        def update(group, snapshot, payload):
+            if group != CONFIGURATION:
+                listed(group, snapshot, pb.WorkerSet.FromString(payload).workers)
+                return
+            state = pb.ConfigurationState.FromString(payload)
+            if state.version:
+                configured(state)
+
+        return update
+
+    def check(self, read_back):
+        """At the end, with the configuration that the operator has read back."""
+        assert not self.acknowledged & self.refused, "a change was acknowledged and refused"
+        bases = [self.base_of[body] for body in self.acknowledged]
+        assert len(set(bases)) == len(bases), "two changes on one version were acknowledged"
+        for body in self.refused:
+            assert body not in self.in_force.values(), "a refused change is in force"
+        newest = max((self.version_of[body] for body in self.acknowledged), default=0)
+        version = self.version_of.get(read_back, 0)
+        assert version >= newest, f"{newest} was acknowledged, {version} was read back"
+        assert newest == 0 or read_back in self.base_of, "what was read back was never sent"
+        for name, shards in self.ready.items():
+            kept = self.draining & set().union(*shards.values())
+            assert not kept, f"{name} still sends to {kept}, whose draining was acknowledged"
+
+
+__all__ = ["ADDRESSES", "Checker", "FleetError", "VirtualFleet", "configuration", "worker_from_registration"]
