logic.py decides with the fleet's model, filter, tiers and draw; its plumbing moves out

The arithmetic is in the same order as before; FinishTimeModel.forecast stands for overhead and leaves out samples of kinds that are gone.

--- a/molespur/interface.py
+++ b/molespur/interface.py
@@ -174,6 +174,12 @@
         """When a client that is refused is told to come back; 0: it is not told."""
         return self.max_pause_ms if self.advises_pause else 0.0
 
+    def warmth(self, age_ms: float) -> float:
+        """The share of its capacity that a worker of this age has at least: it warms evenly or sooner."""
+        if age_ms >= self.cold_ms:
+            return 1.0
+        return self.cold_start_share + (1 - self.cold_start_share) * max(age_ms, 0.0) / self.cold_ms
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
--- a/molespur/logic.py
+++ b/molespur/logic.py
@@ -3,29 +3,28 @@
 Every ordinary job goes the same way: forecast its finish on each candidate worker, compare with its aim,
 split the workers into those that meet and those that miss it, and draw one, most headroom first."""
 
-from collections import deque
-from heapq import heappop, heappush
 from math import exp, log, sqrt
+from operator import itemgetter
 from random import Random
 from statistics import fmean
 from zlib import crc32
 
 from . import interface as io
+from .discovery_retry import DiscoveryRetry
 from .interface import Effect, Lifecycle, NewsMode, Outcome
-from .records import DEFAULT_SLOTS, KEYS_KEPT, Attempt, ClassState, Job, Worker, solve
+from .load_report import LoadReport
+from .policy.model import FinishTimeModel
+from .policy.placement import draw, meeting, warm_first
+from .records import DEFAULT_SLOTS, KEYS_KEPT, Attempt, ClassState, Job, Worker
+from .timer_queue import TimerQueue
+from .token_bucket import Quotas
 
 # -- Tunables ------------------------------------------------------------------------------------
-DRAW_SCALE = 0.14  # a worker whose forecast is this share longer than the best gets 1/e of its weight
 CROSSING = 15.0  # headroom that a zone crossing costs in the draw: times its price, times the allowed time
 SUBSET = 24  # workers of the own subset where a request's CPU, at one for each microsecond, sets no limit
 HOME_MATCH = 0.9, 0.5  # key match of a worker that is one of the key's homes, or would be the next
 HOT = 4.0  # further homes of a key for each fair share of one worker that it makes up of all jobs
-WARM_MATCH = 0.8  # key match above which a worker counts as warm for the key
-EXPLORE, WARM_EXPLORE = 0.01, 0.02  # shares of jobs that try out the missing tier, and second homes of keys
-BUCKET_CAP = 16  # samples kept of each bucket: a rare regime is remembered, a common one stays recent
 REFIT_MS, REFIT_JOBS = 2000.0, 30  # least time and jobs between refits, each as dear as thirty forecasts
-RECENCY = 0.95  # weight of a sample against the next newer one of its bucket
-RIDGE = 4.0  # samples that the prior is worth: an instance sees only a few jobs a second
 CLIP = (2.0, 3.0)  # most forecasts a run counts for, without and with a size hint: tails say little
 PACE_GAIN = 0.04  # weight of one finish in a worker's own pace: a hint errs by more than workers differ
 PACE_KEPT, HEAT_KEPT = 0.8, 0.9  # shares of a worker's pace and of a key's count kept at each refit
@@ -46,7 +45,6 @@
 COLD_LOAD = 1.3  # a cold worker is sent this share of what it can do at least: more would only wait
 COLD_BURST = 0.5  # but no more than this share of what the rule allows
 COLD_LUMPS = 1.4  # share of what it can do at least, for jobs larger than a dispatcher's share of the window
-ASK_EACH_MS, ASK_WITHIN = 200.0, 0.8  # time for each dispatcher's asking; share of the longest time unasked
 PROBE_SPEND = 0.003  # score points that probes may cost for each request
 PROBE_MS = (300.0, 2000.0)  # least time between probes of one worker, most between any two
 SHARE_JOBS = 4.0  # jobs of a tenant that chance may bring at once to one of many dispatchers
@@ -57,21 +55,20 @@
     """Decides for one dispatcher; equal settings, seed and events give equal actions."""
 
     def __init__(self, settings, seed):
-        self.rng, self.classes, self.quota = Random(seed), {}, {}
+        self.rng, self.classes, self.quotas = Random(seed), {}, Quotas()
+        self.asking = DiscoveryRetry(self.rng)
         self._retuned(io.Retuned(settings))
         self.homes, self.workers, self.live, self.pools, self.jobs, self.held = {}, {}, [], {}, {}, []
-        self.timers, self.armed, self.serial, self.coef, self.buckets = [], float("inf"), 0, {}, {}
-        self.wait_coef, self.miss_coef, self.const = 1.0, 1.0, 0.0
+        self.timers, self.model = TimerQueue(), FinishTimeModel()
         self.turn = sum(c.median for c in self.classes.values()) / len(self.classes)
         self.rho = [0.3, 0.0]  # usual load of a slot by others: on warm workers, and on cold ones
-        self.asks, self.ask_wait = 0, self.ask_first
         # how often each key was asked for lately; needed kind -> (mean runs of headroom, worth of late jobs)
         self.heat, self.heat_all, self.margins = {}, 0.0, {}
         self.arrivals, self.born, self.served_at, self.reported = 0, 0.0, 0.0, False
         self.shared = io.SharedNews()
         self.routes = {
             io.Submitted: self._submitted, io.AttemptEnded: self._ended, io.Progressed: self._progressed,
-            io.TimerFired: self._fired, io.FleetNews: self._news, io.ClientGone: self._client_gone,
+            io.TimerFired: self.timers.fired, io.FleetNews: self._news, io.ClientGone: self._client_gone,
             io.ProbeEnded: self._probe_ended, io.StreamBegun: self._begun, io.Started: self._started,
             io.Retuned: self._retuned, io.SharedNews: self._shared,
         }  # fmt: skip
@@ -82,29 +79,28 @@
         low = {c: c.priority == min(other.priority for other in s.classes) for c in s.classes}
         self.classes = {c.name: old.get(c.name, ClassState(c, low[c])).under(c, low[c]) for c in s.classes}
         self.s, self.subset = s, max(int(s.cpu_per_request_us), 2) if s.cpu_per_request_us else SUBSET
-        self.many, self.ask_all = max(s.balancers - FEW, 0), ASK_EACH_MS * s.balancers  # many: over a few
-        self.ask_first = min(self.ask_all, ASK_WITHIN * s.must_ask_in_ms or self.ask_all)
+        self.many = max(s.balancers - FEW, 0)  # over a few
+        self.asking.set(s.balancers, s.must_ask_in_ms)
         rates = {t.name: t.quota_per_s / s.balancers for t in s.tenants if t.quota_per_s}
-        self.quota = {t: [r, *self.quota.get(t, (0, float("inf"), 0.0))[1:]] for t, r in rates.items()}
+        self.quotas.set(rates, SHARE_JOBS if self.many else 1.0)  # guards against a share too thin for a job
 
     def handle(self, now, event):
         """Take one event at time now (ms) and return the actions it calls for, in order."""
-        self.now, self.out = now, []
+        self.now, self.timers.now, self.out = now, now, []
         self.routes[type(event)](event)
-        if self.timers and self.timers[0][0] < self.armed:
-            self.armed = max(self.timers[0][0], now)
-            self.out.append(io.SetTimer(max(self.armed - now, 1.0), "due"))
+        if (delay := self.timers.wake_up_in()) is not None:
+            self.out.append(io.SetTimer(delay, "due"))
         return self.out
 
     # -- Fleet view and health -------------------------------------------------------------------
 
     def _started(self, _event):
         self.born = self.now
-        self._at(REFIT_MS * (0.2 + 0.3 * self.rng.random()), self._refit)
+        self.timers.after(REFIT_MS * (0.2 + 0.3 * self.rng.random()), self._refit)
         if self.s.subscribes:
             self._ask(0)
         if self.s.may_probe:
-            self._at(PROBE_MS[0] * self.rng.random(), self._probe_next)
+            self.timers.after(PROBE_MS[0] * self.rng.random(), self._probe_next)
 
     def _shared(self, event):
         """What dispatchers share: cold budgets, workers bad for all, retries, probes, jobs to turn away."""
@@ -119,18 +115,16 @@
 
     def _ask(self, turn):
         """Subscribe.  Each call is answered, and only its failure calls for the next."""
-        if turn == self.asks:  # guards against askings that double at each error
+        if turn == self.asking.failures:  # guards against askings that double at each error
             self.out.append(io.Watch())
 
     def _news(self, event):
         if event.mode is NewsMode.ERROR:
             # guards against a fleet that asks in step, or so fast that discovery answers no call in time
-            self.asks += 1
-            self._at(self.ask_wait * self.rng.random(), self._ask, self.asks)
-            self.ask_wait = min(self.ask_wait * 2, max(self.s.must_ask_in_ms / 2, 2 * self.ask_all))
+            self.timers.after(self.asking.failed(), self._ask, self.asking.failures)
             return
         if event.mode is not NewsMode.PERSISTED:
-            self.ask_wait = self.ask_first
+            self.asking.succeeded()
         for worker in () if event.mode is NewsMode.PARTIAL else self.workers.values():
             worker.list_ok = False
         for entry in event.entries:
@@ -165,35 +159,26 @@
                 self._set_slope(w)
 
     def _set_slope(self, w):
-        w.slope = w.base * self.coef.get(w.kind, 1.0) * exp(w.pace)
+        w.slope = w.base * self.model.pace(w.kind) * exp(w.pace)
 
     def _warmth(self, w):
-        """The share of its capacity that a worker has at least; it warms no slower than evenly."""
-        age = self.now - w.born
-        if not w.born or age >= self.s.cold_ms:
-            return 1.0
-        return self.s.cold_start_share + (1 - self.s.cold_start_share) * max(age, 0.0) / self.s.cold_ms
+        """The share of its capacity that a worker has at least."""
+        return self.s.warmth(self.now - w.born) if w.born else 1.0
 
-    def _report(self, w, report):
+    def _report(self, w, fields):
         """Take in a load report: others' slots in use there, as of about LAG_MS ago."""
-        get = report.get
-        free, held, util, queue = get("free_slots"), get("inflight"), get("util"), get("queue", 0.0)
-        if free is not None:
-            if held is not None:
-                w.learn_slots(round(max(held - queue, 0.0) + free))
-            elif util is not None and free >= 1 and util < 0.8:
-                w.learn_slots(round(free / (1 - util)))
-            used = w.slots - min(free, get("free_memory", free)) + queue
-            w.lag *= used >= w.slots  # nobody waits where a slot and memory are free
-        elif held is not None or util is not None:
-            used = held if held is not None else util * w.slots + queue
-        else:
+        report = LoadReport.read(fields)
+        if not report.tells_load:
             return
+        if report.slots is not None:
+            w.learn_slots(report.slots)
+        used = report.used(w.slots)
+        w.lag *= report.free_slots is None or used >= w.slots  # nobody waits where a slot and memory are free
         w.others, w.seen = max(0.0, used - w.recent(self.now)), self.now
         cold, self.reported = self._warmth(w) < 1, True
         # guards against own few jobs times the number of dispatchers standing for all: mostly noise
         self.rho[cold] += RHO_GAIN * (min(w.others / w.slots, 2.0) - self.rho[cold])
-        if get("errors_per_s", 0.0) > max(0.25 * get("qps", 0.0), 0.5):
+        if report.failing:
             self._strike(w)
 
     def _rest(self, w):
@@ -247,44 +232,21 @@
             homes = self.homes[key] = {v.id: HOME_MATCH[i == many] for i, v in enumerate(order[: many + 1])}
         return homes
 
-    def _train(self, attempt, elapsed):
-        """Keep a sample in its bucket: slot use in tenths by key match in quarters."""
-        kind, run, wait, miss, use, match = attempt.sample
-        if (scale := run + wait + miss) > 0:
-            bucket = self.buckets.setdefault((int(use * 10), int(match * 4)), deque(maxlen=BUCKET_CAP))
-            bucket.append((kind, run / scale, wait / scale, miss / scale, 1 / scale, elapsed / scale))
-
     def _refit(self):
-        """Ridge regression towards the queueing prior, over all buckets, newer samples first."""
-        place = {}
+        """Fit the model anew, and let what was learnt apart from it fade."""
         for w in self.live:
             w.pace *= PACE_KEPT
-            place.setdefault(w.kind, len(place))
-        kinds, size = len(place), len(place) + 3  # a run for each kind, waiting, misses, constant
-        prior, unit = [1.0] * (size - 1) + [0.0], 0.1 * self.turn  # the unit of the constant
-        rows = [[RIDGE * (i == j) for j in range(size)] + [RIDGE * one] for i, one in enumerate(prior)]
-        for bucket in self.buckets.values():
-            weight = 1.0
-            for kind, run, wait, miss, const, y in reversed(bucket):
-                if kind in place:
-                    terms = ((place[kind], run), (kinds, wait), (kinds + 1, miss), (kinds + 2, const * unit))
-                    for i, a in terms:
-                        for j, b in (*terms, (size, y)):
-                            rows[i][j] += weight * a * b
-                weight *= RECENCY
-        solved = solve(rows)
+        self.model.refit(0.1 * self.turn, dict.fromkeys(w.kind for w in self.live))
         self.heat = {key: heat * HEAT_KEPT for key, heat in self.heat.items() if heat > 0.1}
         self.heat_all, self.homes = self.heat_all * HEAT_KEPT, {}
-        self.coef = {k: min(max(solved[i], 0.2), 5.0) for k, i in place.items()}
-        self.wait_coef, self.miss_coef = max(solved[kinds], 0.2), max(solved[kinds + 1], 0.0)
-        self.const = max(solved[-1], 0.0) * unit
         for cold in () if self.reported else (False, True):  # apart: cold workers get less than warm ones
             alike = [w for w in self.live if (self._warmth(w) < 1) is cold]
             own, slots = sum(w.recent(self.now) for w in alike), sum(w.slots for w in alike)
             self.rho[cold] = min((self.s.balancers - 1) * own / max(slots, 1.0), 1.5)
         self._rebase()
         jobs_take = REFIT_JOBS * (self.now - self.born) / max(self.arrivals, 1)
-        self._at(max(REFIT_MS, min(jobs_take, 4 * REFIT_MS)) * (0.8 + 0.4 * self.rng.random()), self._refit)
+        gap = max(REFIT_MS, min(jobs_take, 4 * REFIT_MS))
+        self.timers.after(gap * (0.8 + 0.4 * self.rng.random()), self._refit)
 
     # -- Choose: filter, tiers, draw -------------------------------------------------------------
 
@@ -326,27 +288,19 @@
                 continue  # guards against sends to workers whose queue is known to take no more
             match = 1.0 if job.key is None else self._match(w, job.key)
             miss = (1 - match) * self.turn
-            time = run * w.slope + self.wait_coef * wait + self.miss_coef * miss + self.const + slip
+            time = self.model.forecast(run * w.slope, wait, miss) + slip
             time += margins.get(w.kind, 0.0) + margins.get(None, 0.0)
             near_free = near_free or (over <= 0 and w.zone == self.s.zone)
             found.append((time, w, wait, match, miss))
         if not found:
             return None
-        warm = [f for f in found if f[3] > WARM_MATCH] if job.key is not None else []
-        # warm workers lose their claim if a mean run slower than the best
-        claim = warm and min(f[0] for f in warm) <= min(f[0] for f in found) + self.turn
-        if claim and self.rng.random() >= WARM_EXPLORE:
-            found = warm
-        tier = [f for f in found if f[0] <= left]
-        meets, tier = bool(tier), tier or found
-        if len(tier) < len(found) and not unsafe and self.rng.random() < EXPLORE:
-            tier = [f for f in found if f[0] > left]
+        if job.key is not None:  # warm workers lose their claim if a mean run slower than the best
+            found = warm_first(self.rng, found, self.turn, itemgetter(0), itemgetter(3))
+        tier, meets = meeting(self.rng, found, left, itemgetter(0), not unsafe)
         crossing = CROSSING * self.s.cross_zone_price * job.allowed * near_free
         costs = [f[0] + crossing * (f[1].zone != self.s.zone) for f in tier]
-        top = min(costs)
-        weights = [exp((top - cost) / (DRAW_SCALE * max(top, 1.0))) for cost in costs]
-        time, w, wait, match, miss = self.rng.choices(tier, weights)[0]
-        prior_run = run * w.slope / self.coef.get(w.kind, 1.0)
+        time, w, wait, match, miss = draw(self.rng, tier, costs)
+        prior_run = run * w.slope / self.model.pace(w.kind)
         return w, (w.kind, prior_run, wait, miss, min(w.own / w.slots, 2.0), match), meets, time
 
     def _favour(self):
@@ -372,7 +326,7 @@
             state.learn(job.hint)
         state.offered += job.worth * (job.run if self.s.worth_by_work else 1.0)
         self.turn += 0.02 * (state.mean * job.ask - self.turn)
-        if event.tenant in self.quota and not self._within_share(self.quota[event.tenant]):
+        if not self.quotas.take(event.tenant, self.now):
             job.sheddable, job.worth = True, job.worth * self.s.over_share_worth
         self.jobs[job.id] = job
         self.heat[job.key] = self.heat.get(job.key, 0.0) + 1
@@ -389,17 +343,9 @@
         if few and self.many and self.shared.probes is None and min(wait, job.allowed - SAID_MS) > 0:
             job.asked = {w: self._probe(w) for w in self.rng.sample(few, min(ASK_FIRST, len(few)))}
             job.not_before += wait
-            self._at(wait, self._try_send, job)
+            self.timers.after(wait, self._try_send, job)
         return bool(job.asked)
 
-    def _within_share(self, bucket):
-        """Token bucket of a tenant's share at this dispatcher: one second deep, or for a few jobs."""
-        rate, level, at = bucket
-        deep = max(rate, SHARE_JOBS if self.many else 1.0)  # guards against a share spread too thin for a job
-        level = min(level + (self.now - at) * rate / 1000, deep)
-        bucket[1], bucket[2] = level - 1 if level >= 1 else level, self.now
-        return level >= 1
-
     def _try_send(self, job):
         """Send the job if the design finds a worker for it now; tell whether it needs holding no more."""
         if self.now < job.not_before or not self._may_send(job):
@@ -444,9 +390,9 @@
 
     def _hold(self, job):
         self.held.append(job)
-        self._at(max(job.deadline - self.now - ANSWER_MARGIN_MS, 1.0), self._held_out, job)
+        self.timers.after(max(job.deadline - self.now - ANSWER_MARGIN_MS, 1.0), self._held_out, job)
         if len(self.held) == 1:
-            self._at(HOLD_SHARE * self.turn, self._hold_tick)
+            self.timers.after(HOLD_SHARE * self.turn, self._hold_tick)
 
     def _held_out(self, job):
         if job.open and not job.out:
@@ -455,7 +401,7 @@
     def _hold_tick(self):
         self._serve_held()
         if self.held:
-            self._at(HOLD_SHARE * self.turn, self._hold_tick)
+            self.timers.after(HOLD_SHARE * self.turn, self._hold_tick)
 
     def _serve_held(self):
         """Try held jobs again: those still in time first, and of these the most worth first."""
@@ -516,7 +462,7 @@
         if job.key is not None:
             w.keys = dict.fromkeys([*(key for key in w.keys if key != job.key), job.key][-KEYS_KEPT:])
         if w.born and self.now - w.born < self.s.cold_ms:
-            w.budget.append((self.now, self._work(job)))
+            w.budget.add(self.now, self._work(job))
             w.lump_from, w.lump_part = self.now, 1.0
         self.out.append(io.Send(job.id, w.id, 0.0, begin_by))
 
@@ -577,7 +523,7 @@
             longer = 0.0 if job.hinted else ran / w.base - job.run
             self._count(job, now - job.aim_at - job.state.cls.aim_stretch * longer, attempt.sample[2])
             most = CLIP[job.hinted] * sum(attempt.sample[1 : 4 if attempt.began is None else 2])
-            self._train(attempt, elapsed - ran + min(ran, most))
+            self.model.train(*attempt.sample, elapsed - ran + min(ran, most))
             waited = 0.0 if attempt.began is not None else sum(attempt.sample[2:4])
             if job.hinted:
                 job.state.weigh(job.hint, max(ran - waited, 0.1 * ran) / w.slope)
@@ -597,7 +543,7 @@
                 w.faults += FAULTS if outcome is Outcome.TIMEOUT else 1.0
                 if w.faults >= FAULTS:
                     self._strike(w)
-            self._train(attempt, max(elapsed, sum(attempt.sample[1:4])))
+            self.model.train(*attempt.sample, max(elapsed, sum(attempt.sample[1:4])))
 
     def _after_failure(self, job, attempt, outcome):
         """An attempt ended without an answer: try again where the class allows, or end the job."""
@@ -628,11 +574,9 @@
 
     def _cold(self, w):
         """Work in a window: what a cold worker can do at least, may be sent by all, and was sent by us."""
-        while w.budget and w.budget[0][0] < self.now - self.s.cold_window_ms:
-            w.budget.popleft()
-        able = self._warmth(w) * w.slots / (w.base * self.coef.get(w.kind, 1.0)) * self.s.cold_window_ms
+        able = self._warmth(w) * w.slots / (w.base * self.model.pace(w.kind)) * self.s.cold_window_ms
         may = max(min(COLD_BURST * self.s.cold_multiple, COLD_LOAD) * able, 1e-9)
-        return able, may, sum(sent for _, sent in w.budget)
+        return able, may, w.budget.since(self.now - self.s.cold_window_ms)
 
     def _cold_allows(self, w, job):
         """Rule 4: this dispatcher's part of what a cold worker may be sent within the window."""
@@ -663,7 +607,7 @@
             self._probe(min(few, key=lambda v: v.probed))
         priced = (self.now - self.born) / max(self.arrivals, 1) * self.s.probe_price / PROBE_SPEND
         gap = max(min(priced, PROBE_MS[1]), PROBE_MS[0] / max(len(few), 1))
-        self._at(gap * (0.8 + 0.4 * self.rng.random()), self._probe_next)
+        self.timers.after(gap * (0.8 + 0.4 * self.rng.random()), self._probe_next)
 
     def _probe_ended(self, event):
         w = self.workers.get(event.worker)
@@ -683,13 +627,3 @@
             if None not in job.asked.values():
                 job.not_before = self.now
                 self._try_send(job)
-
-    def _at(self, delay, call, *args):
-        self.serial += 1
-        heappush(self.timers, (self.now + delay, self.serial, call, args))
-
-    def _fired(self, _event):
-        self.armed = float("inf") if self.armed <= self.now + 0.5 else self.armed
-        while self.timers and self.timers[0][0] <= self.now:
-            _, _, call, args = heappop(self.timers)
-            call(*args)
--- a/molespur/policy/pair.py
+++ b/molespur/policy/pair.py
@@ -260,7 +260,7 @@
             wait,
             min(use, 2.0),
             match,
-            self.model.pace(part) * paced + self.model.overhead(wait),
+            self.model.forecast(self.model.pace(part) * paced, wait, 0.0),
             read,
         )
 
--- a/molespur/records.py
+++ b/molespur/records.py
@@ -1,10 +1,11 @@
-"""What a dispatcher remembers of workers, classes, jobs and attempts, and the arithmetic of its fit."""
+"""What a dispatcher remembers of workers, classes, jobs and attempts."""
 
 from collections import deque
 from copy import copy
 from math import log
 
 from .interface import NEVER_RAN, Outcome
+from .sliding_sum import SlidingSum
 
 DEFAULT_SLOTS = 4.0  # until a report tells better
 LAG_MS = 500.0  # a report tells of about this long ago; own sends since are added
@@ -33,7 +34,7 @@
         self.full_until, self.fulls = 0.0, 0
         self.room = float("inf")  # slots over its own that it was seen to take, until it answers full
         self.strikes, self.eject_until, self.probation, self.faults, self.mute = 0, 0.0, False, 0.0, 0
-        self.budget = deque()  # (time, work) sent while cold
+        self.budget = SlidingSum()  # work sent while cold
         self.lump_from, self.lump_part = None, 1.0  # since when a large job waits, and its part
         self.part, self.part_asked = None, 0.0  # of its budget while cold: what is ours, what jobs asked for
         self.keys = {}  # key -> None, oldest first
@@ -125,13 +126,3 @@
         self.job, self.worker, self.sample, self.ask, self.cancelled = job, worker, sample, job.ask, False
         self.number, self.sent, self.began, self.outcome = len(job.attempts), now, None, None
         self.due = due  # when it ends if it need not wait
-
-
-def solve(rows):
-    """Solve a small symmetric positive system, its right side as the last column, by elimination in place."""
-    for i, pivot in enumerate(rows):
-        for j, row in enumerate(rows):
-            if j != i and row[i]:
-                factor = row[i] / pivot[i]
-                rows[j] = [a - factor * b for a, b in zip(row, pivot, strict=True)]
-    return [row[-1] / row[i] for i, row in enumerate(rows)]
