Bound clients' heads, bodies and rests by the operator's Limits

By reading: pool.release kept no account of a connection that was neither idle nor closed, which a call cancelled twice leaves.

Change: data_plane/client_server.py accepts connections itself and gives hypercorn's connection a timer of our own in place of its idle task: a head counts from its first byte and gets 408, a connection rests for IdleTimeoutMs, a body may take IdleTimeoutMs and no longer than its request has. New kind headers-too-slow. The pool closes what is neither idle nor closed. The wire tests go through the new server.

Ruled out: hypercorn's read_timeout, which also ends connections whose request is under way.

--- /dev/null
+++ b/molespur/system/data_plane/client_server.py
@@ -0,0 +1,138 @@
+"""Serves clients with hypercorn's HTTP, and bounds how long they may take by the operator's limits.
+
+hypercorn knows one time-out, for connections that rest.  Here the time for a request's head counts from its
+first byte, so that a head that drips in is answered 408, and a connection rests for `IdleTimeoutMs`.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from hypercorn.app_wrappers import ASGIWrapper
+from hypercorn.asyncio.tcp_server import MAX_RECV, TCPServer
+from hypercorn.asyncio.worker_context import WorkerContext
+from hypercorn.events import Closed, RawData
+
+from .. import early_listener
+from ..errors import ANSWERS, ErrorKind
+from ..serving import http_config
+from ..settings.configuration import Limits
+
+REASONS = {408: b"Request Timeout"}
+
+
+class RequestTimer:
+    """When a connection that waits for a request has waited too long; hypercorn starts and stops it.
+
+    States: resting (no byte of the next request has come), head begun, and off while a request is served.
+    """
+
+    def __init__(self, limits: Callable[[], Limits], close: Callable[[], None]):
+        self._limits, self._close = limits, close
+        self._resting: asyncio.TimerHandle | None = None
+        self.waiting = False
+        self.head_due: float | None = None  # loop time until which the head that has begun must be there
+
+    async def restart(self, _task_group, _action) -> None:
+        """The connection rests from now on."""
+        self._cancel()
+        self.waiting, self.head_due = True, None
+        loop = asyncio.get_running_loop()
+        self._resting = loop.call_later(self._limits().idle_timeout_ms / 1000.0, self._close)
+
+    async def stop(self) -> None:
+        """A whole head has come, or the connection has ended."""
+        self._cancel()
+        self.waiting, self.head_due = False, None
+
+    def received(self) -> None:
+        """Bytes have come: a head begins if none was under way."""
+        if self.waiting and self.head_due is None:
+            self._cancel()
+            now = asyncio.get_running_loop().time()
+            self.head_due = now + self._limits().header_timeout_ms / 1000.0
+
+    def _cancel(self) -> None:
+        if self._resting is not None:
+            self._resting.cancel()
+            self._resting = None
+
+
+class ClientConnection(TCPServer):
+    """One connection of a client."""
+
+    def __init__(self, server: "ClientServer", reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        loop = asyncio.get_running_loop()
+        super().__init__(server.app, loop, server.config, server.context, {}, reader, writer)
+        self.idle_task = RequestTimer(server.limits, writer.close)
+
+    def close_if_resting(self) -> None:
+        """Close the connection unless a request is under way on it."""
+        if self.idle_task.waiting:
+            self.writer.close()
+
+    async def _read_data(self) -> None:
+        while not self.reader.at_eof():
+            head_due = asyncio.timeout_at(self.idle_task.head_due)
+            try:
+                async with head_due:
+                    data = await self.reader.read(MAX_RECV)
+            except OSError:
+                if head_due.expired():
+                    await self.protocol_send(RawData(closing_answer(ErrorKind.HEADERS_TOO_SLOW)))
+                break
+            self.idle_task.received()
+            await self.protocol.handle(RawData(data))
+        await self.protocol.handle(Closed())
+
+
+class ClientServer:
+    """Serves an application to clients until it is told to stop."""
+
+    def __init__(self, app, limits: Callable[[], Limits]):
+        self.app, self.limits = ASGIWrapper(app), limits
+        self.config = http_config()
+        self.context = WorkerContext(None)
+        self._connections: dict[ClientConnection, asyncio.Task] = {}
+
+    async def serve(self, address: str, stop: asyncio.Event, graceful_s: float) -> None:
+        """Serve at HOST:PORT until the event is set; open requests have `graceful_s` seconds to end then."""
+        listener = early_listener.take(address) or early_listener.listening(address)
+        server = await asyncio.start_server(self._serve_one, sock=listener, backlog=early_listener.BACKLOG)
+        try:
+            await stop.wait()
+        finally:
+            server.close()
+            await self._end(graceful_s)
+
+    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = ClientConnection(self, reader, writer)
+        self._connections[connection] = asyncio.current_task()
+        try:
+            await connection.run()
+        finally:
+            del self._connections[connection]
+
+    async def _end(self, graceful_s: float) -> None:
+        await self.context.terminated.set()  # connections close after the request that they serve
+        for connection in self._connections:
+            connection.close_if_resting()
+        tasks = set(self._connections.values())
+        if not tasks:
+            return
+        _done, late = await asyncio.wait(tasks, timeout=graceful_s)
+        for task in late:
+            task.cancel()
+        await asyncio.gather(*late, return_exceptions=True)
+
+
+def closing_answer(kind: ErrorKind) -> bytes:
+    """An answer of an error kind, in bytes, after which the connection closes."""
+    status = ANSWERS[kind].status
+    lines = (
+        b"HTTP/1.1 %d %s" % (status, REASONS[status]),
+        b"content-length: 0",
+        b"connection: close",
+        b"",
+        b"",
+    )
+    return b"\r\n".join(lines)
--- a/molespur/system/data_plane/http.py
+++ b/molespur/system/data_plane/http.py
@@ -7,9 +7,10 @@
 
 from ..serving import serve
 from .client_call import AnswerCut
+from .client_server import ClientServer
 from .ingress import Ingress
 
-__all__ = ["IngressApp", "readiness_app", "serve"]
+__all__ = ["ClientServer", "IngressApp", "readiness_app", "serve"]
 
 
 class _ClientConnection:
--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -12,7 +12,6 @@
 from .state import DataPlaneState
 from .upstream import UpstreamError, Upstreams
 
-BODY_TIMEOUT_S = 10.0
 STATE_WAIT_MS = 800.0  # longest wait of a request for the first state from the feed, after a start
 STATE_WAIT_SHARE = 0.25  # and the part of its time that it may take
 HANDLE_FREE_S = 1.0
@@ -40,7 +39,7 @@
         came_at = self.clock()
         try:
             request = read_head(scope, self.state.limits)
-            request.body = await self._read_body(receive)
+            request.body = await self._read_body(receive, request.deadline_ms)
             await self._wait_for_state(request)
             route, service = self._route(request)
         except FleetError as error:
@@ -64,11 +63,13 @@
         finally:
             watch.cancel()
 
-    async def _read_body(self, receive) -> bytes:
-        limit = self.state.limits.max_body_bytes
+    async def _read_body(self, receive, deadline_ms: float) -> bytes:
+        """The whole body.  It may take as long as a client may be silent, and no longer than its deadline."""
+        limits = self.state.limits
+        limit = limits.max_body_bytes
         chunks, size = [], 0
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
+            async with asyncio.timeout(min(limits.idle_timeout_ms, deadline_ms) / 1000.0):
                 while True:
                     message = await receive()
                     if message["type"] == "http.disconnect":
--- a/molespur/system/data_plane/pool.py
+++ b/molespur/system/data_plane/pool.py
@@ -86,9 +86,9 @@
         if pooled.connection.is_idle():
             pooled.rested_since = self._now()
             self._resting.append(pooled)
+            self._wake_one()
         else:
-            self.open -= 1
-        self._wake_one()
+            self._close(pooled)  # a call that was cancelled twice has not closed it
 
     def trim(self) -> None:
         """Close what has rested too long."""
@@ -174,9 +174,10 @@
 
     def _close(self, pooled: PooledConnection) -> None:
         self.open -= 1
-        task = asyncio.get_running_loop().create_task(pooled.connection.aclose())
-        self._closing.add(task)
-        task.add_done_callback(self._closing.discard)
+        if not pooled.connection.is_closed():
+            task = asyncio.get_running_loop().create_task(pooled.connection.aclose())
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
         self._wake_one()
 
 
--- a/molespur/system/data_plane/role.py
+++ b/molespur/system/data_plane/role.py
@@ -18,7 +18,6 @@
 LEAVE_S = 2.4  # the platform takes a scheduler out after two missed looks, a second apart
 MARGIN_S = 0.8  # of the grace period
 HOUSEKEEPING_S = 0.5
-CLIENT_IDLE_S = 60.0
 
 
 def clock() -> float:
@@ -70,7 +69,8 @@
         http = await imported("molespur.system.data_plane.http")
         logging.info("data plane %s", self.settings.node_name)
         app = http.IngressApp(self.ingress)
-        await http.serve(app, self.settings.listen["Frontend"], closing, CLIENT_IDLE_S, grace_s)
+        server = http.ClientServer(app, lambda: self.state.limits)
+        await server.serve(self.settings.listen["Frontend"], closing, grace_s)
 
     async def _serve_readiness(self, ended: asyncio.Event) -> None:
         http = await imported("molespur.system.data_plane.http")
--- a/molespur/system/errors.py
+++ b/molespur/system/errors.py
@@ -10,6 +10,7 @@
     # a client's request
     MALFORMED = "malformed"
     HEADERS_TOO_LARGE = "headers-too-large"
+    HEADERS_TOO_SLOW = "headers-too-slow"
     BODY_TOO_LARGE = "body-too-large"
     BODY_TOO_SLOW = "body-too-slow"
     NO_ROUTE = "no-route"
@@ -43,6 +44,7 @@
 ANSWERS = {
     ErrorKind.MALFORMED: Answer(400),
     ErrorKind.HEADERS_TOO_LARGE: Answer(431),
+    ErrorKind.HEADERS_TOO_SLOW: Answer(408, promises_not_run=True),
     ErrorKind.BODY_TOO_LARGE: Answer(413),
     ErrorKind.BODY_TOO_SLOW: Answer(408, promises_not_run=True),
     ErrorKind.NO_ROUTE: Answer(404),
--- a/molespur/system/serving.py
+++ b/molespur/system/serving.py
@@ -13,21 +13,11 @@
 HEADER_BYTES = 64 << 10
 
 
-async def serve(
-    app,
-    address: str,
-    stop: asyncio.Event,
-    keep_alive_s: float = KEEP_ALIVE_S,
-    graceful_s: float = GRACEFUL_S,
-    header_bytes: int = HEADER_BYTES,
-) -> None:
-    """Serve until the event is set, then let open requests end within `graceful_s` seconds."""
+def http_config(keep_alive_s: float = KEEP_ALIVE_S) -> Config:
+    """What all servers of the fleet have in common."""
     config = Config()
-    opened = early_listener.take(address)
-    config.bind = [address] if opened is None else [f"fd://{opened.detach()}"]
     config.keep_alive_timeout = keep_alive_s
-    config.graceful_timeout = graceful_s
-    config.h11_max_incomplete_size = header_bytes
+    config.h11_max_incomplete_size = HEADER_BYTES
     config.include_server_header = False
     config.include_date_header = False
     config.accesslog = None
@@ -35,4 +25,15 @@
     config.backlog = early_listener.BACKLOG
     config.keep_alive_max_requests = 1_000_000_000
     config.h11_pass_raw_headers = True
+    return config
+
+
+async def serve(
+    app, address: str, stop: asyncio.Event, keep_alive_s: float = KEEP_ALIVE_S, graceful_s: float = GRACEFUL_S
+) -> None:
+    """Serve until the event is set, then let open requests end within `graceful_s` seconds."""
+    config = http_config(keep_alive_s)
+    opened = early_listener.take(address)
+    config.bind = [address] if opened is None else [f"fd://{opened.detach()}"]
+    config.graceful_timeout = graceful_s
     await hypercorn_serve(app, config, shutdown_trigger=stop.wait)
--- /dev/null
+++ b/tests/system/test_client_limits.py
@@ -0,0 +1,191 @@
+"""How long clients may take: the operator's limits on heads, bodies and resting connections."""
+
+import asyncio
+import json
+
+import pytest
+from wire import Client, ScriptedWorker, answer, data_plane, header, request, run
+
+from molespur.system.data_plane.client_server import RequestTimer
+from molespur.system.settings.configuration import Limits
+
+SHORT_MS, LONG_MS = 40, 60_000
+
+
+def limited(header_ms=LONG_MS, idle_ms=LONG_MS):
+    route = {"Name": "r", "Host": "shop.example", "PathPrefix": "/p/", "Type": "idempotent", "Service": "s"}
+    route.update({"TimeoutMs": 5000, "TargetLatencyMs": 300, "MaxAttempts": 1})
+    limits = {"HeaderTimeoutMs": header_ms, "IdleTimeoutMs": idle_ms}
+    services = [{"Name": "s", "MaxConnections": 50}]
+    return json.dumps({"Version": 1, "Routes": [route], "Services": services, "Limits": limits}).encode()
+
+
+def limits_test(scenario, script=answer, **limits):
+    async def prepared():
+        worker = ScriptedWorker("w", script)
+        async with data_plane(limited(**limits), worker) as (port, _ingress):
+            await scenario(await Client.connect(port), worker)
+
+    run(prepared())
+
+
+async def drip(client, piece):
+    """Send a piece over and over until the server answers or closes."""
+    answered = asyncio.create_task(client.head())
+    while not answered.done():
+        client.writer.write(piece)
+        await asyncio.sleep(0)
+    return await answered
+
+
+def test_a_head_that_drips_in_is_answered_408_and_the_connection_closed():
+    async def scenario(client, worker):
+        await client.send(b"POST /p/x HTTP/1.1\r\n")
+        head = await drip(client, b"X-A: b\r\n")
+        assert head.startswith(b"HTTP/1.1 408 ") and header(head, b"Connection") == b"close"
+        assert await client.closed()
+        assert worker.requests == []
+
+    limits_test(scenario, header_ms=SHORT_MS)
+
+
+def test_a_head_that_stops_midway_is_answered_408():
+    async def scenario(client, worker):
+        await client.send(request())
+        assert (await client.response())[0] == 200
+        await client.send(b"POST /p/x HT")
+        status, head, body, _whole = await client.response()
+        assert (status, header(head, b"Connection"), body) == (408, b"close", b"")
+        assert await client.closed()
+        assert len(worker.requests) == 1
+
+    limits_test(scenario, header_ms=SHORT_MS)
+
+
+def test_a_body_that_drips_in_is_answered_408_and_not_sent_on():
+    async def scenario(client, worker):
+        await client.send(request(body=b"z" * 100_000)[:-99_000])
+        status, head, _body, _whole = await client.response()
+        assert (status, header(head, b"Connection")) == (408, b"close")
+        assert worker.requests == []
+
+    limits_test(scenario, idle_ms=SHORT_MS)
+
+
+def test_a_body_may_not_take_longer_than_its_request_has():
+    async def scenario(client, worker):
+        await client.send(request(body=b"zz", deadline=SHORT_MS)[:-1])
+        assert (await client.response())[0] == 408
+        assert worker.requests == []
+
+    limits_test(scenario)
+
+
+@pytest.mark.parametrize("used", [False, True], ids=["never used", "after an answer"])
+def test_a_resting_connection_is_closed_without_a_word(used):
+    async def scenario(client, _worker):
+        if used:
+            await client.send(request())
+            assert (await client.response())[0] == 200
+        assert await client.closed()
+
+    limits_test(scenario, idle_ms=SHORT_MS)
+
+
+def test_a_request_under_way_is_no_rest():
+    async def scenario(client, worker):
+        await client.send(request())
+        assert (await client.response())[0] == 200
+        assert len(worker.requests) == 1
+
+    def after_the_limits(request):
+        passed = asyncio.Event()
+        asyncio.get_running_loop().call_later(4 * SHORT_MS / 1000.0, passed.set)
+        return [passed, answer(request)]
+
+    limits_test(scenario, after_the_limits, header_ms=SHORT_MS, idle_ms=SHORT_MS)
+
+
+def test_resting_connections_do_not_hold_up_an_end():
+    async def scenario():
+        worker = ScriptedWorker("w", answer)
+        async with data_plane(limited(), worker) as (port, _ingress):
+            client = await Client.connect(port)
+            await client.send(request())
+            assert (await client.response())[0] == 200
+        assert await client.closed()
+
+    run(scenario())
+
+
+class VirtualLoop:
+    """What a timer needs of the loop, on a clock that the test moves."""
+
+    def __init__(self):
+        self.now, self.calls = 0.0, []
+
+    def time(self):
+        return self.now
+
+    def call_later(self, delay, call):
+        handle = VirtualHandle(self.now + delay, call)
+        self.calls.append(handle)
+        return handle
+
+    def move(self, now):
+        self.now = now
+        for handle in self.calls:
+            if handle.due <= now and not handle.cancelled:
+                handle.cancelled = True
+                handle.call()
+
+
+class VirtualHandle:
+    def __init__(self, due, call):
+        self.due, self.call, self.cancelled = due, call, False
+
+    def cancel(self):
+        self.cancelled = True
+
+
+def timer_test(monkeypatch, scenario):
+    loop, closed = VirtualLoop(), []
+    monkeypatch.setattr(asyncio, "get_running_loop", lambda: loop)
+    limits = Limits(header_timeout_ms=3000.0, idle_timeout_ms=15_000.0)
+    timer = RequestTimer(lambda: limits, lambda: closed.append(loop.now))
+    coroutine = scenario(timer, loop, closed)
+    with pytest.raises(StopIteration):
+        coroutine.send(None)
+
+
+def test_a_head_counts_from_its_first_byte(monkeypatch):
+    async def scenario(timer, loop, closed):
+        await timer.restart(None, None)
+        loop.move(14.9)
+        timer.received()
+        assert timer.head_due == pytest.approx(17.9)
+        loop.move(16.0)
+        timer.received()
+        assert timer.head_due == pytest.approx(17.9)
+        assert closed == []
+
+    timer_test(monkeypatch, scenario)
+
+
+def test_rest_counts_anew_after_each_answer(monkeypatch):
+    async def scenario(timer, loop, closed):
+        await timer.restart(None, None)
+        timer.received()
+        await timer.stop()
+        assert (timer.waiting, timer.head_due) == (False, None)
+        timer.received()  # a body
+        assert timer.head_due is None
+        loop.move(100.0)
+        assert closed == []
+        await timer.restart(None, None)
+        loop.move(114.9)
+        assert closed == []
+        loop.move(115.0)
+        assert closed == [115.0]
+
+    timer_test(monkeypatch, scenario)
--- a/tests/system/test_connection_pool.py
+++ b/tests/system/test_connection_pool.py
@@ -204,3 +204,19 @@
 )
 def test_what_a_worker_says_of_its_patience(value, seconds):
     assert rest_of([(b"X", b"timeout=1"), (b"Keep-Alive", value)]) == seconds
+
+
+def test_a_connection_whose_call_was_broken_off_is_closed_and_not_kept():
+    rest = asyncio.Event()
+
+    async def scenario(rig):
+        response = await rig.begin()
+        pooled = response.stream._pooled
+        assert not pooled.connection.is_idle() and not pooled.connection.is_closed()
+        rig.pool.release(pooled)  # as after a second cancellation, which httpcore does not see
+        await rig.pool.aclose()
+        assert rig.pool.open == 0 and pooled.connection.is_closed()
+        rest.set()
+        await rig.worker.closed.wait()
+
+    rig_test(scenario, lambda request: [answer(request)[:-1], rest])
--- a/tests/system/test_data_plane_wire.py
+++ b/tests/system/test_data_plane_wire.py
@@ -25,11 +25,10 @@
 )
 
 from molespur.system import early_listener
-from molespur.system.data_plane.http import IngressApp
+from molespur.system.data_plane.http import ClientServer, IngressApp
 from molespur.system.data_plane.ingress import Ingress
 from molespur.system.data_plane.state import DataPlaneState
 from molespur.system.data_plane.upstream import Upstreams
-from molespur.system.serving import serve
 
 
 def configuration(route_type="non_idempotent", engine=False, **route):
@@ -112,8 +111,8 @@
         await worker.start()
         tell(state, configuration(), worker)
         stop = asyncio.Event()
-        app = IngressApp(Ingress(state, Upstreams(), clock))
-        serving = asyncio.create_task(serve(app, f"127.0.0.1:{port}", stop, graceful_s=0.2))
+        server = ClientServer(IngressApp(Ingress(state, Upstreams(), clock)), lambda: state.limits)
+        serving = asyncio.create_task(server.serve(f"127.0.0.1:{port}", stop, graceful_s=0.2))
         assert (await client.response())[0] == 200
         stop.set()
         await serving
--- a/tests/system/wire.py
+++ b/tests/system/wire.py
@@ -5,12 +5,11 @@
 from contextlib import asynccontextmanager
 from random import Random
 
-from molespur.system.data_plane.http import IngressApp
+from molespur.system.data_plane.http import ClientServer, IngressApp
 from molespur.system.data_plane.ingress import Ingress
 from molespur.system.data_plane.state import DataPlaneState
 from molespur.system.data_plane.upstream import Upstreams
 from molespur.system.rpc import molespur_pb2 as pb
-from molespur.system.serving import serve
 from molespur.system.settings.process import ProcessSettings
 from molespur.system.shards.placement import CONFIGURATION
 
@@ -144,7 +143,8 @@
     probe.close()
     await probe.wait_closed()
     stop = asyncio.Event()
-    serving = asyncio.create_task(serve(IngressApp(ingress), f"127.0.0.1:{port}", stop, graceful_s=0.2))
+    server = ClientServer(IngressApp(ingress), lambda: state.limits)
+    serving = asyncio.create_task(server.serve(f"127.0.0.1:{port}", stop, graceful_s=0.2))
     while True:
         try:
             _reader, writer = await asyncio.open_connection("127.0.0.1", port)
