--- a/molespur/system/consensus/replica.py
+++ b/molespur/system/consensus/replica.py
@@ -446,7 +446,10 @@
         reply.append_reply.success = True
         reply.append_reply.sent_at_ms = sent.sent_at_ms
         reply.append_reply.read_round = sent.read_round
-        if sent.index > self.commit_index:
+        if self._term_at(sent.index) == sent.term:
+            # the log holds all that the snapshot stands for; entries after it may be acknowledged already
+            self._commit_to(sent.index)
+        elif sent.index > self.commit_index:
             self.snapshot = Snapshot(sent.index, sent.term, sent.membership, sent.state)
             self.entries = []
             self.memberships = [(sent.index, sent.membership)]
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -345,3 +345,39 @@
     assert leader.commit_index == 1, "two of three hold the old entry, and it may still be overwritten"
     answered(5_005.0, 4, 3)
     assert leader.commit_index == 3
+
+
+def test_a_snapshot_of_what_a_follower_holds_costs_it_none_of_its_later_entries():
+    """Its answer for those entries may be under way, and the leader counts them as soon as it arrives."""
+    names = ["10.0.0.1:1#0", "10.0.0.2:1#0"]
+    members = [pb.Member(replica_id=name, rpc_address=name[:-2], voter=True) for name in names]
+    first = raft.Snapshot(1, 1, pb.Membership(members=members), b"")
+    held = [pb.LogEntry(index=i, term=2, kind=pb.COMMAND, data=b"%d" % i) for i in range(2, 7)]
+    follower = raft.Replica("test", names[0], Random(1), raft.HardState(2, ""), first, held)
+    message = pb.ConsensusMessage(group="test", sender=names[1], receiver=names[0], term=2)
+    message.install_snapshot.index, message.install_snapshot.term = 4, 2
+    message.install_snapshot.membership.CopyFrom(first.membership)
+    actions = follower.handle(5.0, raft.Received(message))
+    assert follower.last_index == 6
+    assert [a.entry.index for a in actions if isinstance(a, raft.Apply)] == [2, 3, 4]
+    assert not [a for a in actions if isinstance(a, raft.Restore)]
+    (record,) = [a for a in actions if isinstance(a, raft.Persist)]
+    assert record.truncate_from is None and record.snapshot is None
+    assert record.release[0].message.append_reply.match_index == 4
+
+
+def test_a_snapshot_replaces_entries_of_another_history():
+    names = ["10.0.0.1:1#0", "10.0.0.2:1#0"]
+    members = [pb.Member(replica_id=name, rpc_address=name[:-2], voter=True) for name in names]
+    first = raft.Snapshot(1, 1, pb.Membership(members=members), b"")
+    held = [pb.LogEntry(index=i, term=2, kind=pb.COMMAND, data=b"%d" % i) for i in range(2, 7)]
+    follower = raft.Replica("test", names[0], Random(1), raft.HardState(3, ""), first, held)
+    message = pb.ConsensusMessage(group="test", sender=names[1], receiver=names[0], term=3)
+    message.install_snapshot.index, message.install_snapshot.term = 4, 3
+    message.install_snapshot.membership.CopyFrom(first.membership)
+    message.install_snapshot.state = b"state"
+    actions = follower.handle(5.0, raft.Received(message))
+    assert (follower.last_index, follower.commit_index) == (4, 4)
+    assert [a.snapshot.state for a in actions if isinstance(a, raft.Restore)] == [b"state"]
+    (record,) = [a for a in actions if isinstance(a, raft.Persist)]
+    assert record.truncate_from == 0 and record.snapshot.index == 4
