Split the log and the leader's progress off consensus/replica.py

replica.py 655 to 567 lines: log.py holds entries, memberships and how far they are synced, committed and applied, each changed in one function; progress.py what a leader knows of the others. The value that a majority has reached was worked out three times and is now worked out once.

--- /dev/null
+++ b/molespur/system/consensus/log.py
@@ -0,0 +1,113 @@
+"""The log of a replica: a snapshot, the entries after it, how far they are synced, committed, applied."""
+
+from collections.abc import Sequence
+
+from ..rpc import molespur_pb2 as pb
+from .records import Snapshot
+
+ENTRIES_PER_APPEND = 64
+BYTES_PER_APPEND = 1 << 20
+
+
+class ReplicatedLog:
+    """Indices count from 1; the snapshot stands for all entries up to its own index."""
+
+    def __init__(self, snapshot: Snapshot, entries: Sequence[pb.LogEntry]):
+        self.snapshot = snapshot
+        self.entries = list(entries)
+        self.commit_index = self.applied_index = snapshot.index
+        self.memberships: list[tuple[int, pb.Membership]] = [(snapshot.index, snapshot.membership)]
+        self._note_memberships(self.entries)
+        self.durable_index = self.last_index
+
+    # -- What can be read ----------------------------------------------------------------------
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.entries[-1].index if self.entries else self.snapshot.index
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self.entries[-1].term if self.entries else self.snapshot.term
+
+    @property
+    def membership(self) -> pb.Membership:
+        """The newest membership, committed or not."""
+        return self.memberships[-1][1]
+
+    @property
+    def membership_committed(self) -> bool:
+        """Whether the newest membership is committed."""
+        return self.memberships[-1][0] <= self.commit_index
+
+    def entry(self, index: int) -> pb.LogEntry | None:
+        """The entry of an index; None where the log has none, or not any more."""
+        position = index - self.snapshot.index - 1
+        return self.entries[position] if 0 <= position < len(self.entries) else None
+
+    def term_at(self, index: int) -> int | None:
+        """The term of an index; None where the log does not tell."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        entry = self.entry(index)
+        return entry.term if entry else None
+
+    def holds(self, index: int, term: int) -> bool:
+        """Whether the log has an entry of this term at an index, and so all that its leader had before it."""
+        return self.term_at(index) == term
+
+    def batch(self, first: int) -> list[pb.LogEntry]:
+        """Entries from an index on, as many as go into one message."""
+        start = first - self.snapshot.index - 1
+        batch, size = [], 0
+        for entry in self.entries[start : start + ENTRIES_PER_APPEND]:
+            size += len(entry.data)
+            if batch and size > BYTES_PER_APPEND:
+                break
+            batch.append(entry)
+        return batch
+
+    # -- Changes -------------------------------------------------------------------------------
+
+    def append(self, entries: Sequence[pb.LogEntry]) -> None:
+        """Put entries at the end, in place of all from the first one's index on."""
+        first = entries[0].index
+        if first <= self.last_index:
+            del self.entries[first - self.snapshot.index - 1 :]
+            self.memberships = [m for m in self.memberships if m[0] < first]
+            self.durable_index = min(self.durable_index, first - 1)
+        self.entries.extend(entries)
+        self._note_memberships(entries)
+
+    def synced(self, index: int) -> None:
+        """All up to an index is on the disk."""
+        self.durable_index = max(self.durable_index, index)
+
+    def commit(self, index: int) -> list[pb.LogEntry]:
+        """All up to an index that the log has is committed: the entries to apply, in order."""
+        self.commit_index = max(self.commit_index, min(index, self.last_index))
+        first = self.applied_index + 1
+        self.applied_index = self.commit_index
+        return [self.entry(i) for i in range(first, self.commit_index + 1)]
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Go by a snapshot in place of all that the log holds; none of it is durable yet."""
+        self.snapshot, self.entries = snapshot, []
+        self.memberships = [(snapshot.index, snapshot.membership)]
+        self.commit_index = self.applied_index = snapshot.index
+        self.durable_index = 0
+
+    def compact(self, index: int, state: bytes) -> None:
+        """Let a snapshot of this state stand for all up to an applied index."""
+        membership = [m for i, m in self.memberships if i <= index][-1]
+        later = [m for m in self.memberships if m[0] > index]
+        snapshot = Snapshot(index, self.term_at(index) or 0, membership, state)
+        self.entries = [entry for entry in self.entries if entry.index > index]
+        self.snapshot, self.memberships = snapshot, [(index, membership), *later]
+
+    def _note_memberships(self, entries: Sequence[pb.LogEntry]) -> None:
+        for entry in entries:
+            if entry.kind == pb.MEMBERSHIP:
+                self.memberships.append((entry.index, pb.Membership.FromString(entry.data)))
--- /dev/null
+++ b/molespur/system/consensus/progress.py
@@ -0,0 +1,51 @@
+"""What a leader knows of the other replicas, and what a majority of them has reached.  Pure.
+
+Times are milliseconds on the leader's steady clock.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ..rpc import molespur_pb2 as pb
+
+
+@dataclass(slots=True)
+class Progress:
+    """What a leader knows of another replica."""
+
+    match: int = 0
+    next: int = 1
+    heard_at: float = 0.0
+    acknowledged_send: float = 0.0  # send time of the newest append that it has answered
+    acknowledged_round: int = 0  # newest round of reads that it has answered
+    waiting_since: float | None = None  # an append with entries, or a snapshot, is out since then
+    waiting_for: int = 0  # the last index that it holds
+
+    def sent(self, now: float, last_index: int) -> None:
+        """An append with entries, or a snapshot, has gone out; no further one does until it is answered."""
+        self.waiting_since, self.waiting_for = now, last_index
+
+    def give_up(self, now: float, after: float) -> None:
+        """Begin again from what is known to match where no answer has come for a while."""
+        if self.waiting_since is not None and now - self.waiting_since > after:
+            self.waiting_since, self.next = None, self.match + 1
+
+    def answered(self, now: float, reply: pb.AppendReply) -> None:
+        """An answer has arrived."""
+        self.heard_at = now
+        self.acknowledged_send = max(self.acknowledged_send, float(reply.sent_at_ms))
+        self.acknowledged_round = max(self.acknowledged_round, reply.read_round)
+        if reply.success:
+            self.match = max(self.match, reply.match_index)
+            self.next = max(self.next, self.match + 1)
+            if self.match >= self.waiting_for:
+                self.waiting_since = None
+        else:
+            self.next = max(min(self.next - 1, reply.match_index + 1), self.match + 1, 1)
+            self.waiting_since = None
+
+
+def majority_value(values: Iterable[float]) -> float | None:
+    """The most that more than half of the voters have reached, given each one's value; None without any."""
+    ranked = sorted(values, reverse=True)
+    return ranked[len(ranked) // 2] if ranked else None
--- a/molespur/system/consensus/records.py
+++ b/molespur/system/consensus/records.py
@@ -171,19 +171,6 @@
 Action = Send | Persist | Proposed | NotLeader | ReadConfirmed | ReadRefused | Apply | Restore | RoleChanged
 
 
-@dataclass(slots=True)
-class Progress:
-    """What a leader knows of another replica."""
-
-    match: int = 0
-    next: int = 1
-    heard_at: float = 0.0
-    acknowledged_send: float = 0.0  # send time of the newest append that it has answered
-    acknowledged_round: int = 0  # newest round of reads that it has answered
-    waiting_since: float | None = None  # an append with entries, or a snapshot, is out since then
-    waiting_for: int = 0  # the last index that it holds
-
-
 @dataclass(slots=True)
 class Unsynced:
     """A record that is being written, and what will be durable once it is."""
--- a/molespur/system/consensus/replica.py
+++ b/molespur/system/consensus/replica.py
@@ -8,10 +8,12 @@
 single-step membership change and leadership transfer.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 from ..rpc import molespur_pb2 as pb
+from .log import ReplicatedLog
+from .progress import Progress, majority_value
 from .read_index import ReadIndex
 from .records import (
     Action,
@@ -23,7 +25,6 @@
     NotLeader,
     Persist,
     Persisted,
-    Progress,
     Propose,
     Proposed,
     Read,
@@ -45,8 +46,6 @@
 FIRST_ELECTION_MS = (60.0, 250.0)  # the same until a leader was heard: a pre-vote disturbs none that lives
 LEASE_MS = 0.8 * ELECTION_MS[0]  # a leader heard by a majority this lately is the only one
 RETRY_APPEND_MS = 600.0  # an append without an answer is sent again after this time
-ENTRIES_PER_APPEND = 64
-BYTES_PER_APPEND = 1 << 20
 
 
 class Replica:
@@ -64,13 +63,7 @@
     ):
         self.group, self.id, self.random = group, replica_id, random
         self.hard_state = hard_state or HardState()
-        self.snapshot = snapshot or Snapshot()
-        self.entries = list(entries)
-        self.durable_index = self.last_index
-        self.commit_index = self.applied_index = self.snapshot.index
-        self.memberships: list[tuple[int, pb.Membership]] = [(self.snapshot.index, self.snapshot.membership)]
-        for entry in self.entries:
-            self._note_membership(entry)
+        self.log = ReplicatedLog(snapshot or Snapshot(), entries)
         self.role, self.leader_id = Role.OUTSIDER, ""
         self.progress: dict[str, Progress] = {}
         self.votes: set[str] = set()
@@ -85,34 +78,19 @@
         self._sequence = 0
         self.durable_term = self.hard_state.term
         self.led_since = self.transfer_until = now
-        self._set_role(Role.FOLLOWER if self.membership.members else Role.OUTSIDER)
+        self._set_role(Role.FOLLOWER if self.log.membership.members else Role.OUTSIDER)
         self._reset_election(FIRST_ELECTION_MS)
         self._actions.clear()
 
     # -- What can be read ----------------------------------------------------------------------
 
-    @property
-    def last_index(self) -> int:
-        """Index of the last entry of the log."""
-        return self.entries[-1].index if self.entries else self.snapshot.index
-
-    @property
-    def membership(self) -> pb.Membership:
-        """The newest membership in the log, committed or not."""
-        return self.memberships[-1][1]
-
-    @property
-    def membership_committed(self) -> bool:
-        """Whether the newest membership is committed."""
-        return self.memberships[-1][0] <= self.commit_index
-
     def member(self, replica_id: str) -> pb.Member | None:
         """The member of this identity."""
-        return next((m for m in self.membership.members if m.replica_id == replica_id), None)
+        return next((m for m in self.log.membership.members if m.replica_id == replica_id), None)
 
     def voters(self) -> list[str]:
         """Identities of the members that vote."""
-        return [m.replica_id for m in self.membership.members if m.voter]
+        return [m.replica_id for m in self.log.membership.members if m.voter]
 
     def is_voter(self) -> bool:
         """Whether this replica votes."""
@@ -135,7 +113,7 @@
 
     def _own_term_committed(self) -> bool:
         """Whether an entry of the own term is committed, and so all that earlier terms have committed."""
-        return self._term_at(self.commit_index) == self.hard_state.term
+        return self.log.term_at(self.log.commit_index) == self.hard_state.term
 
     # -- The one entrance ----------------------------------------------------------------------
 
@@ -162,39 +140,18 @@
         if self._persist is not None:
             self._sequence += 1
             self._persist.sequence = self._sequence
-            self._unsynced.append(Unsynced(self._sequence, self.last_index, self.hard_state.term))
+            self._unsynced.append(Unsynced(self._sequence, self.log.last_index, self.hard_state.term))
             self._actions.append(self._persist)
         return self._actions
 
     # -- Log -----------------------------------------------------------------------------------
 
-    def _entry(self, index: int) -> pb.LogEntry | None:
-        position = index - self.snapshot.index - 1
-        return self.entries[position] if 0 <= position < len(self.entries) else None
-
-    def _term_at(self, index: int) -> int | None:
-        if index == self.snapshot.index:
-            return self.snapshot.term
-        entry = self._entry(index)
-        return entry.term if entry else None
-
-    def _note_membership(self, entry: pb.LogEntry) -> None:
-        if entry.kind == pb.MEMBERSHIP:
-            self.memberships.append((entry.index, pb.Membership.FromString(entry.data)))
-
     def _append(self, entries: Sequence[pb.LogEntry]) -> None:
         """Put entries at the end of the log, replacing all from the first one's index on."""
         first = entries[0].index
-        keep = first - self.snapshot.index - 1
-        if keep < len(self.entries):
-            del self.entries[keep:]
-            self.memberships = [m for m in self.memberships if m[0] < first]
-            self.durable_index = min(self.durable_index, first - 1)
-            for record in self._unsynced:
-                record.index = min(record.index, first - 1)
-        self.entries.extend(entries)
-        for entry in entries:
-            self._note_membership(entry)
+        self.log.append(entries)
+        for unsynced in self._unsynced:
+            unsynced.index = min(unsynced.index, first - 1)
         record = self._write()
         record.truncate_from = first
         record.entries = list(entries)
@@ -231,24 +188,23 @@
         self._follow("")
 
     def _follow(self, leader: str) -> None:
-        known = bool(self.membership.members)
+        known = bool(self.log.membership.members)
         self._set_role(Role.FOLLOWER if known else Role.OUTSIDER, leader)
 
     def _majority(self, identities) -> bool:
         voters = self.voters()
         return sum(v in identities for v in voters) * 2 > len(voters)
 
+    def _reached(self, own: float, of: Callable[[Progress], float]) -> float | None:
+        """The most that a majority of the voters has reached, this one's own value included."""
+        reached = {name: of(progress) for name, progress in self.progress.items()}
+        reached[self.id] = own
+        return majority_value(reached.get(voter, float("-inf")) for voter in self.voters())
+
     def _quorum_heard_at(self, now: float) -> float:
         """Send time of the newest append that a majority of the voters, this one included, has answered."""
-        times = [
-            now
-            if v == self.id
-            else self.progress[v].acknowledged_send
-            if v in self.progress
-            else float("-inf")
-            for v in self.voters()
-        ]
-        return sorted(times, reverse=True)[len(times) // 2] if times else float("-inf")
+        heard_at = self._reached(now, lambda progress: progress.acknowledged_send)
+        return float("-inf") if heard_at is None else heard_at
 
     # -- Time ----------------------------------------------------------------------------------
 
@@ -280,12 +236,12 @@
         self.votes = {self.id}
         never_led = self.leader_heard_at == float("-inf")
         self._reset_election(FIRST_ELECTION_MS if pre_vote and never_led else ELECTION_MS)
-        for member in self.membership.members:
+        for member in self.log.membership.members:
             if member.voter and member.replica_id != self.id:
                 message = self._message(member.replica_id, term)
                 message.vote_request.pre_vote = pre_vote
-                message.vote_request.last_index = self.last_index
-                message.vote_request.last_term = self._term_at(self.last_index) or 0
+                message.vote_request.last_index = self.log.last_index
+                message.vote_request.last_term = self.log.last_term
                 message.vote_request.leadership_transfer = transfer
                 # a candidate's own vote is on its disk before it asks for others'
                 self._send(member, message, after_write=not pre_vote)
@@ -304,8 +260,8 @@
         self._set_role(Role.LEADER, self.id)
         self.led_since = self.now
         self.progress = {
-            m.replica_id: Progress(next=self.last_index + 1, heard_at=self.now)
-            for m in self.membership.members
+            m.replica_id: Progress(next=self.log.last_index + 1, heard_at=self.now)
+            for m in self.log.membership.members
             if m.replica_id != self.id
         }
         self._propose(pb.NOOP, b"")
@@ -345,7 +301,7 @@
             if kind in ("append_request", "install_snapshot"):
                 reply = self._message(message.sender)
                 reply.append_reply.success = False
-                reply.append_reply.match_index = self.last_index
+                reply.append_reply.match_index = self.log.last_index
                 self._send(self._sender(message), reply)
             return
         match kind:
@@ -371,7 +327,7 @@
         if message.term < self.hard_state.term:
             self._answer_vote(message, granted=False, after_write=False)
             return
-        mine = (self._term_at(self.last_index) or 0, self.last_index)
+        mine = (self.log.last_term, self.log.last_index)
         up_to_date = (request.last_term, request.last_index) >= mine
         if request.pre_vote:
             granted = up_to_date and message.term > self.hard_state.term
@@ -414,29 +370,29 @@
         self._heard_leader(message)
         request = message.append_request
         previous = request.previous_index
-        if previous < self.snapshot.index:
+        if previous < self.log.snapshot.index:
             # entries that the snapshot stands for are committed, so they match
-            entries = [e for e in request.entries if e.index > self.snapshot.index]
-            previous_term = self.snapshot.term
-            previous = self.snapshot.index
+            entries = [e for e in request.entries if e.index > self.log.snapshot.index]
+            previous_term = self.log.snapshot.term
+            previous = self.log.snapshot.index
         else:
             entries, previous_term = list(request.entries), request.previous_term
         reply = self._message(message.sender)
         reply.append_reply.sent_at_ms = request.sent_at_ms
         reply.append_reply.read_round = request.read_round
-        if self._term_at(previous) != previous_term:
+        if self.log.term_at(previous) != previous_term:
             reply.append_reply.success = False
-            reply.append_reply.match_index = min(self.last_index, previous - 1)
+            reply.append_reply.match_index = min(self.log.last_index, previous - 1)
             self._send(self._sender(message), reply)
             return
         last = request.entries[-1].index if request.entries else request.previous_index
-        new = [e for e in entries if self._term_at(e.index) != e.term]
+        new = [e for e in entries if self.log.term_at(e.index) != e.term]
         if new:
             self._append(entries[entries.index(new[0]) :])
             self._follow(message.sender)
         reply.append_reply.success = True
-        reply.append_reply.match_index = max(last, self.snapshot.index)
-        self._send(self._sender(message), reply, after_write=bool(new) or self.durable_index < last)
+        reply.append_reply.match_index = max(last, self.log.snapshot.index)
+        self._send(self._sender(message), reply, after_write=bool(new) or self.log.durable_index < last)
         self._commit_to(min(request.commit_index, last))
 
     def _snapshot_sent(self, message: pb.ConsensusMessage) -> None:
@@ -446,20 +402,16 @@
         reply.append_reply.success = True
         reply.append_reply.sent_at_ms = sent.sent_at_ms
         reply.append_reply.read_round = sent.read_round
-        if self._term_at(sent.index) == sent.term:
-            # the log holds all that the snapshot stands for; entries after it may be acknowledged already
+        if self.log.holds(sent.index, sent.term):
+            # all that the snapshot stands for is there; entries after it may be acknowledged already
             self._commit_to(sent.index)
-        elif sent.index > self.commit_index:
-            self.snapshot = Snapshot(sent.index, sent.term, sent.membership, sent.state)
-            self.entries = []
-            self.memberships = [(sent.index, sent.membership)]
-            self.commit_index = self.applied_index = sent.index
-            self.durable_index = 0
+        elif sent.index > self.log.commit_index:
+            self.log.install(Snapshot(sent.index, sent.term, sent.membership, sent.state))
             record = self._write()
-            record.snapshot, record.truncate_from = self.snapshot, 0
-            self._actions.append(Restore(self.snapshot))
+            record.snapshot, record.truncate_from = self.log.snapshot, 0
+            self._actions.append(Restore(self.log.snapshot))
             self._follow(message.sender)
-        reply.append_reply.match_index = self.commit_index
+        reply.append_reply.match_index = self.log.commit_index
         self._send(self._sender(message), reply, after_write=True)
 
     # -- Replication: the leader's side ----------------------------------------------------------
@@ -468,14 +420,14 @@
         if self.role is not Role.LEADER or (self.transfer_to and kind == pb.COMMAND):
             self._actions.append(NotLeader())
             return
-        entry = pb.LogEntry(index=self.last_index + 1, term=self.hard_state.term, kind=kind, data=data)
+        entry = pb.LogEntry(index=self.log.last_index + 1, term=self.hard_state.term, kind=kind, data=data)
         self._append([entry])
         if kind == pb.COMMAND:
             self._actions.append(Proposed(entry.index, entry.term))
         self._broadcast()
 
     def _change_membership(self, membership: pb.Membership) -> None:
-        if self.role is not Role.LEADER or not self.membership_committed or self.transfer_to:
+        if self.role is not Role.LEADER or not self.log.membership_committed or self.transfer_to:
             return
         if not self._own_term_committed():
             return
@@ -489,22 +441,21 @@
         self.progress = {k: p for k, p in self.progress.items() if self.member(k)}
 
     def _progress_of(self, member: pb.Member) -> Progress:
-        fresh = Progress(next=self.last_index + 1, heard_at=self.now)
+        fresh = Progress(next=self.log.last_index + 1, heard_at=self.now)
         return self.progress.setdefault(member.replica_id, fresh)
 
     def _broadcast(self) -> None:
         self.heartbeat_at = self.now + HEARTBEAT_MS
-        for member in self.membership.members:
+        for member in self.log.membership.members:
             if member.replica_id != self.id:
                 self._replicate(member)
 
     def _replicate(self, member: pb.Member) -> None:
         """Send what the member lacks, or an empty append while an earlier one is unanswered."""
         progress = self._progress_of(member)
-        if progress.waiting_since is not None and self.now - progress.waiting_since > RETRY_APPEND_MS:
-            progress.waiting_since, progress.next = None, progress.match + 1
+        progress.give_up(self.now, RETRY_APPEND_MS)
         message = self._message(member.replica_id)
-        previous_term = self._term_at(progress.next - 1)
+        previous_term = self.log.term_at(progress.next - 1)
         if previous_term is None:
             if progress.waiting_since is not None:
                 return
@@ -512,84 +463,57 @@
             return
         request = message.append_request
         request.previous_index, request.previous_term = progress.next - 1, previous_term
-        request.commit_index = self.commit_index
+        request.commit_index = self.log.commit_index
         request.sent_at_ms = int(self.now)
         request.read_round = self.reads.round
         if progress.waiting_since is None:
-            entries = self._batch(progress.next)
+            entries = self.log.batch(progress.next)
             if entries:
                 request.entries.extend(entries)
-                progress.waiting_since, progress.waiting_for = self.now, entries[-1].index
+                progress.sent(self.now, entries[-1].index)
         self._send(member, message)
 
-    def _batch(self, first: int) -> list[pb.LogEntry]:
-        start = first - self.snapshot.index - 1
-        batch, size = [], 0
-        for entry in self.entries[start : start + ENTRIES_PER_APPEND]:
-            size += len(entry.data)
-            if batch and size > BYTES_PER_APPEND:
-                break
-            batch.append(entry)
-        return batch
-
     def _send_snapshot(self, member: pb.Member, progress: Progress) -> None:
         message = self._message(member.replica_id)
         sent = message.install_snapshot
-        sent.index, sent.term, sent.state = self.snapshot.index, self.snapshot.term, self.snapshot.state
-        sent.membership.CopyFrom(self.snapshot.membership)
+        snapshot = self.log.snapshot
+        sent.index, sent.term, sent.state = snapshot.index, snapshot.term, snapshot.state
+        sent.membership.CopyFrom(snapshot.membership)
         sent.sent_at_ms = int(self.now)
         sent.read_round = self.reads.round
-        progress.waiting_since, progress.waiting_for = self.now, sent.index
+        progress.sent(self.now, sent.index)
         self._send(member, message)
 
     def _append_replied(self, message: pb.ConsensusMessage) -> None:
         progress = self.progress.get(message.sender)
         if self.role is not Role.LEADER or progress is None:
             return
-        reply = message.append_reply
-        progress.heard_at = self.now
-        progress.acknowledged_send = max(progress.acknowledged_send, float(reply.sent_at_ms))
-        progress.acknowledged_round = max(progress.acknowledged_round, reply.read_round)
+        progress.answered(self.now, message.append_reply)
         self._confirm_reads()
-        if reply.success:
-            if reply.match_index > progress.match:
-                progress.match = reply.match_index
-            progress.next = max(progress.next, progress.match + 1)
-            if progress.match >= progress.waiting_for:
-                progress.waiting_since = None
+        if message.append_reply.success:
             self._advance_commit()
-        else:
-            progress.next = max(min(progress.next - 1, reply.match_index + 1), progress.match + 1, 1)
-            progress.waiting_since = None
         member = self.member(message.sender)
-        if member and progress.match < self.last_index and progress.waiting_since is None:
+        if member and progress.match < self.log.last_index and progress.waiting_since is None:
             self._replicate(member)
-        if self.transfer_to == message.sender and progress.match == self.last_index:
+        if self.transfer_to == message.sender and progress.match == self.log.last_index:
             self._send(member, self._timeout_now(message.sender))
 
     def _advance_commit(self) -> None:
-        matches = [
-            self.durable_index if v == self.id else self.progress[v].match if v in self.progress else 0
-            for v in self.voters()
-        ]
-        if not matches:
+        majority = self._reached(self.log.durable_index, lambda progress: progress.match)
+        if majority is None or majority <= self.log.commit_index:
             return
-        majority = sorted(matches, reverse=True)[len(matches) // 2]
-        if majority > self.commit_index and self._term_at(majority) == self.hard_state.term:
+        if self.log.holds(majority, self.hard_state.term):
             self._commit_to(majority)
             self._broadcast()  # followers apply it at once, and their feeds with them
 
     def _commit_to(self, index: int) -> None:
-        self.commit_index = max(self.commit_index, min(index, self.last_index))
-        while self.applied_index < self.commit_index:
-            self.applied_index += 1
-            self._actions.append(Apply(self._entry(self.applied_index)))
+        self._actions.extend(Apply(entry) for entry in self.log.commit(index))
 
     def _persisted(self, sequence: int) -> None:
         for record in self._unsynced:
             if record.sequence <= sequence:
                 self.durable_term = max(self.durable_term, record.term)
-                self.durable_index = max(self.durable_index, record.index)
+                self.log.synced(record.index)
         self._unsynced = [record for record in self._unsynced if record.sequence > sequence]
         if self.role is Role.CANDIDATE:
             self._count_votes()
@@ -607,17 +531,9 @@
         self._confirm_reads()
 
     def _confirm_reads(self) -> None:
-        rounds = [
-            self.reads.round
-            if v == self.id
-            else self.progress[v].acknowledged_round
-            if v in self.progress
-            else 0
-            for v in self.voters()
-        ]
-        if rounds:
-            majority = sorted(rounds, reverse=True)[len(rounds) // 2]
-            self._actions.extend(ReadConfirmed(number) for number in self.reads.confirmed(majority))
+        answered = self._reached(self.reads.round, lambda progress: progress.acknowledged_round)
+        if answered is not None:
+            self._actions.extend(ReadConfirmed(number) for number in self.reads.confirmed(answered))
 
     # -- Planned work ----------------------------------------------------------------------------
 
@@ -634,7 +550,7 @@
         match, self.transfer_to = max(recent)
         self.transfer_until = self.now + ELECTION_MS[1]
         member = self.member(self.transfer_to)
-        if match == self.last_index:
+        if match == self.log.last_index:
             self._send(member, self._timeout_now(self.transfer_to))
         else:
             self._replicate(member)
@@ -645,12 +561,7 @@
         return message
 
     def _compact(self, index: int, state: bytes) -> None:
-        if not self.snapshot.index < index <= self.applied_index:
+        if not self.log.snapshot.index < index <= self.log.applied_index:
             return
-        term = self._term_at(index)
-        membership = [m for i, m in self.memberships if i <= index][-1]
-        later = [m for m in self.memberships if m[0] > index]
-        self.entries = [e for e in self.entries if e.index > index]
-        self.snapshot = Snapshot(index, term or 0, membership, state)
-        self.memberships = [(index, membership), *later]
-        self._write().snapshot = self.snapshot
+        self.log.compact(index, state)
+        self._write().snapshot = self.log.snapshot
--- a/molespur/system/feed/source.py
+++ b/molespur/system/feed/source.py
@@ -70,15 +70,15 @@
         now = self.clock()
         for name, group in self.host.groups.items():
             replica = group.replica
-            behind = replica.applied_index < follower.offsets.get(name, 0)
-            fresh = replica.leader_silence(now) < FRESH_MS and replica.commit_index > 1
+            behind = replica.log.applied_index < follower.offsets.get(name, 0)
+            fresh = replica.leader_silence(now) < FRESH_MS and replica.log.commit_index > 1
             if name in follower.started or behind or not fresh:
                 continue
             follower.started.add(name)
             since = follower.offsets.get(name)
             if since is None or since < group.history_from:
                 self._send(
-                    follower, name, replica.applied_index, group.machine.feed_snapshot(), snapshot=True
+                    follower, name, replica.log.applied_index, group.machine.feed_snapshot(), snapshot=True
                 )
                 continue
             for index, payload in group.history:
--- a/molespur/system/shards/host.py
+++ b/molespur/system/shards/host.py
@@ -172,7 +172,7 @@
 
     def members(self) -> list[pb.Member]:
         """The members of the configuration's group."""
-        return list(next(iter(self.groups.values())).replica.membership.members)
+        return list(next(iter(self.groups.values())).replica.log.membership.members)
 
     async def propose(self, name: str, data: bytes) -> object:
         """Put a command into the log; return what the state machine said once it is committed.
@@ -293,11 +293,11 @@
 
     def _maybe_compact(self, group: HostedGroup) -> None:
         replica = group.replica
-        behind = replica.applied_index - replica.snapshot.index
+        behind = replica.log.applied_index - replica.log.snapshot.index
         heavy = group.log_bytes > max(COMPACT_BYTES, 2 * group.machine.size)
         if behind >= COMPACT_ENTRIES or (heavy and behind > 1):
             group.log_bytes = 0
-            self._handle(group, raft.Compact(replica.applied_index, group.machine.snapshot()))
+            self._handle(group, raft.Compact(replica.log.applied_index, group.machine.snapshot()))
 
     # -- Membership of the groups --------------------------------------------------------------------
 
--- a/molespur/system/shards/membership_changes.py
+++ b/molespur/system/shards/membership_changes.py
@@ -23,7 +23,7 @@
         """The membership with this replica as a learner, without an earlier one at its address."""
         if replica.member(joining.replica_id) is not None:
             return None
-        kept = [m for m in replica.membership.members if m.rpc_address != joining.rpc_address]
+        kept = [m for m in replica.log.membership.members if m.rpc_address != joining.rpc_address]
         learner = pb.Member()
         learner.CopyFrom(joining)
         learner.voter = False
@@ -31,9 +31,9 @@
 
     def plan(self, replica: Replica, now: float) -> pb.Membership | None:
         """The next change that the group needs, one voter at a time; None when there is none."""
-        if not replica.membership_committed:
+        if not replica.log.membership_committed:
             return None
-        members = list(replica.membership.members)
+        members = list(replica.log.membership.members)
         voters = [m for m in members if m.voter]
         ready = [m for m in members if not m.voter and self._caught_up(replica, m, now)]
         if ready and len(voters) < self.voters_wanted:
@@ -58,7 +58,7 @@
         progress = replica.progress.get(member.replica_id)
         if progress is None or progress.match == 0:
             return False
-        near = progress.match + LAG_ENTRIES >= replica.last_index
+        near = progress.match + LAG_ENTRIES >= replica.log.last_index
         return near and self._silence(replica, member, now) < RECENT_MS
 
 
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -227,7 +227,7 @@
     new = group.wipe("10.0.0.8:1")
     group.run(12_000)
     assert new.replica.is_voter()
-    assert gone not in [m.rpc_address for m in new.replica.membership.members if m.voter]
+    assert gone not in [m.rpc_address for m in new.replica.log.membership.members if m.voter]
     settled(group, [b"before"])
 
 
@@ -246,11 +246,11 @@
     group.run(3000)
     leader = group.leader()
     two = pb.Membership(
-        members=[m for m in leader.replica.membership.members if m.replica_id == leader.replica.id]
+        members=[m for m in leader.replica.log.membership.members if m.replica_id == leader.replica.id]
     )
-    before = leader.replica.last_index
+    before = leader.replica.log.last_index
     leader.handle(raft.ChangeMembership(two))
-    assert leader.replica.last_index == before
+    assert leader.replica.log.last_index == before
 
 
 STEPS = st.lists(
@@ -340,11 +340,11 @@
         take(5_001.0, raft.Received(vote))
         take(5_002.0, raft.Persisted(max(written, default=0)))
     take(5_003.0, raft.Persisted(max(written)))
-    assert leader.role is raft.Role.LEADER and leader.last_index == 3
+    assert leader.role is raft.Role.LEADER and leader.log.last_index == 3
     answered(5_004.0, 4, 2)
-    assert leader.commit_index == 1, "two of three hold the old entry, and it may still be overwritten"
+    assert leader.log.commit_index == 1, "two of three hold the old entry, and it may still be overwritten"
     answered(5_005.0, 4, 3)
-    assert leader.commit_index == 3
+    assert leader.log.commit_index == 3
 
 
 def test_a_snapshot_of_what_a_follower_holds_costs_it_none_of_its_later_entries():
@@ -358,7 +358,7 @@
     message.install_snapshot.index, message.install_snapshot.term = 4, 2
     message.install_snapshot.membership.CopyFrom(first.membership)
     actions = follower.handle(5.0, raft.Received(message))
-    assert follower.last_index == 6
+    assert follower.log.last_index == 6
     assert [a.entry.index for a in actions if isinstance(a, raft.Apply)] == [2, 3, 4]
     assert not [a for a in actions if isinstance(a, raft.Restore)]
     (record,) = [a for a in actions if isinstance(a, raft.Persist)]
@@ -377,7 +377,7 @@
     message.install_snapshot.membership.CopyFrom(first.membership)
     message.install_snapshot.state = b"state"
     actions = follower.handle(5.0, raft.Received(message))
-    assert (follower.last_index, follower.commit_index) == (4, 4)
+    assert (follower.log.last_index, follower.log.commit_index) == (4, 4)
     assert [a.snapshot.state for a in actions if isinstance(a, raft.Restore)] == [b"state"]
     (record,) = [a for a in actions if isinstance(a, raft.Persist)]
     assert record.truncate_from == 0 and record.snapshot.index == 4
--- a/tests/system/virtual_group.py
+++ b/tests/system/virtual_group.py
@@ -95,8 +95,8 @@
             membership = self.planner.plan(self.replica, self.group.now)
             if membership is not None:
                 self.handle(raft.ChangeMembership(membership))
-        if self.replica.applied_index - self.replica.snapshot.index > 8:
-            self.handle(raft.Compact(self.replica.applied_index, self.machine.snapshot()))
+        if self.replica.log.applied_index - self.replica.log.snapshot.index > 8:
+            self.handle(raft.Compact(self.replica.log.applied_index, self.machine.snapshot()))
         if self.replica.member(self.replica.id) is None:
             self.group.ask_to_join(self)
 
