--- /dev/null
+++ b/molespur/system/control_plane/figures.py
@@ -0,0 +1,56 @@
+"""The figures of a control-plane process."""
+
+from collections import Counter
+
+from ..consensus.records import Role
+from ..feed.source import FeedSource
+from ..membership.schedulers import SchedulerMonitor
+from ..metrics import Metric, MetricKind, counter, gauge
+from ..rpc import molespur_pb2 as pb
+from ..shards.host import HostedGroup, ReplicaHost
+from ..shards.placement import CONFIGURATION, WORKER_GROUPS
+
+
+def metrics(
+    host: ReplicaHost,
+    feed: FeedSource,
+    schedulers: SchedulerMonitor,
+    orders_given: Counter[tuple[str, str]],
+    failed_writes: int,
+    now: float,
+) -> list[Metric]:
+    """All figures as they are now; `now` in ms on the steady clock."""
+    workers = Counter(
+        (worker.service, pb.WorkerState.Name(worker.state).lower())
+        for name in WORKER_GROUPS
+        for worker in host.groups[name].machine.workers.values()
+    )
+    return [
+        _by_shard(host, "shard_leader", "1 where this process leads the shard.",
+                  lambda group: group.replica.role is Role.LEADER),
+        _by_shard(host, "shard_term", "Term of consensus.", lambda group: group.replica.hard_state.term),
+        _by_shard(host, "shard_commit_index", "Last committed entry.",
+                  lambda group: group.replica.log.commit_index),
+        _by_shard(host, "shard_unsynced_entries", "Entries of the log that are not on this disk yet.",
+                  lambda group: group.replica.log.last_index - group.replica.log.durable_index),
+        _by_shard(host, "shard_voters", "Voting members.", lambda group: len(group.replica.voters())),
+        _by_shard(host, "shard_leader_silence_ms", "Time since the leader was heard of, ms.",
+                  lambda group: min(group.replica.leader_silence(now), 1e9)),
+        gauge("configuration_version", "Newest version that is known here; 0 before the first.",
+              host.groups[CONFIGURATION].machine.version),
+        Metric("workers", MetricKind.GAUGE, "Workers by service and state.", ("service", "state"),
+               dict(workers)),
+        gauge("schedulers", "Schedulers heard of lately by any monitor.", len(schedulers.alive(now))),
+        gauge("feed_followers", "Schedulers that follow the feed here.", len(feed.followers)),
+        Metric("orders", MetricKind.COUNTER, "Orders given to workers, by part and outcome.",
+               ("part", "outcome"), dict(orders_given)),
+        counter("disk_failed_writes", "Tries to write to the disk that have failed.", failed_writes),
+    ]  # fmt: skip
+
+
+def _by_shard(host: ReplicaHost, name: str, description: str, of) -> Metric:
+    def value(group: HostedGroup) -> float:
+        return float(of(group))
+
+    values = {(group.name,): value(group) for group in host.groups.values()}
+    return Metric(name, MetricKind.GAUGE, description, ("shard",), values)
--- a/molespur/system/control_plane/http.py
+++ b/molespur/system/control_plane/http.py
@@ -1,9 +1,12 @@
 """HTTP of the control plane: registrations of workers, and the operator's configuration."""
 
+from collections.abc import Callable
+
 from absl import logging
 from quart import Quart, Response, request
 
 from ..errors import ErrorKind, FleetError
+from ..metrics import CONTENT_TYPE, Metric, exposition
 from ..serving import serve
 from .calls import ControlCalls, worker_from_registration
 
@@ -18,7 +21,7 @@
     return Response(f"{error.detail or error.kind.value}\n", error.answer.status, content_type="text/plain")
 
 
-def create_app(calls: ControlCalls) -> Quart:
+def create_app(calls: ControlCalls, metrics: Callable[[], list[Metric]]) -> Quart:
     """The control plane's interface."""
     app = Quart("molespur")
     app.config["MAX_CONTENT_LENGTH"] = MAX_CONFIGURATION_BYTES
@@ -67,4 +70,8 @@
     async def ready() -> Response:
         return Response("ok\n")
 
+    @app.get("/api/metrics")
+    async def figures() -> Response:
+        return Response(exposition(metrics()), content_type=CONTENT_TYPE)
+
     return app
--- a/molespur/system/control_plane/orders.py
+++ b/molespur/system/control_plane/orders.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+from collections import Counter
 from collections.abc import Callable
 
 from absl import logging
@@ -42,6 +43,7 @@
         self.clock = clock
         self.owner_since: dict[str, float] = {}
         self.planners: dict[tuple[str, str], PhasePlanner] = {}  # by group and service
+        self.given: Counter[tuple[str, str]] = Counter()  # (part, status or "no answer")
         self._client = None  # made with the first order: most processes never give one
         self._tasks: set[asyncio.Task] = set()
 
@@ -90,8 +92,10 @@
             )
         except httpx.HTTPError as error:
             logging.warning("order to %s: %r", worker.id, error)
+            self.given[order.phase, "no answer"] += 1
             return
         logging.info("%s ordered to %s: %d", worker.id, order.phase, response.status_code)
+        self.given[order.phase, str(response.status_code)] += 1
         if response.status_code not in TAKEN:
             return
         liveness = self.calls.liveness[group]
--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -8,6 +8,7 @@
 
 from ..feed.source import FeedSource
 from ..membership.schedulers import SchedulerMonitor
+from ..metrics import Metric
 from ..rpc import molespur_pb2 as pb
 from ..rpc.channel import Channel
 from ..settings.process import ProcessSettings
@@ -19,6 +20,7 @@
 from ..storage.writer import DiskWriter
 from ..workers.directory import WorkerDirectory
 from .calls import ControlCalls
+from .figures import metrics
 from .orders import PhaseOrders
 
 LOOK_S = 0.1
@@ -52,6 +54,11 @@
         self.host.on_frame = self._frame
         self._tasks: set[asyncio.Task] = set()
 
+    def metrics(self) -> list[Metric]:
+        """All figures as they are now."""
+        failed_writes = self.host.writer.failures if self.host.writer is not None else 0
+        return metrics(self.host, self.feed, self.schedulers, self.orders.given, failed_writes, clock())
+
     async def run(self) -> None:
         """Serve until told to stop."""
         stop = wait_for_stop()
@@ -71,7 +78,9 @@
 
     async def _serve(self, served: asyncio.Event) -> None:
         http = await imported("molespur.system.control_plane.http")
-        await http.serve(http.create_app(self.calls), self.settings.listen["ControlPlane"], served)
+        await http.serve(
+            http.create_app(self.calls, self.metrics), self.settings.listen["ControlPlane"], served
+        )
 
     async def _leave(self, stop, served, ended, http) -> None:
         """Wait to be told to stop, then hand over what this process leads."""
--- a/molespur/system/data_plane/client_call.py
+++ b/molespur/system/data_plane/client_call.py
@@ -17,6 +17,7 @@
 from .events import EventFilter
 from .exchange import Exchange, Failure
 from .patience import Patience, patience
+from .request_counts import WORKER
 from .upstream import (
     ATTEMPT_ID,
     EXPECTED_INSTANCE,
@@ -101,21 +102,23 @@
         meter.running += step.part is not Part.PREFILL
         self.ingress.state.peer_work.placed(step.worker, self.demand.shared)
         self.ingress.state.peer_work.touch(step.worker)
-        failed = True
+        failed, outcome = True, "unknown"
         expected = (step.part.value, step.worker.id, step.run, step.wait, step.forecast)
         try:
             event = await call(step, key, begun, *arguments)
             failed = isinstance(event, machine.AnswerBroken)
+            outcome = "broken" if failed else "answered"
             return event
         except UpstreamError as error:
-            failed = error.failure is not Failure.REJECTED
+            failed, outcome = error.failure is not Failure.REJECTED, error.failure.value
             logging.vlog(1, "%s at %s: %s", self.request.attempt_id.decode("latin1"), step.worker.id, error)
             return machine.AnswerBroken() if self.head_sent else machine.AttemptFailed(error.failure)
         except asyncio.CancelledError:
-            failed = False
+            failed, outcome = False, "cancelled"
             raise
         finally:
             now = self.clock()
+            self.ingress.counts.calls[step.part.value, outcome] += 1
             self.policy.ended(now, step, key, failed, now - begun)
             meter.running -= step.part is not Part.PREFILL
             self.ingress.state.peer_work.touch(step.worker)
@@ -271,6 +274,7 @@
 
     async def _send_head(self, head: Head, length: int | None) -> None:
         self.head_sent = True
+        self.ingress.counts.answers[str(head.status), WORKER] += 1
         headers = [(k, v) for k, v in head.headers if k not in NOT_FORWARDED and k != b"content-length"]
         if length is not None:
             headers.append((b"content-length", str(length).encode()))
--- /dev/null
+++ b/molespur/system/data_plane/figures.py
@@ -0,0 +1,71 @@
+"""The figures of a data-plane process."""
+
+from collections import Counter
+from collections.abc import Callable
+
+from ..feed.follower import FeedFollower
+from ..metrics import Metric, MetricKind, counter, gauge
+from .request_counts import RequestCounts
+from .state import DataPlaneState
+from .upstream import Upstreams
+
+
+def metrics(
+    state: DataPlaneState,
+    counts: RequestCounts,
+    upstreams: Upstreams,
+    follower: FeedFollower,
+    open_requests: Callable[[], int],
+) -> list[Metric]:
+    """All figures as they are now."""
+    workers = Counter()
+    for service, tracks in state.workers.items():
+        for track in tracks.values():
+            workers[service, _state(track)] += 1
+    unfinished = {
+        (service,): float(sum(track.unfinished for track in tracks.values()))
+        for service, tracks in state.workers.items()
+    }
+    return [
+        Metric(
+            "answers",
+            MetricKind.COUNTER,
+            "Answers to clients, by status and source: a worker, or an error kind of the data plane.",
+            ("status", "source"),
+            dict(counts.answers),
+        ),
+        Metric(
+            "worker_calls",
+            MetricKind.COUNTER,
+            "Calls to workers that have ended, by part and outcome.",
+            ("part", "outcome"),
+            dict(counts.calls),
+        ),
+        counter("worker_connections_opened", "Connections opened to workers.", upstreams.opened),
+        gauge("open_requests", "Requests of clients under way.", open_requests()),
+        gauge("configuration_version", "Version in force; 0 before the first.", _version(state)),
+        gauge("schedulers", "Schedulers that the control plane has told of.", state.schedulers),
+        Metric(
+            "workers", MetricKind.GAUGE, "Workers by service and state.", ("service", "state"), dict(workers)
+        ),
+        Metric("unfinished_calls", MetricKind.GAUGE, "Own calls under way.", ("service",), unfinished),
+        Metric(
+            "feed_offset",
+            MetricKind.GAUGE,
+            "Offset up to which each shard has been told.",
+            ("shard",),
+            {(group,): float(offset) for group, offset in follower.offsets.items()},
+        ),
+        gauge("feed_leader_silence_ms", "How long a leader behind the feed has been silent, ms.",
+              follower.leader_silence_ms),
+    ]  # fmt: skip
+
+
+def _state(track) -> str:
+    if not track.usable:
+        return "unusable"
+    return "silent" if track.silent else "usable"
+
+
+def _version(state: DataPlaneState) -> int:
+    return state.configuration.version if state.configuration else 0
--- a/molespur/system/data_plane/http.py
+++ b/molespur/system/data_plane/http.py
@@ -5,6 +5,7 @@
 
 from quart import Quart, Response
 
+from ..metrics import CONTENT_TYPE, Metric, exposition
 from ..serving import serve
 from .client_call import AnswerCut
 from .client_server import ClientServer
@@ -34,10 +35,14 @@
         self.ingress = ingress
 
 
-def readiness_app(ready: Callable[[], bool]) -> Quart:
-    """Answers the platform whether clients should come here."""
+def readiness_app(ready: Callable[[], bool], metrics: Callable[[], list[Metric]]) -> Quart:
+    """Answers the platform whether clients should come here, and Prometheus."""
     app = Quart("molespur")
 
+    @app.get("/api/metrics")
+    async def figures() -> Response:
+        return Response(exposition(metrics()), content_type=CONTENT_TYPE)
+
     @app.get("/api/readyz")
     async def readiness() -> Response:
         return Response("ready\n") if ready() else Response("not ready\n", 503)
--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -9,6 +9,7 @@
 from ..settings.configuration import Route, Service
 from .client_call import ClientCall
 from .client_request import ClientRequest, demand_of, read_head
+from .request_counts import RequestCounts
 from .state import DataPlaneState
 from .upstream import UpstreamError, Upstreams
 
@@ -25,6 +26,7 @@
         self.stopping = False
         self.open_requests = 0
         self.keys = count()  # of calls to workers
+        self.counts = RequestCounts()
         self._background: set[asyncio.Task] = set()
 
     async def serve(self, scope, receive, send) -> None:
@@ -106,6 +108,7 @@
     async def answer(self, send, kind: ErrorKind) -> None:
         """Answer by ourselves."""
         answer = ANSWERS[kind]
+        self.counts.answers[str(answer.status), kind.value] += 1
         headers = [(b"content-length", b"0")]
         if answer.retry_after_s is not None:
             headers.append((b"retry-after", f"{answer.retry_after_s:.3f}".encode()))
--- a/molespur/system/data_plane/pool.py
+++ b/molespur/system/data_plane/pool.py
@@ -62,6 +62,7 @@
         self._network = WorkerNetwork()
         self.limit = limit
         self.open = 0
+        self.opened = 0  # so far
         self._resting: list[PooledConnection] = []  # the one that has rested least is last
         self._waiting: deque[asyncio.Future] = deque()
         self._closing: set[asyncio.Task] = set()
@@ -141,6 +142,7 @@
         self.open += 1
         try:
             host, port = self._origin.host.decode("ascii"), self._origin.port
+            self.opened += 1
             stream = await self._network.connect_tcp(host, port, timeout=CONNECT_TIMEOUT_S)
         except BaseException:
             self.open -= 1
--- a/molespur/system/data_plane/role.py
+++ b/molespur/system/data_plane/role.py
@@ -7,8 +7,10 @@
 from absl import logging
 
 from ..feed.follower import FeedFollower
+from ..metrics import Metric
 from ..settings.process import ProcessSettings
 from ..signals import SettingsWatch, imported, unexpected_end, until_stop, wait_for_stop
+from .figures import metrics
 from .ingress import Ingress
 from .peers import PeerSocket
 from .reports import ReportPoller
@@ -45,6 +47,13 @@
         """Whether clients should come here."""
         return not self.stopping and self.state.configuration is not None
 
+    def metrics(self) -> list[Metric]:
+        """All figures as they are now."""
+        ingress = self.ingress
+        return metrics(
+            self.state, ingress.counts, self.upstreams, self.follower, lambda: ingress.open_requests
+        )
+
     async def run(self) -> None:
         """Serve until told to stop, and then until what was taken is answered."""
         stop = wait_for_stop()
@@ -74,7 +83,8 @@
 
     async def _serve_readiness(self, ended: asyncio.Event) -> None:
         http = await imported("molespur.system.data_plane.http")
-        await http.serve(http.readiness_app(self.ready), self.settings.listen["Readiness"], ended)
+        app = http.readiness_app(self.ready, self.metrics)
+        await http.serve(app, self.settings.listen["Readiness"], ended)
 
     async def _leave(self, stop, closing, ended, ingress, readiness) -> None:
         """Wait to be told to stop, then serve on until the platform sends nobody any more."""
--- a/molespur/system/data_plane/upstream.py
+++ b/molespur/system/data_plane/upstream.py
@@ -119,6 +119,12 @@
 
     def __init__(self):
         self._transports: dict[str, WorkerTransport] = {}
+        self._opened_to_forgotten = 0
+
+    @property
+    def opened(self) -> int:
+        """How many connections were opened so far, or tried to."""
+        return self._opened_to_forgotten + sum(t.pool.opened for t in self._transports.values())
 
     def _transport(self, address: str, connections: int) -> WorkerTransport:
         transport = self._transports.get(address)
@@ -164,4 +170,5 @@
         """Close the connections to a worker that is gone."""
         transport = self._transports.pop(address, None)
         if transport is not None:
+            self._opened_to_forgotten += transport.pool.opened
             await transport.aclose()
--- a/molespur/system/storage/writer.py
+++ b/molespur/system/storage/writer.py
@@ -28,6 +28,7 @@
         self._waiting: deque[tuple[str, Persist]] = deque()
         self._wake = threading.Condition()
         self._stopped = False
+        self.failures = 0  # writes that have failed so far, tries included
         self._thread = threading.Thread(target=self._run, name="disk-writer", daemon=True)
         self._thread.start()
 
@@ -68,6 +69,7 @@
                 if not failed:
                     logging.error("disk: a write of %d records failed, trying again: %s", len(batch), error)
                 failed = True
+                self.failures += 1
                 with self._wake:
                     if self._stopped:
                         return False
--- a/tests/system/control.py
+++ b/tests/system/control.py
@@ -1,10 +1,14 @@
 """A control plane of one process in a test: a clock that the test moves, writes that are done at once."""
 
 import asyncio
+from collections import Counter
 from random import Random
 
 from molespur.system.control_plane.calls import ControlCalls
+from molespur.system.control_plane.figures import metrics
 from molespur.system.control_plane.http import create_app
+from molespur.system.feed.source import FeedSource
+from molespur.system.membership.schedulers import SchedulerMonitor
 from molespur.system.settings.process import ProcessSettings
 from molespur.system.shards.configuration import ConfigurationMachine
 from molespur.system.shards.host import ReplicaHost
@@ -55,11 +59,17 @@
         self.host.start(InlineWriter(self.host))
         self.calls = ControlCalls(self.host, lambda: self.now, 1000.0)
         self.host.on_role = lambda group: self.host.leads(group) and self.calls.became_owner(group)
-        self.client = create_app(self.calls).test_client()
+        self.client = create_app(self.calls, self.metrics).test_client()
         self.told = []
         self.host.on_change = lambda group, index, payload: self.told.append((group, index, payload))
         self.pass_time(3000.0)
 
+    def metrics(self):
+        orders = Counter({("prefill", "202"): 2})
+        return metrics(
+            self.host, FeedSource(self.host, lambda: self.now), SchedulerMonitor(), orders, 3, self.now
+        )
+
     def pass_time(self, ms):
         """Let the clock run on."""
         until = self.now + ms
--- /dev/null
+++ b/tests/system/test_metrics.py
@@ -0,0 +1,102 @@
+"""The figures that each role tells in Prometheus' format."""
+
+import json
+from types import SimpleNamespace
+
+import pytest
+from control import OneControlPlane
+from prometheus_client.parser import text_string_to_metric_families
+from wire import Client, ScriptedWorker, answer, data_plane, not_executed, request, run
+
+from molespur.system import metrics
+from molespur.system.data_plane import figures
+from molespur.system.data_plane.http import readiness_app
+from molespur.system.metrics import Metric, MetricKind, counter, exposition, gauge
+
+
+def read(text):
+    """{(name, (label, value), ...): value} of an exposition."""
+    samples = {}
+    for family in text_string_to_metric_families(text.decode()):
+        for sample in family.samples:
+            samples[sample.name, *sorted(sample.labels.items())] = sample.value
+    return samples
+
+
+def test_figures_are_written_as_prometheus_reads_them():
+    odd = Metric("odd", MetricKind.GAUGE, 'what "it" is\nin two lines', ("name",), {('a"b\\c\n',): 1.5})
+    text = exposition([counter("calls", "Calls.", 3), gauge("level", "Level.", -2.5), odd])
+    assert read(text) == {
+        ("molespur_calls_total",): 3.0,
+        ("molespur_level",): -2.5,
+        ("molespur_odd", ("name", 'a"b\\c\n')): 1.5,
+    }
+    assert b"# TYPE molespur_calls_total counter" in text and b"# HELP molespur_level Level." in text
+
+
+def test_the_library_is_not_imported_before_it_is_asked_for():
+    assert "prometheus_client" not in vars(metrics)
+
+
+def configuration():
+    route = {"Name": "r", "Host": "shop.example", "PathPrefix": "/p/", "Type": "idempotent", "Service": "s"}
+    route.update({"TimeoutMs": 5000, "TargetLatencyMs": 300, "MaxAttempts": 2})
+    services = [{"Name": "s", "MaxConnections": 50}]
+    return json.dumps({"Version": 4, "Routes": [route], "Services": services}).encode()
+
+
+def test_a_data_plane_counts_answers_calls_and_connections():
+    async def scenario():
+        worker = ScriptedWorker("w", answer, not_executed, answer)
+        follower = SimpleNamespace(offsets={"configuration": 7}, leader_silence_ms=30.0)
+        async with data_plane(configuration(), worker) as (port, ingress):
+            client = await Client.connect(port)
+            for sent in (request(), request(path=b"/none"), request()):
+                await client.send(sent)
+                await client.response()
+
+            def told():
+                return figures.metrics(ingress.state, ingress.counts, ingress.upstreams, follower, lambda: 0)
+
+            asked = await readiness_app(lambda: True, told).test_client().get("/api/metrics")
+            assert asked.status_code == 200 and asked.content_type == metrics.CONTENT_TYPE
+            samples = read(await asked.get_data())
+        assert samples["molespur_answers_total", ("source", "worker"), ("status", "200")] == 1
+        assert samples["molespur_answers_total", ("source", "no-route"), ("status", "404")] == 1
+        assert samples["molespur_answers_total", ("source", "rejected"), ("status", "503")] == 1
+        assert samples["molespur_worker_calls_total", ("outcome", "answered"), ("part", "plain")] == 1
+        assert samples["molespur_worker_calls_total", ("outcome", "rejected"), ("part", "plain")] == 1
+        assert samples["molespur_worker_connections_opened_total",] == 1
+        assert samples["molespur_configuration_version",] == 4
+        assert samples["molespur_workers", ("service", "s"), ("state", "usable")] == 1
+        assert samples["molespur_unfinished_calls", ("service", "s")] == 0
+        assert samples["molespur_feed_offset", ("shard", "configuration")] == 7
+        assert samples["molespur_feed_leader_silence_ms",] == 30
+
+    run(scenario())
+
+
+@pytest.fixture
+def plane(tmp_path):
+    made = OneControlPlane(tmp_path)
+    yield made
+    made.close()
+
+
+def test_a_control_plane_tells_of_its_shards_and_workers(plane):
+    assert plane.put(configuration(), 0)[0] == 200
+    beat = {"Service": "s", "Address": "10.0.1.1:80", "Zone": "a", "State": "ready", "Capacity": 4}
+    assert plane.call("PUT", "/api/instances/w-1", json.dumps(beat).encode())[0] == 200
+    status, text = plane.call("GET", "/api/metrics")
+    assert status == 200
+    samples = read(text)
+    for shard in plane.host.groups:
+        assert samples["molespur_shard_leader", ("shard", shard)] == 1
+        assert samples["molespur_shard_voters", ("shard", shard)] == 1
+        assert samples["molespur_shard_unsynced_entries", ("shard", shard)] == 0
+        assert samples["molespur_shard_leader_silence_ms", ("shard", shard)] == 0
+    assert samples["molespur_shard_commit_index", ("shard", "configuration")] >= 3
+    assert samples["molespur_configuration_version",] == 4
+    assert samples["molespur_workers", ("service", "s"), ("state", "ready")] == 1
+    assert samples["molespur_orders_total", ("outcome", "202"), ("part", "prefill")] == 2
+    assert samples["molespur_disk_failed_writes_total",] == 3
--- a/tests/system/virtual_fleet.py
+++ b/tests/system/virtual_fleet.py
@@ -175,7 +175,7 @@
         self.plane = role.ControlPlane(settings)
         self.plane.host._dial = self._dial
         self.plane.host.start(Writer(fleet, self))
-        self.client = create_app(self.plane.calls).test_client()
+        self.client = create_app(self.plane.calls, self.plane.metrics).test_client()
         self.tasks = [fleet.loop.create_task(c) for c in (self.plane.host.run(), self.plane._repeat())]
 
     def _dial(self, address):
