--- a/molespur/system/client/cli.py
+++ b/molespur/system/client/cli.py
@@ -1,10 +1,13 @@
 """molespur system: look at a running router fleet, and change its configuration.
 
 Usage:
-  molespur system (status | workers | members | feed) [--settings=FILE] [--json]
+  molespur system (status | workers | members | feed | shards) [--settings=FILE] [--json]
   molespur system config get [--settings=FILE]
   molespur system config put FILE [--on=VERSION] [--settings=FILE]
   molespur system config diff FILE [--settings=FILE]
+  molespur system check (settings | configuration) FILE
+  molespur system snapshot save FILE [--settings=FILE]
+  molespur system snapshot look PATH [--json]
   molespur system demo [--rate=PER_SECOND] [--seconds=SECONDS] [--json]
   molespur system --help
 
@@ -13,9 +16,13 @@
   workers      every registered worker with its part and state
   members      the processes of the control plane
   feed         the offset up to which each shard has been told
+  shards       each shard at each process of the control plane: who leads, terms, how far it is
   config get   print the configuration in force
   config put   check a configuration and put it in force on top of the current version
   config diff  compare a file with the configuration in force
+  check        tell whether a settings file or a configuration can be used, with the line at fault
+  snapshot save  keep configuration, workers and offsets of a running fleet in a file
+  snapshot look  show such a file, or what the DataDirectory of a stopped control-plane process holds
   demo         start a small fleet on this machine with stand-in workers, send traffic, lose a control-plane
                process and a worker, and show second by second what clients met
 
@@ -40,8 +47,10 @@
 from ..errors import ErrorKind, FleetError
 from ..settings import configuration as operator_configuration
 from ..settings import process
-from . import report
+from ..settings.position import line_of
+from . import report, snapshot
 from .configuration import ConfigurationClient, difference, version_of
+from .shards import shard_rows
 from .state import read_state
 
 DONE, FAILED, WRONG_USAGE, DIFFERENT = 0, 1, 2, 3
@@ -70,7 +79,21 @@
 def _run(options: dict) -> int:
     if options["demo"]:
         return _demo(options)
+    if options["check"]:
+        return _check(Path(options["FILE"]), of_process=options["settings"])
+    if options["look"]:
+        print(report.render(snapshot.look(Path(options["PATH"])), options["--json"]))
+        return DONE
     settings = _settings(options["--settings"])
+    if options["save"]:
+        state = asyncio.run(read_state(settings.seed_rpc_addresses()))
+        print(report.render(snapshot.save(state, Path(options["FILE"])), as_json=False))
+        return DONE
+    if options["shards"]:
+        state = asyncio.run(read_state(settings.seed_rpc_addresses()))
+        members = [row["control"] for row in report.member_rows(state) if row["control"] != "-"]
+        print(report.render(shard_rows(members), options["--json"]))
+        return DONE
     if not options["config"]:
         name = next(name for name in REPORTS if options[name])
         state = asyncio.run(read_state(settings.seed_rpc_addresses()))
@@ -89,6 +112,23 @@
     return _put(client, body, proposed, options["--on"])
 
 
+def _check(path: Path, of_process: bool) -> int:
+    """Print what is wrong with a file, and where."""
+    text = path.read_text()
+    try:
+        if of_process:
+            process.parse(text)
+        else:
+            operator_configuration.parse(text.encode())
+    except FleetError as error:
+        line = line_of(text, error.detail.partition(":")[0])
+        at = f"{path}:{line}" if line is not None else str(path)
+        print(f"{at}: {error.detail}", file=sys.stderr)
+        return WRONG_USAGE
+    print(f"{path}: can be used")
+    return DONE
+
+
 def _demo(options: dict) -> int:
     rate, seconds = _number(options, "--rate", 500.0), _number(options, "--seconds", 600.0)
     from ..demo.run import run_demo
--- a/tests/system/test_operator_client.py
+++ b/tests/system/test_operator_client.py
@@ -10,9 +10,11 @@
 
 import httpx
 import pytest
+from control import OneControlPlane
 
 from molespur.system.client import cli, report
 from molespur.system.client.configuration import ConfigurationClient, difference
+from molespur.system.client.shards import shard_rows
 from molespur.system.client.state import FleetState
 from molespur.system.errors import ErrorKind, FleetError
 from molespur.system.rpc import molespur_pb2 as pb
@@ -199,6 +201,89 @@
     assert told["configuration"] == 3 and told["missing"] == [] and told["control_plane"] == 1
     assert cli.main(["members", given]) == cli.DONE
     assert "127.0.14.1:19146" in capsys.readouterr().out
+    assert cli.main(["shards", "--json", given]) == cli.DONE
+    rows = json.loads(capsys.readouterr().out)
+    assert [row["shard"] for row in rows] == sorted([CONFIGURATION, *WORKER_GROUPS])
+    assert {(row["process"], row["leader"], row["voters"]) for row in rows} == {("127.0.14.1:19146", 1, 1)}
+    kept = tmp_path / "kept.json"
+    assert cli.main(["snapshot", "save", str(kept), given]) == cli.DONE
+    capsys.readouterr()
+    assert cli.main(["snapshot", "look", str(kept), "--json"]) == cli.DONE
+    looked = json.loads(capsys.readouterr().out)
+    assert looked["configuration"] == 3 and set(looked["offsets"]) == {CONFIGURATION, *WORKER_GROUPS}
+    assert json.loads(kept.read_text())["configuration"]["Version"] == 3
+
+
+def test_a_disk_is_looked_at_without_its_process(tmp_path, capsys):
+    plane = OneControlPlane(tmp_path / "disk")
+    assert plane.put(json.dumps(configuration(2)).encode(), 0)[0] == 200
+    plane.close()
+    assert cli.main(["snapshot", "look", str(tmp_path / "disk"), "--json"]) == cli.DONE
+    rows = {row["shard"]: row for row in json.loads(capsys.readouterr().out)}
+    assert set(rows) == {CONFIGURATION, *WORKER_GROUPS}
+    told = rows[CONFIGURATION]
+    assert (told["replica"], told["members"], told["snapshot"]) == ("10.0.0.1:7000#0", "10.0.0.1:7000#0", 1)
+    assert told["term"] >= 2 and told["last"] == 3, "the first membership, a leader's own entry, a change"
+
+
+@pytest.mark.parametrize("text", ["", "{}", '{"format": 9}', "[1]"])
+def test_what_is_no_snapshot_is_refused(tmp_path, capsys, text):
+    (tmp_path / "file").write_text(text)
+    assert cli.main(["snapshot", "look", str(tmp_path / "file")]) == cli.WRONG_USAGE
+    assert cli.main(["snapshot", "look", str(tmp_path)]) == cli.WRONG_USAGE
+    assert cli.main(["snapshot", "look", str(tmp_path / "none")]) == cli.WRONG_USAGE
+    assert capsys.readouterr().err.count("molespur: ") == 3
+
+
+def test_shards_are_read_from_each_process_that_answers():
+    def answer(request):
+        if request.url.host == "10.0.0.2":
+            raise httpx.ConnectError("down")
+        if request.url.host == "10.0.0.3":
+            return httpx.Response(404)
+        lines = ['molespur_shard_leader{shard="s-1"} 1.0', 'molespur_shard_term{shard="s-1"} 4.0']
+        return httpx.Response(200, text="\n".join([*lines, "molespur_schedulers 2.0", ""]))
+
+    rows = shard_rows(["10.0.0.3:80", "10.0.0.2:80", "10.0.0.1:80"], httpx.MockTransport(answer))
+    assert [row["process"] for row in rows] == ["10.0.0.2:80", "10.0.0.3:80", "10.0.0.1:80"]
+    assert rows[0]["leader"] == "not read: ConnectError" and rows[1]["leader"] == "not read: HTTPStatusError"
+    assert (rows[2]["shard"], rows[2]["leader"], rows[2]["term"], rows[2]["voters"]) == ("s-1", 1, 4, "?")
+
+
+# -- Files -----------------------------------------------------------------------------------------
+
+GOOD_SETTINGS = 'NodeName: a\nIp: "10.0.0.1"\nZone: z\nPortRange: [1, 2]\nSeedNodes: []\n'
+
+
+@pytest.mark.parametrize(
+    ("kind", "text", "line", "problem"),
+    [
+        ("settings", GOOD_SETTINGS, None, ""),
+        ("settings", GOOD_SETTINGS.replace("2]", "x]"), 4, "PortRange[1]"),
+        ("settings", GOOD_SETTINGS + "Bounds:\n  LeaseMs: soon\n", 7, "Bounds.LeaseMs"),
+        ("settings", GOOD_SETTINGS + "Listen: ]\nx: 1\n", 6, "not YAML"),
+        ("settings", "NodeName: a\n", 1, "Ip"),
+        ("configuration", json.dumps(configuration(1), indent=1), None, ""),
+        ("configuration", json.dumps(configuration(0), indent=1), 2, "Version"),
+        (
+            "configuration",
+            json.dumps(configuration(1), indent=1).replace('"s"', '"t"', 1),
+            9,
+            "unknown service",
+        ),
+        ("configuration", '{"Version": 3,\n', 2, "not JSON"),
+    ],
+)
+def test_a_file_is_checked_and_the_line_at_fault_named(tmp_path, capsys, kind, text, line, problem):
+    path = tmp_path / "file"
+    path.write_text(text)
+    code = cli.main(["check", kind, str(path)])
+    said = capsys.readouterr()
+    assert code == (cli.DONE if line is None else cli.WRONG_USAGE)
+    if line is None:
+        assert said.out == f"{path}: can be used\n"
+    else:
+        assert said.err.startswith(f"{path}:{line}: ") and problem in said.err
 
 
 def test_a_fleet_that_is_not_there_and_files_that_cannot_be_used(tmp_path, capsys):
