--- a/molespur/system/data_plane/client_server.py
+++ b/molespur/system/data_plane/client_server.py
@@ -37,7 +37,7 @@
         self._cancel()
         self.waiting, self.head_due = True, None
         loop = asyncio.get_running_loop()
-        self._resting = loop.call_later(self._limits().idle_timeout_ms / 1000.0, self._close)
+        self._resting = loop.call_later(self._limits().idle_timeout_s, self._close)
 
     async def stop(self) -> None:
         """A whole head has come, or the connection has ended."""
@@ -49,7 +49,7 @@
         if self.waiting and self.head_due is None:
             self._cancel()
             now = asyncio.get_running_loop().time()
-            self.head_due = now + self._limits().header_timeout_ms / 1000.0
+            self.head_due = now + self._limits().header_timeout_s
 
     def _cancel(self) -> None:
         if self._resting is not None:
--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -71,7 +71,7 @@
         limit = limits.max_body_bytes
         chunks, size = [], 0
         try:
-            async with asyncio.timeout(min(limits.idle_timeout_ms, deadline_ms) / 1000.0):
+            async with asyncio.timeout(min(limits.idle_timeout_s, deadline_ms / 1000.0)):
                 while True:
                     message = await receive()
                     if message["type"] == "http.disconnect":
--- a/molespur/system/settings/configuration.py
+++ b/molespur/system/settings/configuration.py
@@ -82,6 +82,16 @@
     header_timeout_ms: float = 5000.0
     idle_timeout_ms: float = 15_000.0
 
+    @property
+    def header_timeout_s(self) -> float:
+        """Seconds for a request's headers; without end where the operator says 0."""
+        return self.header_timeout_ms / 1000.0 if self.header_timeout_ms > 0 else float("inf")
+
+    @property
+    def idle_timeout_s(self) -> float:
+        """Seconds of silence that a client may keep; without end where the operator says 0."""
+        return self.idle_timeout_ms / 1000.0 if self.idle_timeout_ms > 0 else float("inf")
+
 
 @define
 class Configuration:
--- a/tests/system/test_client_limits.py
+++ b/tests/system/test_client_limits.py
@@ -106,6 +106,18 @@
     limits_test(scenario, after_the_limits, header_ms=SHORT_MS, idle_ms=SHORT_MS)
 
 
+def test_limits_of_0_bound_nothing():
+    async def scenario(client, _worker):
+        await client.send(request(body=b"12")[:20])
+        await client.send(request(body=b"12")[20:-1])
+        await client.send(request(body=b"12")[-1:])
+        assert (await client.response())[0] == 200
+        await client.send(request())
+        assert (await client.response())[0] == 200
+
+    limits_test(scenario, header_ms=0, idle_ms=0)
+
+
 def test_resting_connections_do_not_hold_up_an_end():
     async def scenario():
         worker = ScriptedWorker("w", answer)
