Bound what monitors tell each other at once

Now 40 at most a report, those untold longest first, and all within eight reports; a monitor's word stands 5 s. Small sites: unchanged, all in each report. Tests for 12 to 800 schedulers (test_control_parts). Bytes not measured yet.

--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -144,7 +144,7 @@
                 self._feed_heartbeat()
             if now - reported >= REPORT_S * 1000:
                 reported = now
-                report = pb.Frame(monitor_report=pb.MonitorReport(alive=self.schedulers.own(now)))
+                report = pb.Frame(monitor_report=pb.MonitorReport(alive=self.schedulers.news(now)))
                 for dialer in self.host.dialers.values():
                     dialer.send(report)
             if now - looked >= SILENCE_CHECK_S * 1000:
--- a/molespur/system/membership/schedulers.py
+++ b/molespur/system/membership/schedulers.py
@@ -6,6 +6,8 @@
 
 ALIVE_MS = 3500.0  # a scheduler not heard of for this long has failed
 REPORT_MS = 5000.0  # a monitor's word stands this long
+MOST_TOLD = 40  # schedulers in one report to another monitor,
+ROUND_REPORTS = 8  # or so many that all are told within this many reports
 
 
 @dataclass(slots=True)
@@ -23,6 +25,7 @@
     started_at: float = 0.0
     heard: dict[str, Report] = field(default_factory=dict)
     told: dict[str, Report] = field(default_factory=dict)
+    passed_on: dict[str, float] = field(default_factory=dict)  # when the others were last told of a scheduler
 
     def heartbeat(self, now: float, beat: pb.SchedulerHeartbeat) -> None:
         """A scheduler has said that it lives, or that it leaves."""
@@ -41,6 +44,17 @@
         self.heard = {node: report for node, report in self.heard.items() if now - report.at < ALIVE_MS}
         return [report.beat for report in self.heard.values()]
 
+    def news(self, now: float) -> list[pb.SchedulerHeartbeat]:
+        """What the other monitors are told now: all that is heard here or, of many, those longest untold."""
+        beats = self.own(now)
+        most = max(MOST_TOLD, -(-len(beats) // ROUND_REPORTS))
+        if len(beats) > most:
+            beats.sort(key=lambda beat: self.passed_on.get(beat.node, float("-inf")))
+            del beats[most:]
+        self.passed_on = {node: at for node, at in self.passed_on.items() if node in self.heard}
+        self.passed_on.update((beat.node, now) for beat in beats)
+        return beats
+
     def alive(self, now: float) -> dict[str, pb.SchedulerHeartbeat]:
         """All schedulers that some monitor has heard of lately, with their last heartbeats."""
         self.told = {node: report for node, report in self.told.items() if now - report.at < REPORT_MS}
--- a/tests/system/test_control_parts.py
+++ b/tests/system/test_control_parts.py
@@ -324,6 +324,33 @@
     assert set(monitor.alive(200.0)) == {"a", "b"}
     monitor.heartbeat(300.0, pb.SchedulerHeartbeat(node="a", leaving=True))
     assert {beat.node for beat in monitor.own(300.0)} == set()
+
+
+def beats_of(monitor, now, count):
+    for number in range(count):
+        monitor.heartbeat(now, pb.SchedulerHeartbeat(node=f"edge-{number}"))
+
+
+@pytest.mark.parametrize(("count", "most"), [(12, 12), (40, 40), (130, 40), (800, 100)])
+def test_a_report_to_other_monitors_stays_small_and_all_are_told_within_a_round(count, most):
+    monitor, other = SchedulerMonitor(), SchedulerMonitor()
+    for turn in range(24):
+        now = 300.0 * turn
+        beats_of(monitor, now, count)
+        news = monitor.news(now)
+        assert len(news) == most
+        other.report(now, pb.MonitorReport(alive=news))
+        if turn >= 8:
+            assert len(other.alive(now)) == count, "a monitor's word outlasts the time until its next"
+
+
+def test_one_that_is_new_is_told_with_the_next_report():
+    monitor = SchedulerMonitor()
+    beats_of(monitor, 0.0, 130)
+    for turn in range(5):
+        monitor.news(300.0 * turn)
+    monitor.heartbeat(1_600.0, pb.SchedulerHeartbeat(node="edge-new"))
+    assert "edge-new" in {beat.node for beat in monitor.news(1_600.0)}
     assert set(monitor.alive(6000.0)) == set()
 
 
