--- a/molespur/system/control_plane/figures.py
+++ b/molespur/system/control_plane/figures.py
@@ -7,6 +7,7 @@
 from ..membership.schedulers import SchedulerMonitor
 from ..metrics import Metric, MetricKind, counter, gauge
 from ..rpc import molespur_pb2 as pb
+from ..rpc import traffic
 from ..shards.host import HostedGroup, ReplicaHost
 from ..shards.placement import CONFIGURATION, WORKER_GROUPS
 
@@ -45,6 +46,7 @@
         Metric("orders", MetricKind.COUNTER, "Orders given to workers, by part and outcome.",
                ("part", "outcome"), dict(orders_given)),
         counter("disk_failed_writes", "Tries to write to the disk that have failed.", failed_writes),
+        *traffic.metrics(),
     ]  # fmt: skip
 
 
--- a/molespur/system/data_plane/figures.py
+++ b/molespur/system/data_plane/figures.py
@@ -5,6 +5,7 @@
 
 from ..feed.follower import FeedFollower
 from ..metrics import Metric, MetricKind, counter, gauge
+from ..rpc import traffic
 from .request_counts import RequestCounts
 from .state import DataPlaneState
 from .upstream import Upstreams
@@ -58,6 +59,7 @@
         ),
         gauge("feed_leader_silence_ms", "How long a leader behind the feed has been silent, ms.",
               follower.leader_silence_ms),
+        *traffic.metrics(),
     ]  # fmt: skip
 
 
--- a/molespur/system/rpc/channel.py
+++ b/molespur/system/rpc/channel.py
@@ -11,6 +11,7 @@
 from absl import logging
 
 from . import molespur_pb2 as pb
+from . import traffic
 
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 24 << 20
@@ -79,6 +80,7 @@
         if not self._outgoing:
             asyncio.get_running_loop().call_soon(self._flush)
         data = frame.SerializeToString()
+        traffic.sent.count(frame.WhichOneof("body"), LENGTH_BYTES + len(data))
         self._outgoing.append(len(data).to_bytes(LENGTH_BYTES, "big") + data)
         return True
 
--- /dev/null
+++ b/molespur/system/rpc/traffic.py
@@ -0,0 +1,42 @@
+"""Counts of what this process has sent to others by RPC, for its figures."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from ..metrics import Metric, MetricKind
+
+
+@dataclass(slots=True)
+class SentTraffic:
+    """Frames and their bytes so far, by kind of message."""
+
+    frames: Counter[str] = field(default_factory=Counter)
+    bytes: Counter[str] = field(default_factory=Counter)
+
+    def count(self, kind: str, size: int) -> None:
+        """A frame of so many bytes goes out."""
+        self.frames[kind] += 1
+        self.bytes[kind] += size
+
+
+sent = SentTraffic()  # of this process
+
+
+def metrics() -> list[Metric]:
+    """The counts as figures."""
+    return [
+        Metric(
+            "rpc_sent_frames",
+            MetricKind.COUNTER,
+            "Frames sent to other processes, by kind of message.",
+            ("kind",),
+            {(kind,): float(count) for kind, count in sent.frames.items()},
+        ),
+        Metric(
+            "rpc_sent_bytes",
+            MetricKind.COUNTER,
+            "Bytes of these frames.",
+            ("kind",),
+            {(kind,): float(size) for kind, size in sent.bytes.items()},
+        ),
+    ]
--- a/tests/system/test_metrics.py
+++ b/tests/system/test_metrics.py
@@ -12,6 +12,7 @@
 from molespur.system.data_plane import figures
 from molespur.system.data_plane.http import readiness_app
 from molespur.system.metrics import Metric, MetricKind, counter, exposition, gauge
+from molespur.system.rpc import traffic
 
 
 def read(text):
@@ -83,7 +84,10 @@
     made.close()
 
 
-def test_a_control_plane_tells_of_its_shards_and_workers(plane):
+def test_a_control_plane_tells_of_its_shards_and_workers(plane, monkeypatch):
+    monkeypatch.setattr(traffic, "sent", traffic.SentTraffic())
+    traffic.sent.count("test", 30)
+    traffic.sent.count("test", 40)
     assert plane.put(configuration(), 0)[0] == 200
     beat = {"Service": "s", "Address": "10.0.1.1:80", "Zone": "a", "State": "ready", "Capacity": 4}
     assert plane.call("PUT", "/api/instances/w-1", json.dumps(beat).encode())[0] == 200
@@ -99,4 +103,6 @@
     assert samples["molespur_configuration_version",] == 4
     assert samples["molespur_workers", ("service", "s"), ("state", "ready")] == 1
     assert samples["molespur_orders_total", ("outcome", "202"), ("part", "prefill")] == 2
+    assert samples["molespur_rpc_sent_bytes_total", ("kind", "test")] == 70
+    assert samples["molespur_rpc_sent_frames_total", ("kind", "test")] == 2
     assert samples["molespur_disk_failed_writes_total",] == 3
--- a/tests/system/test_operator_pages.py
+++ b/tests/system/test_operator_pages.py
@@ -20,7 +20,7 @@
     """The code in the first cell of each row of a page's tables."""
     lines = (PAGES / page).read_text().splitlines()
     cells = [line.split("|")[1].strip() for line in lines if line.startswith("| `")]
-    return [cell.strip("`") for cell in cells]
+    return [part.strip("`") for cell in cells for part in cell.split("`, `")]
 
 
 def settings_keys():
@@ -53,7 +53,7 @@
 
 def metric_names():
     for path, constants in constants_of_calls({"Metric", "counter", "gauge", "_by_shard"}):
-        if path.name == "figures.py" and constants:
+        if path.name in ("figures.py", "traffic.py") and constants:
             yield path.parent.name, constants[0]
 
 
