--- a/benchmarks/data_plane_request.py
+++ b/benchmarks/data_plane_request.py
@@ -20,7 +20,7 @@
 import httpx
 import yaml
 
-from .control_scale import processor_seconds
+from .process_figures import processor_seconds
 
 CONTROL, EDGE, WORKERS = "127.0.13.1", "127.0.13.2", "127.0.13.3"
 HTTP_PORT, RPC_PORT, FRONTEND, READINESS = 17046, 17060, 17044, 17040
