Forecast reads as the workers do them: none is put back once it has begun

A worker puts no read back once it has begun; the forecast took it for put back after a piece of 2,048 tokens, so 20 ms of waiting stood for up to 500.

Change: WorkerTrack.ahead counts what is left of one longer read; a home is expected to be warm as far as other schedulers are not heard.

--- a/molespur/policy/tracking.py
+++ b/molespur/policy/tracking.py
@@ -13,7 +13,9 @@
 
 RANK_READ_MS = (0.0, 40.0, 80.0, 140.0, 260.0)  # longest read of each rank; a longer one has the last
 RANKS = len(RANK_READ_MS) + 1
-PIECE_TOKENS = 2048.0  # a read that has begun is not put back before the end of a piece
+TYPICAL_TOKENS = (0.0, 1500.0, 3000.0, 5500.0, 10_000.0, 17_500.0)  # of one read of each rank
+BEGUN_LEFT = 0.6  # part of a read that has begun which is still to come, on the mean
+BEGUN_CHANCE = 0.5  # that a read of a later rank has begun although earlier ones wait
 
 
 def rank_of(read_ms):
@@ -97,6 +99,11 @@
         while self.prefix_tokens > max(self.capacity_tokens, 1.0) and self.prefixes:
             self.prefix_tokens -= self.prefixes.popitem(last=False)[1]
 
+    @property
+    def unheard(self):
+        """Share of the other schedulers whose work is not known; 1 where none tells."""
+        return 1.0 - 1.0 / self.peer_scale if self.peer_scale else 1.0
+
     def others(self, now):
         """Requests of other schedulers there: by their own word, else by the last report and its age."""
         if self.peer_scale:
@@ -114,8 +121,9 @@
         """Prompt tokens that are read there before a new read of this rank."""
         scale = self.peer_scale
         first = sum(self.reads[: rank + 1]) + scale * sum(self.peer_reads[: rank + 1])
-        later = sum(self.reads[rank + 1 :]) + scale * sum(self.peer_reads[rank + 1 :])
-        return first + min(later, PIECE_TOKENS) / 2
+        later = [own + scale * peers for own, peers in zip(self.reads, self.peer_reads, strict=True)]
+        begun = max(map(min, later[rank + 1 :], TYPICAL_TOKENS[rank + 1 :]), default=0.0)
+        return first + BEGUN_LEFT * begun * (BEGUN_CHANCE if first else 1.0)
 
     def overdue(self, now):
         """By how much the oldest call there that has no answer yet is late."""
