--- a/molespur/system/workers/directory.py
+++ b/molespur/system/workers/directory.py
@@ -15,6 +15,8 @@
     def __init__(self):
         self.workers: dict[str, pb.Worker] = {}
         self.removed: dict[str, None] = {}
+        self._at_address: dict[str, str] = {}  # address -> identity
+        self._feed_snapshot: bytes | None = None  # made with the first question after a change
 
     @property
     def size(self) -> int:
@@ -26,25 +28,37 @@
         changed = []
         for worker in pb.WorkerCommand.FromString(data).workers:
             changed.extend(self._put(worker))
-        return None, pb.WorkerSet(workers=changed).SerializeToString() if changed else None
+        if not changed:
+            return None, None
+        self._feed_snapshot = None
+        return None, pb.WorkerSet(workers=changed).SerializeToString()
 
     def _put(self, worker: pb.Worker) -> list[pb.Worker]:
         if worker.state == pb.GONE:
-            gone = self.workers.pop(worker.id, None)
+            gone = self._remove(worker.id)
             if worker.deregistered:  # heartbeats that arrive later are late ones
                 self.removed[worker.id] = None
                 for identity in list(self.removed)[: len(self.removed) - REMOVED_KEPT]:
                     del self.removed[identity]
-            return [_gone(gone)] if gone is not None else []
+            return [_gone(worker.id)] if gone else []
         if worker.id in self.removed:
             return []
-        changed = []
-        for other in list(self.workers.values()):
-            if other.address == worker.address and other.id != worker.id:
-                del self.workers[other.id]  # the address has passed to another incarnation
-                changed.append(_gone(other))
+        changed = [_told(worker)]
+        earlier = self._at_address.get(worker.address)
+        if earlier is not None and earlier != worker.id:
+            self._remove(earlier)  # the address has passed to another incarnation
+            changed.insert(0, _gone(earlier))
+        self._remove(worker.id)
         self.workers[worker.id] = worker
-        return [*changed, worker]
+        self._at_address[worker.address] = worker.id
+        return changed
+
+    def _remove(self, worker_id: str) -> bool:
+        """Drop a worker; whether it was there."""
+        worker = self.workers.pop(worker_id, None)
+        if worker is not None and self._at_address.get(worker.address) == worker_id:
+            del self._at_address[worker.address]
+        return worker is not None
 
     def snapshot(self) -> bytes:
         """All state, for another replica."""
@@ -55,14 +69,26 @@
         state = pb.WorkerSet.FromString(data)
         self.workers = {worker.id: worker for worker in state.workers}
         self.removed = dict.fromkeys(state.removed)
+        self._at_address = {worker.address: worker.id for worker in state.workers}
+        self._feed_snapshot = None
 
     def feed_snapshot(self) -> bytes:
         """All workers, for the data plane."""
-        return pb.WorkerSet(workers=self.workers.values()).SerializeToString()
+        if self._feed_snapshot is None:
+            told = map(_told, self.workers.values())
+            self._feed_snapshot = pb.WorkerSet(workers=told).SerializeToString()
+        return self._feed_snapshot
 
 
-def _gone(worker: pb.Worker) -> pb.Worker:
+def _told(worker: pb.Worker) -> pb.Worker:
+    """What the data plane is told of a worker: all but what only the control plane goes by."""
     copy = pb.Worker()
     copy.CopyFrom(worker)
-    copy.state = pb.GONE
+    copy.ClearField("models")
+    copy.ClearField("sequence")
     return copy
+
+
+def _gone(worker_id: str) -> pb.Worker:
+    """What the data plane is told of a worker that is no more."""
+    return pb.Worker(id=worker_id, state=pb.GONE)
--- a/tests/system/test_control_parts.py
+++ b/tests/system/test_control_parts.py
@@ -162,6 +162,35 @@
     assert list(directory.workers) == ["i-2"]
 
 
+def test_a_worker_that_moves_frees_its_address_for_another():
+    directory = WorkerDirectory()
+    put(directory, worker("i-1"))
+    put(directory, worker("i-1", "10.9.0.7:80", sequence=2))
+    told = pb.WorkerSet.FromString(put(directory, worker("i-2")))
+    assert [w.id for w in told.workers] == ["i-2"] and set(directory.workers) == {"i-1", "i-2"}
+    copy = WorkerDirectory()
+    copy.restore(directory.snapshot())
+    assert [w.id for w in pb.WorkerSet.FromString(put(copy, worker("i-3"))).workers] == ["i-2", "i-3"]
+    put(copy, pb.Worker(id="i-3", state=pb.GONE))
+    assert [w.id for w in pb.WorkerSet.FromString(put(copy, worker("i-4"))).workers] == ["i-4"]
+
+
+def test_the_data_plane_is_told_nothing_that_only_the_control_plane_goes_by():
+    directory = WorkerDirectory()
+    told = pb.WorkerSet.FromString(put(directory, worker(models='[{"Name":"m"}]', phase="decode")))
+    whole = pb.WorkerSet.FromString(directory.feed_snapshot())
+    for known in (*told.workers, *whole.workers):
+        assert (known.id, known.address, known.phase, known.capacity) == ("i-1", "10.9.0.1:80", "decode", 64)
+        assert (known.models, known.sequence) == ("", 0)
+    assert directory.workers["i-1"].models, "the shard itself keeps it"
+    put(directory, worker("i-2", "10.9.0.2:80"))
+    assert len(pb.WorkerSet.FromString(directory.feed_snapshot()).workers) == 2
+    gone = pb.WorkerSet.FromString(put(directory, pb.Worker(id="i-2", state=pb.GONE)))
+    assert list(gone.workers) == [pb.Worker(id="i-2", state=pb.GONE)]
+    directory.restore(WorkerDirectory().snapshot())
+    assert directory.feed_snapshot() == b""
+
+
 def test_a_late_heartbeat_does_not_bring_back_who_said_goodbye():
     directory = WorkerDirectory()
     liveness = WorkerLiveness(directory, 1000.0)
