Tell of a new scheduler at once, so that its peers know it

A scheduler's first heartbeat was sent before its channels were open, and lost; the next came 0.6 s later, monitors told each other every 0.3 s and schedulers every 0.4 s.

Change: a monitor is greeted as its channel opens, and passes a scheduler that is new to it on with its next look (0.1 s). Tests: test_feed, test_control_parts.

--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -48,6 +48,7 @@
         self.schedulers = SchedulerMonitor(clock())
         self.orders = PhaseOrders(settings, self.host, self.calls, self.schedulers, clock)
         self.channels: set[Channel] = set()
+        self._report_at = self._beat_at = 0.0  # when other monitors, and schedulers, are told next
         self.host.on_change = self.feed.changed
         self.host.on_restore = self.feed.restored
         self.host.on_role = self._role_changed
@@ -116,10 +117,11 @@
                 self.feed.subscribe(channel, frame.subscribe)
                 self._feed_heartbeat()
             case "scheduler_heartbeat":
-                beat = frame.scheduler_heartbeat
-                self.schedulers.heartbeat(clock(), beat)
+                if self.schedulers.heartbeat(clock(), frame.scheduler_heartbeat):
+                    self._report_at = self._beat_at = 0.0  # whoever is new is told of at once
             case "monitor_report":
-                self.schedulers.report(clock(), frame.monitor_report)
+                if self.schedulers.report(clock(), frame.monitor_report):
+                    self._beat_at = 0.0
             case "call":
                 task = asyncio.get_running_loop().create_task(self.calls.answer(channel, frame.call))
                 self._tasks.add(task)
@@ -131,22 +133,24 @@
         now = clock()
         self.feed.heartbeat(self.schedulers.alive(now), self.schedulers.count(now))
 
+    def _tell_monitors(self, now: float) -> None:
+        report = pb.Frame(monitor_report=pb.MonitorReport(alive=self.schedulers.news(now)))
+        for dialer in self.host.dialers.values():
+            dialer.send(report)
+
     async def _repeat(self) -> None:
         """What is done again and again."""
-        reported = looked = 0.0
-        beaten = 0.0
+        looked = 0.0
         while True:
             await asyncio.sleep(LOOK_S)
             now = clock()
             self.feed.start_waiting()
-            if now - beaten >= FEED_HEARTBEAT_S * 1000:
-                beaten = now
+            if now >= self._report_at:
+                self._report_at = now + REPORT_S * 1000
+                self._tell_monitors(now)
+            if now >= self._beat_at:
+                self._beat_at = now + FEED_HEARTBEAT_S * 1000
                 self._feed_heartbeat()
-            if now - reported >= REPORT_S * 1000:
-                reported = now
-                report = pb.Frame(monitor_report=pb.MonitorReport(alive=self.schedulers.news(now)))
-                for dialer in self.host.dialers.values():
-                    dialer.send(report)
             if now - looked >= SILENCE_CHECK_S * 1000:
                 looked = now
                 await self.calls.look_for_silence()
--- a/molespur/system/feed/follower.py
+++ b/molespur/system/feed/follower.py
@@ -79,21 +79,29 @@
         wanted = monitors(self.settings.node_name, self.zones)
         for address in wanted:
             if address not in self.monitors and not (self.source and self.source.address == address):
-                self.monitors[address] = Dialer(address, self._monitor_frame)
+                self.monitors[address] = Dialer(address, self._monitor_frame, self._greet)
         for address in [a for a in self.monitors if a not in wanted]:
             self.monitors.pop(address).stop()
-        beat = pb.SchedulerHeartbeat(
-            node=self.settings.node_name, zone=self.settings.zone, leaving=self.leaving
-        )
-        beat.peer_address = self.settings.peer_address
-        beat.loads.extend(self.loads(self.clock()))
-        frame = pb.Frame(scheduler_heartbeat=beat)
+        frame = pb.Frame(scheduler_heartbeat=self._beat())
         for address in wanted:
             if self.source is not None and self.source.address == address:
                 self.source.send(frame)
             elif address in self.monitors:
                 self.monitors[address].send(frame)
 
+    def _beat(self) -> pb.SchedulerHeartbeat:
+        beat = pb.SchedulerHeartbeat(
+            node=self.settings.node_name, zone=self.settings.zone, leaving=self.leaving
+        )
+        beat.peer_address = self.settings.peer_address
+        beat.loads.extend(self.loads(self.clock()))
+        return beat
+
+    def _greet(self, channel: Channel) -> None:
+        """Tell a monitor of this scheduler as soon as it can be reached."""
+        if not self.leaving:
+            channel.send(pb.Frame(scheduler_heartbeat=self._beat()))
+
     def _monitor_frame(self, _channel: Channel, _frame: pb.Frame) -> None:
         """A monitor says nothing that matters here."""
 
@@ -138,6 +146,8 @@
         for group, index in self.offsets.items():
             request.offsets.add(group=group, index=index)
         channel.send(pb.Frame(subscribe=request))
+        if channel.label in monitors(self.settings.node_name, self.zones):
+            self._greet(channel)
 
     def _frame(self, channel: Channel, frame: pb.Frame) -> None:
         if self.source is None or channel is not self.source.channel:
--- a/molespur/system/membership/schedulers.py
+++ b/molespur/system/membership/schedulers.py
@@ -27,17 +27,21 @@
     told: dict[str, Report] = field(default_factory=dict)
     passed_on: dict[str, float] = field(default_factory=dict)  # when the others were last told of a scheduler
 
-    def heartbeat(self, now: float, beat: pb.SchedulerHeartbeat) -> None:
-        """A scheduler has said that it lives, or that it leaves."""
+    def heartbeat(self, now: float, beat: pb.SchedulerHeartbeat) -> bool:
+        """A scheduler has said that it lives, or that it leaves; whether it was not known here."""
         if beat.leaving:
             self.heard.pop(beat.node, None)
-        else:
-            self.heard[beat.node] = Report(beat, now)
-
-    def report(self, now: float, report: pb.MonitorReport) -> None:
-        """Another monitor has told which schedulers it has heard of."""
+            return False
+        new = beat.node not in self.heard
+        self.heard[beat.node] = Report(beat, now)
+        return new
+
+    def report(self, now: float, report: pb.MonitorReport) -> bool:
+        """Another monitor has told which schedulers it has heard of; whether one was not known here."""
+        new = any(beat.node not in self.told for beat in report.alive)
         for beat in report.alive:
             self.told[beat.node] = Report(beat, now)
+        return new
 
     def own(self, now: float) -> list[pb.SchedulerHeartbeat]:
         """The last heartbeats of the schedulers heard of here lately."""
--- a/tests/system/test_control_parts.py
+++ b/tests/system/test_control_parts.py
@@ -373,6 +373,18 @@
             assert len(other.alive(now)) == count, "a monitor's word outlasts the time until its next"
 
 
+def test_a_monitor_says_whether_a_scheduler_is_new_to_it():
+    monitor = SchedulerMonitor()
+    beat = pb.SchedulerHeartbeat(node="a")
+    assert monitor.heartbeat(0.0, beat) and not monitor.heartbeat(100.0, beat)
+    assert not monitor.heartbeat(200.0, pb.SchedulerHeartbeat(node="a", leaving=True))
+    assert monitor.heartbeat(300.0, beat)
+    told = pb.MonitorReport(alive=[pb.SchedulerHeartbeat(node="b")])
+    assert monitor.report(400.0, told) and not monitor.report(500.0, told)
+    monitor.alive(6_000.0)
+    assert monitor.report(6_100.0, told), "a word that has lapsed"
+
+
 def test_one_that_is_new_is_told_with_the_next_report():
     monitor = SchedulerMonitor()
     beats_of(monitor, 0.0, 130)
--- a/tests/system/test_feed.py
+++ b/tests/system/test_feed.py
@@ -107,6 +107,7 @@
 
     def __init__(self, address, on_frame, on_open=None):
         self.address, self.on_frame, self.channel, self.stopped = address, on_frame, Pipe(), False
+        self.channel.label = address
         FakeDialer.made.append(self)
         if on_open is not None:
             on_open(self.channel)
@@ -204,11 +205,28 @@
 
 def test_heartbeats_go_to_the_monitors_and_say_when_it_leaves(follower):
     follower._watch(0.0)
+    greeted = len(beats_sent())
     follower.leave()
-    beats = [
-        f.scheduler_heartbeat
-        for d in FakeDialer.made
-        for f in d.channel.sent
-        if f.WhichOneof("body") == "scheduler_heartbeat"
+    told = beats_sent()
+    assert sum(beat.leaving for _, beat in told) == 2 and len(told) == 2 + greeted
+    assert {beat.node for _, beat in told} == {"edge-1"}
+
+
+def beats_sent():
+    """(address, heartbeat) of all heartbeats so far."""
+    return [
+        (dialer.address, frame.scheduler_heartbeat)
+        for dialer in FakeDialer.made
+        for frame in dialer.channel.sent
+        if frame.WhichOneof("body") == "scheduler_heartbeat"
     ]
-    assert len(beats) == 2 and all(b.leaving and b.node == "edge-1" for b in beats)
+
+
+def test_a_monitor_is_told_of_a_scheduler_as_soon_as_it_can_be_reached(follower, monkeypatch):
+    """What is sent before a channel is open is lost, and the next heartbeat is 0.6 s away."""
+    monkeypatch.setattr(FakeDialer, "send", lambda self, frame: None)
+    follower._watch(0.0)
+    follower.heartbeat()
+    wanted = following.monitors("edge-1", follower.zones)
+    assert sorted(address for address, _ in beats_sent()) == sorted(wanted)
+    assert all(beat.peer_address == "10.0.0.9:7010" and not beat.leaving for _, beat in beats_sent())
