Dial a peer at once when it is heard of

A connection that was dialled while its machine had no power hangs for 0.5 s, and answers to votes go by it although the asker has long been heard.

Change: Dialer.heard breaks off an attempt that is older than 0.1 s, and a pause; a replica host calls it for the sender of each message.

--- a/molespur/system/rpc/channel.py
+++ b/molespur/system/rpc/channel.py
@@ -7,6 +7,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 
 from absl import logging
 
@@ -19,6 +20,7 @@
 USER_TIMEOUT_MS = 1500  # a peer behind a cut says nothing: bytes unacknowledged this long end the connection
 CONNECT_TIMEOUT_S = 0.5  # a machine without power says nothing; a lost packet comes again much later
 REDIAL_S = (0.1, 0.2, 0.4, 0.5)
+HOPELESS_S = 0.1  # an attempt this old to a peer that has been heard since gets no answer any more
 
 
 class Channel(asyncio.Protocol):
@@ -108,12 +110,22 @@
         self.address, self.on_frame, self.on_open, self.on_lost = address, on_frame, on_open, on_lost
         self.channel: Channel | None = None
         self._stopped = False
+        self._heard = asyncio.Event()
+        self._attempt_at = float("-inf")
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def send(self, frame: pb.Frame) -> bool:
         """Send a frame if the channel is open now."""
         return self.channel is not None and self.channel.send(frame)
 
+    def heard(self) -> None:
+        """The peer has been heard of on another channel: dial it now where none is open yet.
+
+        An attempt that began while its machine was down would wait in vain until it times out.
+        """
+        if self.channel is None and asyncio.get_running_loop().time() - self._attempt_at > HOPELESS_S:
+            self._heard.set()
+
     def stop(self) -> None:
         """Close the channel and dial no more."""
         self._stopped = True
@@ -126,12 +138,14 @@
         failures = 0
         while not self._stopped:
             lost = asyncio.Event()
+            self._heard.clear()
+            self._attempt_at = asyncio.get_running_loop().time()
             try:
                 channel = await self._connect(host, int(port), lost)
             except (OSError, TimeoutError):
                 delay = REDIAL_S[min(failures, len(REDIAL_S) - 1)]
                 failures += 1
-                await asyncio.sleep(delay)
+                await self._pause(delay)
                 continue
             failures = 0
             channel.label = self.address
@@ -145,7 +159,32 @@
             await asyncio.sleep(REDIAL_S[0])
 
     async def _connect(self, host: str, port: int, lost: asyncio.Event) -> Channel:
+        """Open a channel.  Raises OSError, and TimeoutError for a silent peer or once `heard` was called."""
         loop = asyncio.get_running_loop()
-        made = loop.create_connection(lambda: Channel(self.on_frame, lambda _channel: lost.set()), host, port)
-        _transport, channel = await asyncio.wait_for(made, CONNECT_TIMEOUT_S)
-        return channel
+        dial = loop.create_connection(lambda: Channel(self.on_frame, lambda _channel: lost.set()), host, port)
+        made, heard = loop.create_task(dial), loop.create_task(self._heard.wait())
+        try:
+            await asyncio.wait((made, heard), timeout=CONNECT_TIMEOUT_S, return_when=asyncio.FIRST_COMPLETED)
+            if not made.done():
+                raise TimeoutError
+            _transport, channel = made.result()
+            return channel
+        except asyncio.CancelledError:
+            made.add_done_callback(_close_unused)
+            raise
+        finally:
+            made.cancel()
+            heard.cancel()
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait before the next attempt, but not once the peer has been heard of."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._heard.wait()
+
+
+def _close_unused(made: asyncio.Task) -> None:
+    """Close the channel of an attempt that nobody waits for any more."""
+    if not made.cancelled() and made.exception() is None:
+        _transport, channel = made.result()
+        channel.close()
--- a/molespur/system/shards/host.py
+++ b/molespur/system/shards/host.py
@@ -215,6 +215,9 @@
 
     def receive(self, message: pb.ConsensusMessage) -> None:
         """Take a message of another replica, if it is for the identity of this disk."""
+        dialer = self.dialers.get(message.sender.partition("#")[0])
+        if dialer is not None:
+            dialer.heard()
         group = self.groups.get(message.group)
         if group is not None and message.receiver == self.replica_id:
             self._handle(group, raft.Received(message))
--- /dev/null
+++ b/tests/system/test_dialer.py
@@ -0,0 +1,129 @@
+"""When a dialer tries again: attempts that hang, pauses between them, and a peer heard of meanwhile."""
+
+import asyncio
+
+import pytest
+from wire import run
+
+from molespur.system.rpc import channel as channels
+from molespur.system.rpc.channel import Channel, Dialer
+
+LONG_S = 60.0
+
+
+class Network:
+    """Stands for the loop: each attempt to connect ends as the next outcome says, later ones as the last."""
+
+    def __init__(self, *outcomes):
+        self.outcomes, self.attempts = list(outcomes), 0
+        self.tried = asyncio.Event()
+
+    async def create_connection(self, factory, _host, _port):
+        self.attempts += 1
+        self.tried.set()
+        outcome = self.outcomes.pop(0) if len(self.outcomes) > 1 else self.outcomes[0]
+        if outcome == "hang":
+            await asyncio.Event().wait()
+        if outcome == "refuse":
+            raise ConnectionRefusedError
+        made = factory()
+        made.transport = Transport()
+        return made.transport, made
+
+
+class Transport:
+    """An open connection that nothing comes from."""
+
+    def __init__(self):
+        self.closed = False
+
+    def is_closing(self):
+        return self.closed
+
+    def write(self, _data):
+        """Bytes go nowhere."""
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def close(self):
+        self.closed = True
+
+
+def dialer_test(monkeypatch, scenario, *outcomes):
+    async def prepared():
+        monkeypatch.setattr(channels, "CONNECT_TIMEOUT_S", LONG_S)
+        monkeypatch.setattr(channels, "REDIAL_S", (LONG_S,))
+        monkeypatch.setattr(channels, "HOPELESS_S", 0.0)
+        network = Network(*outcomes)
+        monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", network.create_connection)
+        opened = asyncio.Event()
+        dialer = Dialer("10.0.0.1:7000", lambda *_: None, lambda _channel: opened.set())
+        await network.tried.wait()
+        await settle()
+        try:
+            await scenario(dialer, network, opened)
+        finally:
+            dialer.stop()
+
+    run(prepared())
+
+
+async def settle():
+    """Let everything that is due in this moment happen."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("first", ["hang", "refuse"])
+def test_a_peer_that_is_heard_of_is_dialled_at_once(monkeypatch, first):
+    async def scenario(dialer, network, opened):
+        assert dialer.channel is None and network.attempts == 1
+        dialer.heard()
+        await opened.wait()
+        assert network.attempts == 2 and isinstance(dialer.channel, Channel)
+
+    dialer_test(monkeypatch, scenario, first, "open")
+
+
+def test_an_attempt_that_is_young_is_not_broken_off(monkeypatch):
+    async def scenario(dialer, network, _opened):
+        monkeypatch.setattr(channels, "HOPELESS_S", LONG_S)
+        dialer.heard()
+        await settle()
+        assert network.attempts == 1
+
+    dialer_test(monkeypatch, scenario, "hang", "open")
+
+
+def test_a_peer_that_is_reached_is_not_dialled_again(monkeypatch):
+    async def scenario(dialer, network, opened):
+        await opened.wait()
+        dialer.heard()
+        await settle()
+        assert network.attempts == 1 and dialer.channel.open
+
+    dialer_test(monkeypatch, scenario, "open")
+
+
+def test_what_was_heard_before_a_channel_opened_does_not_count_for_the_next_attempt(monkeypatch):
+    async def scenario(dialer, network, opened):
+        dialer.heard()
+        await opened.wait()
+        dialer.channel.connection_lost(None)
+        await settle()
+        assert network.attempts == 2, "it rests before it dials again"
+
+    monkeypatch.setattr(channels, "REDIAL_S", (LONG_S,))
+    dialer_test(monkeypatch, scenario, "hang", "open", "hang")
+
+
+def test_a_dialer_that_is_stopped_closes_its_channel(monkeypatch):
+    async def scenario(dialer, _network, opened):
+        await opened.wait()
+        transport = dialer.channel.transport
+        dialer.stop()
+        await settle()
+        assert transport.closed
+
+    dialer_test(monkeypatch, scenario, "open")
--- a/tests/system/virtual_fleet.py
+++ b/tests/system/virtual_fleet.py
@@ -153,6 +153,9 @@
         self.open = True
         return super().send(frame)
 
+    def heard(self):
+        """A link is always open."""
+
 
 class Process:
     """One control-plane process on its disk."""
