--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -76,9 +76,9 @@
     for size in sizes:
         print(f"{size} schedulers ...", file=sys.stderr, flush=True)
         measured.append(asyncio.run(measure(size, options, last=size == sizes[-1])))
-    if options["--write"]:
-        results.write(measured, Path(options["--write"]))
-    else:
+        if options["--write"]:  # after each size: a run that is broken off leaves what it has
+            results.write(measured, Path(options["--write"]))
+    if not options["--write"]:
         print(results.markdown(measured))
 
 
