--- a/molespur/policy/pair.py
+++ b/molespur/policy/pair.py
@@ -211,7 +211,10 @@
         missing = max(shared - worker.matched(demand.shared), 0.0)
         match = 1.0 - missing / max(shared, MATCH_TOKENS)
         if home:
-            match, matched = max(match, HOME_MATCH), max(matched, HOME_READ * shared * worker.unheard)
+            match, matched = (
+                max(match, HOME_MATCH),
+                max(matched, HOME_READ * shared * worker.unknown_peer_share),
+            )
         unread = max(demand.tokens - matched, 0.0)
         reread = 0.0 if home else max(shared - matched, 0.0)
         pace = PREFILL_TOKENS_PER_MS if part is Part.PREFILL else DIRECT_TOKENS_PER_MS
--- a/molespur/policy/tracking.py
+++ b/molespur/policy/tracking.py
@@ -13,9 +13,9 @@
 
 RANK_READ_MS = (0.0, 40.0, 80.0, 140.0, 260.0)  # longest read of each rank; a longer one has the last
 RANKS = len(RANK_READ_MS) + 1
-TYPICAL_TOKENS = (0.0, 1500.0, 3000.0, 5500.0, 10_000.0, 17_500.0)  # of one read of each rank
-BEGUN_LEFT = 0.6  # part of a read that has begun which is still to come, on the mean
-BEGUN_CHANCE = 0.5  # that a read of a later rank has begun although earlier ones wait
+TYPICAL_READ_TOKENS = (0.0, 1500.0, 3000.0, 5500.0, 10_000.0, 17_500.0)  # of one read of each rank
+IN_PROGRESS_LEFT = 0.6  # part of a read that has begun which is still to come, on the mean
+IN_PROGRESS_CHANCE = 0.5  # that a read of a later rank has begun although earlier ones wait
 
 
 def rank_of(read_ms):
@@ -100,7 +100,7 @@
             self.prefix_tokens -= self.prefixes.popitem(last=False)[1]
 
     @property
-    def unheard(self):
+    def unknown_peer_share(self):
         """Share of the other schedulers whose work is not known; 1 where none tells."""
         return 1.0 - 1.0 / self.peer_scale if self.peer_scale else 1.0
 
@@ -119,11 +119,11 @@
 
     def ahead(self, rank):
         """Prompt tokens that are read there before a new read of this rank."""
-        scale = self.peer_scale
-        first = sum(self.reads[: rank + 1]) + scale * sum(self.peer_reads[: rank + 1])
-        later = [own + scale * peers for own, peers in zip(self.reads, self.peer_reads, strict=True)]
-        begun = max(map(min, later[rank + 1 :], TYPICAL_TOKENS[rank + 1 :]), default=0.0)
-        return first + BEGUN_LEFT * begun * (BEGUN_CHANCE if first else 1.0)
+        pairs = zip(self.reads, self.peer_reads, strict=True)
+        outstanding = [own + self.peer_scale * peers for own, peers in pairs]
+        first, later = sum(outstanding[: rank + 1]), outstanding[rank + 1 :]
+        in_progress = max(map(min, later, TYPICAL_READ_TOKENS[rank + 1 :]), default=0.0)
+        return first + IN_PROGRESS_LEFT * in_progress * (IN_PROGRESS_CHANCE if first else 1.0)
 
     def overdue(self, now):
         """By how much the oldest call there that has no answer yet is late."""
--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -7,6 +7,7 @@
 from absl import logging
 
 from ..feed.source import FeedSource
+from ..membership.announcements import Announcement, AnnouncementSchedule
 from ..membership.schedulers import SchedulerMonitor
 from ..metrics import Metric
 from ..rpc import molespur_pb2 as pb
@@ -24,8 +25,6 @@
 from .orders import PhaseOrders
 
 LOOK_S = 0.1
-FEED_HEARTBEAT_S = 0.4
-REPORT_S = 0.3
 SILENCE_CHECK_S = 0.3
 
 
@@ -48,7 +47,7 @@
         self.schedulers = SchedulerMonitor(clock())
         self.orders = PhaseOrders(settings, self.host, self.calls, self.schedulers, clock)
         self.channels: set[Channel] = set()
-        self._report_at = self._beat_at = 0.0  # when other monitors, and schedulers, are told next
+        self.announcements = AnnouncementSchedule()
         self.host.on_change = self.feed.changed
         self.host.on_restore = self.feed.restored
         self.host.on_role = self._role_changed
@@ -118,10 +117,10 @@
                 self._feed_heartbeat()
             case "scheduler_heartbeat":
                 if self.schedulers.heartbeat(clock(), frame.scheduler_heartbeat):
-                    self._report_at = self._beat_at = 0.0  # whoever is new is told of at once
+                    self.announcements.scheduler_joined()
             case "monitor_report":
                 if self.schedulers.report(clock(), frame.monitor_report):
-                    self._beat_at = 0.0
+                    self.announcements.scheduler_reported()
             case "call":
                 task = asyncio.get_running_loop().create_task(self.calls.answer(channel, frame.call))
                 self._tasks.add(task)
@@ -133,8 +132,11 @@
         now = clock()
         self.feed.heartbeat(self.schedulers.alive(now), self.schedulers.count(now))
 
-    def _tell_monitors(self, now: float) -> None:
-        report = pb.Frame(monitor_report=pb.MonitorReport(alive=self.schedulers.news(now)))
+    def _announce(self, announcement: Announcement, now: float) -> None:
+        if announcement is Announcement.FEED_HEARTBEAT:
+            self._feed_heartbeat()
+            return
+        report = pb.Frame(monitor_report=pb.MonitorReport(alive=self.schedulers.next_report(now)))
         for dialer in self.host.dialers.values():
             dialer.send(report)
 
@@ -145,12 +147,8 @@
             await asyncio.sleep(LOOK_S)
             now = clock()
             self.feed.start_waiting()
-            if now >= self._report_at:
-                self._report_at = now + REPORT_S * 1000
-                self._tell_monitors(now)
-            if now >= self._beat_at:
-                self._beat_at = now + FEED_HEARTBEAT_S * 1000
-                self._feed_heartbeat()
+            for announcement in self.announcements.take_due(now):
+                self._announce(announcement, now)
             if now - looked >= SILENCE_CHECK_S * 1000:
                 looked = now
                 await self.calls.look_for_silence()
--- a/molespur/system/data_plane/client_server.py
+++ b/molespur/system/data_plane/client_server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.asyncio.tcp_server import MAX_RECV, TCPServer
@@ -20,41 +21,46 @@
 REASONS = {408: b"Request Timeout"}
 
 
-class RequestTimer:
-    """When a connection that waits for a request has waited too long; hypercorn starts and stops it.
+class Waiting(Enum):
+    """What a connection waits for."""
+
+    REQUEST = "request"  # no byte of the next request has come
+    HEAD = "head"  # a head has begun
+    ANSWER = "answer"  # a request is served: no limit of the client's counts
 
-    States: resting (no byte of the next request has come), head begun, and off while a request is served.
-    """
 
-    def __init__(self, limits: Callable[[], Limits], close: Callable[[], None]):
-        self._limits, self._close = limits, close
+class RequestTimer:
+    """When a connection has waited too long for a request.  hypercorn starts and stops it."""
+
+    def __init__(self, limits: Callable[[], Limits], close: Callable[[], None], loop):
+        self._limits, self._close, self._loop = limits, close, loop
         self._resting: asyncio.TimerHandle | None = None
-        self.waiting = False
+        self.waiting = Waiting.ANSWER
         self.head_due: float | None = None  # loop time until which the head that has begun must be there
 
     async def restart(self, _task_group, _action) -> None:
-        """The connection rests from now on."""
-        self._cancel()
-        self.waiting, self.head_due = True, None
-        loop = asyncio.get_running_loop()
-        self._resting = loop.call_later(self._limits().idle_timeout_s, self._close)
+        """The connection rests from now on (called by hypercorn)."""
+        self._enter(Waiting.REQUEST)
 
     async def stop(self) -> None:
-        """A whole head has come, or the connection has ended."""
-        self._cancel()
-        self.waiting, self.head_due = False, None
+        """A whole head has come, or the connection has ended (called by hypercorn)."""
+        self._enter(Waiting.ANSWER)
 
     def received(self) -> None:
         """Bytes have come: a head begins if none was under way."""
-        if self.waiting and self.head_due is None:
-            self._cancel()
-            now = asyncio.get_running_loop().time()
-            self.head_due = now + self._limits().header_timeout_s
+        if self.waiting is Waiting.REQUEST:
+            self._enter(Waiting.HEAD)
 
-    def _cancel(self) -> None:
+    def _enter(self, waiting: Waiting) -> None:
+        """The one place where the state changes, and the timers with it."""
         if self._resting is not None:
             self._resting.cancel()
             self._resting = None
+        self.waiting, self.head_due = waiting, None
+        if waiting is Waiting.REQUEST:
+            self._resting = self._loop.call_later(self._limits().idle_timeout_s, self._close)
+        elif waiting is Waiting.HEAD:
+            self.head_due = self._loop.time() + self._limits().header_timeout_s
 
 
 class ClientConnection(TCPServer):
@@ -63,11 +69,11 @@
     def __init__(self, server: "ClientServer", reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
         loop = asyncio.get_running_loop()
         super().__init__(server.app, loop, server.config, server.context, {}, reader, writer)
-        self.idle_task = RequestTimer(server.limits, writer.close)
+        self.idle_task = RequestTimer(server.limits, writer.close, loop)
 
     def close_if_resting(self) -> None:
         """Close the connection unless a request is under way on it."""
-        if self.idle_task.waiting:
+        if self.idle_task.waiting is not Waiting.ANSWER:
             self.writer.close()
 
     async def _read_data(self) -> None:
--- a/molespur/system/feed/follower.py
+++ b/molespur/system/feed/follower.py
@@ -79,7 +79,7 @@
         wanted = monitors(self.settings.node_name, self.zones)
         for address in wanted:
             if address not in self.monitors and not (self.source and self.source.address == address):
-                self.monitors[address] = Dialer(address, self._monitor_frame, self._greet)
+                self.monitors[address] = Dialer(address, self._monitor_frame, self._announce)
         for address in [a for a in self.monitors if a not in wanted]:
             self.monitors.pop(address).stop()
         frame = pb.Frame(scheduler_heartbeat=self._beat())
@@ -97,7 +97,7 @@
         beat.loads.extend(self.loads(self.clock()))
         return beat
 
-    def _greet(self, channel: Channel) -> None:
+    def _announce(self, channel: Channel) -> None:
         """Tell a monitor of this scheduler as soon as it can be reached."""
         if not self.leaving:
             channel.send(pb.Frame(scheduler_heartbeat=self._beat()))
@@ -147,7 +147,7 @@
             request.offsets.add(group=group, index=index)
         channel.send(pb.Frame(subscribe=request))
         if channel.label in monitors(self.settings.node_name, self.zones):
-            self._greet(channel)
+            self._announce(channel)
 
     def _frame(self, channel: Channel, frame: pb.Frame) -> None:
         if self.source is None or channel is not self.source.channel:
--- a/molespur/system/membership/schedulers.py
+++ b/molespur/system/membership/schedulers.py
@@ -25,7 +25,9 @@
     started_at: float = 0.0
     heard: dict[str, Report] = field(default_factory=dict)
     told: dict[str, Report] = field(default_factory=dict)
-    passed_on: dict[str, float] = field(default_factory=dict)  # when the others were last told of a scheduler
+    reported_at: dict[str, float] = field(
+        default_factory=dict
+    )  # scheduler -> when others were last told
 
     def heartbeat(self, now: float, beat: pb.SchedulerHeartbeat) -> bool:
         """A scheduler has said that it lives, or that it leaves; whether it was not known here."""
@@ -48,15 +50,15 @@
         self.heard = {node: report for node, report in self.heard.items() if now - report.at < ALIVE_MS}
         return [report.beat for report in self.heard.values()]
 
-    def news(self, now: float) -> list[pb.SchedulerHeartbeat]:
+    def next_report(self, now: float) -> list[pb.SchedulerHeartbeat]:
         """What the other monitors are told now: all that is heard here or, of many, those longest untold."""
         beats = self.own(now)
         most = max(MOST_TOLD, -(-len(beats) // ROUND_REPORTS))
         if len(beats) > most:
-            beats.sort(key=lambda beat: self.passed_on.get(beat.node, float("-inf")))
+            beats.sort(key=lambda beat: self.reported_at.get(beat.node, float("-inf")))
             del beats[most:]
-        self.passed_on = {node: at for node, at in self.passed_on.items() if node in self.heard}
-        self.passed_on.update((beat.node, now) for beat in beats)
+        self.reported_at = {node: at for node, at in self.reported_at.items() if node in self.heard}
+        self.reported_at.update((beat.node, now) for beat in beats)
         return beats
 
     def alive(self, now: float) -> dict[str, pb.SchedulerHeartbeat]:
--- a/molespur/system/rpc/channel.py
+++ b/molespur/system/rpc/channel.py
@@ -20,7 +20,7 @@
 USER_TIMEOUT_MS = 1500  # a peer behind a cut says nothing: bytes unacknowledged this long end the connection
 CONNECT_TIMEOUT_S = 0.5  # a machine without power says nothing; a lost packet comes again much later
 REDIAL_S = (0.1, 0.2, 0.4, 0.5)
-HOPELESS_S = 0.1  # an attempt this old to a peer that has been heard since gets no answer any more
+STALE_ATTEMPT_S = 0.1  # an attempt this old to a peer that has been heard since gets no answer any more
 
 
 class Channel(asyncio.Protocol):
@@ -110,7 +110,7 @@
         self.address, self.on_frame, self.on_open, self.on_lost = address, on_frame, on_open, on_lost
         self.channel: Channel | None = None
         self._stopped = False
-        self._heard = asyncio.Event()
+        self._peer_alive = asyncio.Event()
         self._attempt_at = float("-inf")
         self._task = asyncio.get_running_loop().create_task(self._run())
 
@@ -118,13 +118,13 @@
         """Send a frame if the channel is open now."""
         return self.channel is not None and self.channel.send(frame)
 
-    def heard(self) -> None:
+    def peer_alive(self) -> None:
         """The peer has been heard of on another channel: dial it now where none is open yet.
 
         An attempt that began while its machine was down would wait in vain until it times out.
         """
-        if self.channel is None and asyncio.get_running_loop().time() - self._attempt_at > HOPELESS_S:
-            self._heard.set()
+        if self.channel is None and asyncio.get_running_loop().time() - self._attempt_at > STALE_ATTEMPT_S:
+            self._peer_alive.set()
 
     def stop(self) -> None:
         """Close the channel and dial no more."""
@@ -138,7 +138,7 @@
         failures = 0
         while not self._stopped:
             lost = asyncio.Event()
-            self._heard.clear()
+            self._peer_alive.clear()
             self._attempt_at = asyncio.get_running_loop().time()
             try:
                 channel = await self._connect(host, int(port), lost)
@@ -156,13 +156,13 @@
             self.channel = None
             if self.on_lost is not None:
                 self.on_lost(channel)
-            await asyncio.sleep(REDIAL_S[0])
+            await self._pause(REDIAL_S[0])
 
     async def _connect(self, host: str, port: int, lost: asyncio.Event) -> Channel:
-        """Open a channel.  Raises OSError, and TimeoutError for a silent peer or once `heard` was called."""
+        """Open a channel.  Raises OSError; TimeoutError for a silent peer, or after `peer_alive`."""
         loop = asyncio.get_running_loop()
         dial = loop.create_connection(lambda: Channel(self.on_frame, lambda _channel: lost.set()), host, port)
-        made, heard = loop.create_task(dial), loop.create_task(self._heard.wait())
+        made, heard = loop.create_task(dial), loop.create_task(self._peer_alive.wait())
         try:
             await asyncio.wait((made, heard), timeout=CONNECT_TIMEOUT_S, return_when=asyncio.FIRST_COMPLETED)
             if not made.done():
@@ -180,7 +180,7 @@
         """Wait before the next attempt, but not once the peer has been heard of."""
         with suppress(TimeoutError):
             async with asyncio.timeout(seconds):
-                await self._heard.wait()
+                await self._peer_alive.wait()
 
 
 def _close_unused(made: asyncio.Task) -> None:
--- a/molespur/system/shards/host.py
+++ b/molespur/system/shards/host.py
@@ -217,7 +217,7 @@
         """Take a message of another replica, if it is for the identity of this disk."""
         dialer = self.dialers.get(message.sender.partition("#")[0])
         if dialer is not None:
-            dialer.heard()
+            dialer.peer_alive()
         group = self.groups.get(message.group)
         if group is not None and message.receiver == self.replica_id:
             self._handle(group, raft.Received(message))
--- a/tests/system/test_client_limits.py
+++ b/tests/system/test_client_limits.py
@@ -6,7 +6,8 @@
 import pytest
 from wire import Client, ScriptedWorker, answer, data_plane, header, request, run
 
-from molespur.system.data_plane.client_server import RequestTimer
+from molespur.system import early_listener
+from molespur.system.data_plane.client_server import ClientServer, RequestTimer, Waiting
 from molespur.system.settings.configuration import Limits
 
 SHORT_MS, LONG_MS = 40, 60_000
@@ -119,17 +120,34 @@
 
 
 def test_resting_connections_do_not_hold_up_an_end():
+    """The grace of the server is far longer than the test may take."""
+
     async def scenario():
-        worker = ScriptedWorker("w", answer)
-        async with data_plane(limited(), worker) as (port, _ingress):
-            client = await Client.connect(port)
-            await client.send(request())
-            assert (await client.response())[0] == 200
+        listener = early_listener.listening("127.0.0.1:0")
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        listener.close()
+        stop = asyncio.Event()
+        server = ClientServer(refuse, Limits)
+        serving = asyncio.create_task(server.serve(address, stop, graceful_s=LONG_MS))
+        await asyncio.sleep(0)
+        client = await Client.connect(int(address.rpartition(":")[2]))
+        await client.send(request())
+        assert (await client.response())[0] == 404
+        stop.set()
         assert await client.closed()
+        async with asyncio.timeout(5.0):
+            await serving
 
     run(scenario())
 
 
+async def refuse(_scope, _receive, send):
+    """An application that knows no path."""
+    head = [(b"content-length", b"0")]
+    await send({"type": "http.response.start", "status": 404, "headers": head})
+    await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+
 class VirtualLoop:
     """What a timer needs of the loop, on a clock that the test moves."""
 
@@ -160,44 +178,43 @@
         self.cancelled = True
 
 
-def timer_test(monkeypatch, scenario):
+def timer_at_rest():
+    """A timer of a connection that rests from time 0, its loop, and the times at which it closed it."""
     loop, closed = VirtualLoop(), []
-    monkeypatch.setattr(asyncio, "get_running_loop", lambda: loop)
     limits = Limits(header_timeout_ms=3000.0, idle_timeout_ms=15_000.0)
-    timer = RequestTimer(lambda: limits, lambda: closed.append(loop.now))
-    coroutine = scenario(timer, loop, closed)
+    timer = RequestTimer(lambda: limits, lambda: closed.append(loop.now), loop)
+    call(timer.restart(None, None))
+    return timer, loop, closed
+
+
+def call(coroutine):
+    """Run a coroutine that waits for nothing."""
     with pytest.raises(StopIteration):
         coroutine.send(None)
 
 
-def test_a_head_counts_from_its_first_byte(monkeypatch):
-    async def scenario(timer, loop, closed):
-        await timer.restart(None, None)
-        loop.move(14.9)
-        timer.received()
-        assert timer.head_due == pytest.approx(17.9)
-        loop.move(16.0)
-        timer.received()
-        assert timer.head_due == pytest.approx(17.9)
-        assert closed == []
-
-    timer_test(monkeypatch, scenario)
-
-
-def test_rest_counts_anew_after_each_answer(monkeypatch):
-    async def scenario(timer, loop, closed):
-        await timer.restart(None, None)
-        timer.received()
-        await timer.stop()
-        assert (timer.waiting, timer.head_due) == (False, None)
-        timer.received()  # a body
-        assert timer.head_due is None
-        loop.move(100.0)
-        assert closed == []
-        await timer.restart(None, None)
-        loop.move(114.9)
-        assert closed == []
-        loop.move(115.0)
-        assert closed == [115.0]
-
-    timer_test(monkeypatch, scenario)
+def test_a_head_counts_from_its_first_byte():
+    timer, loop, closed = timer_at_rest()
+    loop.move(14.9)
+    timer.received()
+    assert timer.head_due == pytest.approx(17.9)
+    loop.move(16.0)
+    timer.received()
+    assert timer.head_due == pytest.approx(17.9)
+    assert closed == []
+
+
+def test_rest_counts_anew_after_each_answer():
+    timer, loop, closed = timer_at_rest()
+    timer.received()
+    call(timer.stop())
+    assert (timer.waiting, timer.head_due) == (Waiting.ANSWER, None)
+    timer.received()  # a body
+    assert timer.head_due is None
+    loop.move(100.0)
+    assert closed == []
+    call(timer.restart(None, None))
+    loop.move(114.9)
+    assert closed == []
+    loop.move(115.0)
+    assert closed == [115.0]
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -347,17 +347,23 @@
     assert leader.log.commit_index == 3
 
 
-def test_a_snapshot_of_what_a_follower_holds_costs_it_none_of_its_later_entries():
-    """Its answer for those entries may be under way, and the leader counts them as soon as it arrives."""
+def snapshot_at_four(term):
+    """A follower with entries 2 to 6 of term 2 gets a snapshot of index 4 from a leader of this term."""
     names = ["10.0.0.1:1#0", "10.0.0.2:1#0"]
     members = [pb.Member(replica_id=name, rpc_address=name[:-2], voter=True) for name in names]
     first = raft.Snapshot(1, 1, pb.Membership(members=members), b"")
     held = [pb.LogEntry(index=i, term=2, kind=pb.COMMAND, data=b"%d" % i) for i in range(2, 7)]
-    follower = raft.Replica("test", names[0], Random(1), raft.HardState(2, ""), first, held)
-    message = pb.ConsensusMessage(group="test", sender=names[1], receiver=names[0], term=2)
-    message.install_snapshot.index, message.install_snapshot.term = 4, 2
+    follower = raft.Replica("test", names[0], Random(1), raft.HardState(term, ""), first, held)
+    message = pb.ConsensusMessage(group="test", sender=names[1], receiver=names[0], term=term)
+    message.install_snapshot.index, message.install_snapshot.term = 4, term
     message.install_snapshot.membership.CopyFrom(first.membership)
-    actions = follower.handle(5.0, raft.Received(message))
+    message.install_snapshot.state = b"state"
+    return follower, follower.handle(5.0, raft.Received(message))
+
+
+def test_a_snapshot_of_what_a_follower_holds_costs_it_none_of_its_later_entries():
+    """Its answer for those entries may be under way, and the leader counts them as soon as it arrives."""
+    follower, actions = snapshot_at_four(term=2)
     assert follower.log.last_index == 6
     assert [a.entry.index for a in actions if isinstance(a, raft.Apply)] == [2, 3, 4]
     assert not [a for a in actions if isinstance(a, raft.Restore)]
@@ -367,16 +373,7 @@
 
 
 def test_a_snapshot_replaces_entries_of_another_history():
-    names = ["10.0.0.1:1#0", "10.0.0.2:1#0"]
-    members = [pb.Member(replica_id=name, rpc_address=name[:-2], voter=True) for name in names]
-    first = raft.Snapshot(1, 1, pb.Membership(members=members), b"")
-    held = [pb.LogEntry(index=i, term=2, kind=pb.COMMAND, data=b"%d" % i) for i in range(2, 7)]
-    follower = raft.Replica("test", names[0], Random(1), raft.HardState(3, ""), first, held)
-    message = pb.ConsensusMessage(group="test", sender=names[1], receiver=names[0], term=3)
-    message.install_snapshot.index, message.install_snapshot.term = 4, 3
-    message.install_snapshot.membership.CopyFrom(first.membership)
-    message.install_snapshot.state = b"state"
-    actions = follower.handle(5.0, raft.Received(message))
+    follower, actions = snapshot_at_four(term=3)
     assert (follower.log.last_index, follower.log.commit_index) == (4, 4)
     assert [a.snapshot.state for a in actions if isinstance(a, raft.Restore)] == [b"state"]
     (record,) = [a for a in actions if isinstance(a, raft.Persist)]
--- a/tests/system/test_control_parts.py
+++ b/tests/system/test_control_parts.py
@@ -6,6 +6,7 @@
 
 from molespur.system.consensus import replica as raft
 from molespur.system.errors import ANSWERS, ErrorKind, FleetError
+from molespur.system.membership.announcements import Announcement, AnnouncementSchedule
 from molespur.system.membership.ring import monitors
 from molespur.system.membership.schedulers import SchedulerMonitor
 from molespur.system.rpc import molespur_pb2 as pb
@@ -366,7 +367,7 @@
     for turn in range(24):
         now = 300.0 * turn
         beats_of(monitor, now, count)
-        news = monitor.news(now)
+        news = monitor.next_report(now)
         assert len(news) == most
         other.report(now, pb.MonitorReport(alive=news))
         if turn >= 8:
@@ -385,13 +386,27 @@
     assert monitor.report(6_100.0, told), "a word that has lapsed"
 
 
+def test_announcements_go_out_at_their_intervals_and_at_once_for_a_new_scheduler():
+    report, heartbeat = Announcement.MONITOR_REPORT, Announcement.FEED_HEARTBEAT
+    schedule = AnnouncementSchedule()
+    assert schedule.take_due(100.0) == [report, heartbeat]
+    assert schedule.take_due(399.0) == []
+    assert schedule.take_due(400.0) == [report]
+    assert schedule.take_due(500.0) == [heartbeat]
+    schedule.scheduler_reported()
+    assert schedule.take_due(501.0) == [heartbeat]
+    schedule.scheduler_joined()
+    assert schedule.take_due(502.0) == [report, heartbeat]
+    assert schedule.take_due(600.0) == []
+
+
 def test_one_that_is_new_is_told_with_the_next_report():
     monitor = SchedulerMonitor()
     beats_of(monitor, 0.0, 130)
     for turn in range(5):
-        monitor.news(300.0 * turn)
+        monitor.next_report(300.0 * turn)
     monitor.heartbeat(1_600.0, pb.SchedulerHeartbeat(node="edge-new"))
-    assert "edge-new" in {beat.node for beat in monitor.news(1_600.0)}
+    assert "edge-new" in {beat.node for beat in monitor.next_report(1_600.0)}
     assert set(monitor.alive(6000.0)) == set()
 
 
--- a/tests/system/test_dialer.py
+++ b/tests/system/test_dialer.py
@@ -17,17 +17,19 @@
     def __init__(self, *outcomes):
         self.outcomes, self.attempts = list(outcomes), 0
         self.tried = asyncio.Event()
+        self.on_attempt = lambda: None
 
     async def create_connection(self, factory, _host, _port):
         self.attempts += 1
         self.tried.set()
+        self.on_attempt()
         outcome = self.outcomes.pop(0) if len(self.outcomes) > 1 else self.outcomes[0]
         if outcome == "hang":
             await asyncio.Event().wait()
         if outcome == "refuse":
             raise ConnectionRefusedError
         made = factory()
-        made.transport = Transport()
+        made.transport = self.made = Transport()
         return made.transport, made
 
 
@@ -54,7 +56,7 @@
     async def prepared():
         monkeypatch.setattr(channels, "CONNECT_TIMEOUT_S", LONG_S)
         monkeypatch.setattr(channels, "REDIAL_S", (LONG_S,))
-        monkeypatch.setattr(channels, "HOPELESS_S", 0.0)
+        monkeypatch.setattr(channels, "STALE_ATTEMPT_S", 0.0)
         network = Network(*outcomes)
         monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", network.create_connection)
         opened = asyncio.Event()
@@ -79,7 +81,7 @@
 def test_a_peer_that_is_heard_of_is_dialled_at_once(monkeypatch, first):
     async def scenario(dialer, network, opened):
         assert dialer.channel is None and network.attempts == 1
-        dialer.heard()
+        dialer.peer_alive()
         await opened.wait()
         assert network.attempts == 2 and isinstance(dialer.channel, Channel)
 
@@ -88,8 +90,8 @@
 
 def test_an_attempt_that_is_young_is_not_broken_off(monkeypatch):
     async def scenario(dialer, network, _opened):
-        monkeypatch.setattr(channels, "HOPELESS_S", LONG_S)
-        dialer.heard()
+        monkeypatch.setattr(channels, "STALE_ATTEMPT_S", LONG_S)
+        dialer.peer_alive()
         await settle()
         assert network.attempts == 1
 
@@ -99,7 +101,7 @@
 def test_a_peer_that_is_reached_is_not_dialled_again(monkeypatch):
     async def scenario(dialer, network, opened):
         await opened.wait()
-        dialer.heard()
+        dialer.peer_alive()
         await settle()
         assert network.attempts == 1 and dialer.channel.open
 
@@ -108,7 +110,7 @@
 
 def test_what_was_heard_before_a_channel_opened_does_not_count_for_the_next_attempt(monkeypatch):
     async def scenario(dialer, network, opened):
-        dialer.heard()
+        dialer.peer_alive()
         await opened.wait()
         dialer.channel.connection_lost(None)
         await settle()
@@ -118,6 +120,16 @@
     dialer_test(monkeypatch, scenario, "hang", "open", "hang")
 
 
+def test_a_channel_that_opens_as_its_dialer_is_stopped_is_closed(monkeypatch):
+    async def scenario(dialer, network, _opened):
+        network.on_attempt = dialer.stop
+        dialer.peer_alive()
+        await settle()
+        assert network.attempts == 2 and network.made.closed
+
+    dialer_test(monkeypatch, scenario, "refuse", "open")
+
+
 def test_a_dialer_that_is_stopped_closes_its_channel(monkeypatch):
     async def scenario(dialer, _network, opened):
         await opened.wait()
--- a/tests/system/test_metrics.py
+++ b/tests/system/test_metrics.py
@@ -1,6 +1,9 @@
 """The figures that each role tells in Prometheus' format."""
 
 import json
+import subprocess
+import sys
+from pathlib import Path
 from types import SimpleNamespace
 
 import pytest
@@ -14,6 +17,8 @@
 from molespur.system.metrics import Metric, MetricKind, counter, exposition, gauge
 from molespur.system.rpc import traffic
 
+ROOT = Path(__file__).resolve().parents[2]
+
 
 def read(text):
     """{(name, (label, value), ...): value} of an exposition."""
@@ -35,8 +40,12 @@
     assert b"# TYPE molespur_calls_total counter" in text and b"# HELP molespur_level Level." in text
 
 
-def test_the_library_is_not_imported_before_it_is_asked_for():
-    assert "prometheus_client" not in vars(metrics)
+def test_the_library_is_not_imported_at_a_start():
+    roles = "import molespur.system.control_plane.role, molespur.system.data_plane.role"
+    http = "import molespur.system.control_plane.http, molespur.system.data_plane.http"
+    asked = f"{roles}; {http}; import sys; print('prometheus_client' in sys.modules)"
+    told = subprocess.run([sys.executable, "-c", asked], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert told.stdout == "False\n"
 
 
 def configuration():
--- a/tests/system/test_pair_policy.py
+++ b/tests/system/test_pair_policy.py
@@ -5,7 +5,7 @@
 import pytest
 
 from molespur.policy.pair import HOME_MATCH, Demand, EngineShape, PairPolicy, Step
-from molespur.policy.tracking import BEGUN_CHANCE, BEGUN_LEFT, RANKS, Part, Report, WorkerTrack
+from molespur.policy.tracking import IN_PROGRESS_CHANCE, IN_PROGRESS_LEFT, RANKS, Part, Report, WorkerTrack
 from molespur.system.data_plane.client_call import seconds_of_patience
 
 ENGINE = EngineShape(18_432.0, 550_000.0, 400_000.0)
@@ -153,16 +153,16 @@
     """A worker puts no read back once it has begun, however urgent the next one is."""
     track = worker("p", "prefill")
     track.reads[4] = 9_000.0
-    assert track.ahead(1) == BEGUN_LEFT * 9_000.0, "it has begun, since nothing else is there"
+    assert track.ahead(1) == IN_PROGRESS_LEFT * 9_000.0, "it has begun, since nothing else is there"
     track.reads[1] = 500.0
-    assert track.ahead(1) == 500.0 + BEGUN_LEFT * BEGUN_CHANCE * 9_000.0
+    assert track.ahead(1) == 500.0 + IN_PROGRESS_LEFT * IN_PROGRESS_CHANCE * 9_000.0
     assert track.ahead(4) == 9_500.0
     track.reads[4] = 40_000.0
-    assert track.ahead(1) == 500.0 + BEGUN_LEFT * BEGUN_CHANCE * 10_000.0, (
+    assert track.ahead(1) == 500.0 + IN_PROGRESS_LEFT * IN_PROGRESS_CHANCE * 10_000.0, (
         "several reads, of which one has begun"
     )
     track.reads[4], track.peer_reads[4], track.peer_scale = 0.0, 2_000.0, 2.0
-    assert track.ahead(1) == 500.0 + BEGUN_LEFT * BEGUN_CHANCE * 4_000.0
+    assert track.ahead(1) == 500.0 + IN_PROGRESS_LEFT * IN_PROGRESS_CHANCE * 4_000.0
 
 
 @pytest.mark.parametrize(("scale", "run"), [(0.0, 60.5), (1.0, 162.5), (4.0, 86.0)])
--- a/tests/system/virtual_fleet.py
+++ b/tests/system/virtual_fleet.py
@@ -153,7 +153,7 @@
         self.open = True
         return super().send(frame)
 
-    def heard(self):
+    def peer_alive(self):
         """A link is always open."""
 
 
