--- a/molespur/system/membership/schedulers.py
+++ b/molespur/system/membership/schedulers.py
@@ -25,9 +25,7 @@
     started_at: float = 0.0
     heard: dict[str, Report] = field(default_factory=dict)
     told: dict[str, Report] = field(default_factory=dict)
-    reported_at: dict[str, float] = field(
-        default_factory=dict
-    )  # scheduler -> when others were last told
+    reported_at: dict[str, float] = field(default_factory=dict)  # scheduler -> when others were last told
 
     def heartbeat(self, now: float, beat: pb.SchedulerHeartbeat) -> bool:
         """A scheduler has said that it lives, or that it leaves; whether it was not known here."""
