--- a/molespur/fleet/swim.py
+++ b/molespur/fleet/swim.py
@@ -46,6 +46,7 @@
 PURGE_EVERY_MS = 1_000.0
 HEADROOM = 160  # bytes of a datagram kept for what is not news
 NACK_SHARE = 0.8  # of what is left of a requester's period, for a helper to wait before its nack
+FORGOTTEN_SEED_ROUNDS = 3  # one push-pull in so many goes to a seed that the view knows nothing of
 RECONNECT_PERIODS = 2.0  # a member held failed is pinged this often, in probe periods
 
 
@@ -720,11 +721,19 @@
         return wire.encode_exchange(self.cluster, self.me, join, members, self.whole())
 
     def _push_pull(self) -> None:
-        """With a member held alive; every other time with one held failed, so that split halves heal."""
+        """With a member held alive; every other time with one held failed, so that split halves heal.
+
+        Halves that were apart for longer than tombstones are kept have forgotten each other: now and then the
+        target is a seed of which this view knows nothing.
+        """
         self._push_round += 1
         alive = self.alive()
         failed = [m.id for m in self.members.values() if m.state is State.DEAD]
-        if failed and (not alive or self._push_round % 2 == 0):
+        known = {member.address for member in self.members.values()}
+        forgotten = [seed for seed in self._seeds if seed not in known]
+        if forgotten and self._push_round % FORGOTTEN_SEED_ROUNDS == 0:
+            target = self.rng.choice(forgotten)
+        elif failed and (not alive or self._push_round % 2 == 0):
             target = self.members[self.rng.choice(failed)].address
         elif alive:
             target = self.members[self.rng.choice(alive)].address
--- a/tests/fleet/test_swim.py
+++ b/tests/fleet/test_swim.py
@@ -280,6 +280,22 @@
         raise AssertionError(f"views did not agree: {fleet.views()}")
 
 
+def test_halves_that_have_forgotten_each_other_find_each_other_by_their_seeds():
+    """Apart for longer than tombstones are kept: neither half has a member of the other left to ask."""
+    tuning = Tuning(period_ms=200, probe_timeout_ms=80, gossip_ms=50, push_pull_ms=2000, tombstone_ms=5000)
+    fleet = VirtualFleet(5, tuning, seed=7)
+    for i in range(5):
+        fleet.start(i, seeds=(0, 1))
+    fleet.run(3000)
+    assert fleet.agreed()
+    fleet.partition({0, 1, 3}, {2, 4})
+    fleet.run(fleet.now + 30_000)
+    assert {len(view) for view in fleet.views().values()} == {2, 3}  # the others' tombstones are gone
+    fleet.heal()
+    fleet.run(fleet.now + 20_000)
+    assert fleet.agreed(), fleet.views()
+
+
 Fleet.TestCase.settings = settings(
     max_examples=40, stateful_step_count=25, deadline=None, suppress_health_check=[HealthCheck.too_slow]
 )
