--- a/molespur/system/consensus/log.py
+++ b/molespur/system/consensus/log.py
@@ -58,6 +58,18 @@
         """Whether the log has an entry of this term at an index, and so all that its leader had before it."""
         return self.term_at(index) == term
 
+    def last_before_conflict(self, index: int) -> int:
+        """Where a leader should go on whose entry at an index is not ours: one step back for each term.
+
+        All up to the commit index is the same in every log, so it is never further back than that.
+        """
+        if index > self.last_index:
+            return self.last_index
+        term = self.term_at(index)
+        while index > self.commit_index and self.term_at(index) == term:
+            index -= 1
+        return index
+
     def batch(self, first: int) -> list[pb.LogEntry]:
         """Entries from an index on, as many as go into one message."""
         start = first - self.snapshot.index - 1
--- a/molespur/system/consensus/progress.py
+++ b/molespur/system/consensus/progress.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from ..rpc import molespur_pb2 as pb
+from .snapshot_transfer import SnapshotSending
 
 
 @dataclass(slots=True)
@@ -20,6 +21,7 @@
     acknowledged_round: int = 0  # newest round of reads that it has answered
     waiting_since: float | None = None  # an append with entries, or a snapshot, is out since then
     waiting_for: int = 0  # the last index that it holds
+    snapshot: SnapshotSending | None = None  # a snapshot is on its way, in pieces
 
     def sent(self, now: float, last_index: int) -> None:
         """An append with entries, or a snapshot, has gone out; no further one does until it is answered."""
@@ -40,10 +42,19 @@
             self.next = max(self.next, self.match + 1)
             if self.match >= self.waiting_for:
                 self.waiting_since = None
+            self._snapshot_answered(reply)
         else:
             self.next = max(min(self.next - 1, reply.match_index + 1), self.match + 1, 1)
             self.waiting_since = None
 
+    def _snapshot_answered(self, reply: pb.AppendReply) -> None:
+        if self.snapshot is None:
+            return
+        if self.match >= self.snapshot.snapshot.index:
+            self.snapshot = None
+        elif self.snapshot.answered(reply):
+            self.waiting_since = None  # the next piece may go
+
 
 def majority_value(values: Iterable[float]) -> float | None:
     """The most that more than half of the voters have reached, given each one's value; None without any."""
--- a/molespur/system/consensus/replica.py
+++ b/molespur/system/consensus/replica.py
@@ -40,6 +40,7 @@
     TransferLeadership,
     Unsynced,
 )
+from .snapshot_transfer import SnapshotReceiving, SnapshotSending
 
 HEARTBEAT_MS = 150.0
 ELECTION_MS = (700.0, 1300.0)  # a follower campaigns after a silence drawn from this range
@@ -68,6 +69,7 @@
         self.progress: dict[str, Progress] = {}
         self.votes: set[str] = set()
         self.reads = ReadIndex()
+        self.receiving = SnapshotReceiving()
         self.leader_heard_at = float("-inf")
         self.transfer_to = ""
         self.now = now
@@ -111,6 +113,16 @@
             return False
         return self._own_term_committed() and now - self._quorum_heard_at(now) < LEASE_MS
 
+    def in_touch(self, now: float) -> bool:
+        """Whether a proposal may be taken: this replica leads, and no other can have been elected since.
+
+        A majority must have answered within the shortest election time-out; a leader that is cut off learns
+        by this that it can commit nothing, before it steps down.
+        """
+        if self.role is not Role.LEADER:
+            return False
+        return min(now - self._quorum_heard_at(now), now - self.led_since) < ELECTION_MS[0]
+
     def _own_term_committed(self) -> bool:
         """Whether an entry of the own term is committed, and so all that earlier terms have committed."""
         return self.log.term_at(self.log.commit_index) == self.hard_state.term
@@ -382,7 +394,7 @@
         reply.append_reply.read_round = request.read_round
         if self.log.term_at(previous) != previous_term:
             reply.append_reply.success = False
-            reply.append_reply.match_index = min(self.log.last_index, previous - 1)
+            reply.append_reply.match_index = self.log.last_before_conflict(previous)
             self._send(self._sender(message), reply)
             return
         last = request.entries[-1].index if request.entries else request.previous_index
@@ -406,14 +418,25 @@
             # all that the snapshot stands for is there; entries after it may be acknowledged already
             self._commit_to(sent.index)
         elif sent.index > self.log.commit_index:
-            self.log.install(Snapshot(sent.index, sent.term, sent.membership, sent.state))
-            record = self._write()
-            record.snapshot, record.truncate_from = self.log.snapshot, 0
-            self._actions.append(Restore(self.log.snapshot))
+            snapshot = self.receiving.take(sent)
+            if snapshot is None:
+                reply.append_reply.match_index = self.log.snapshot.index
+                reply.append_reply.snapshot_index = sent.index
+                reply.append_reply.snapshot_received = self.receiving.received
+                self._send(self._sender(message), reply)
+                return
+            self._install(snapshot)
             self._follow(message.sender)
         reply.append_reply.match_index = self.log.commit_index
         self._send(self._sender(message), reply, after_write=True)
 
+    def _install(self, snapshot: Snapshot) -> None:
+        """Go by a snapshot in place of the log."""
+        self.log.install(snapshot)
+        record = self._write()
+        record.snapshot, record.truncate_from = self.log.snapshot, 0
+        self._actions.append(Restore(self.log.snapshot))
+
     # -- Replication: the leader's side ----------------------------------------------------------
 
     def _propose(self, kind: int, data: bytes) -> None:
@@ -457,9 +480,10 @@
         message = self._message(member.replica_id)
         previous_term = self.log.term_at(progress.next - 1)
         if previous_term is None:
-            if progress.waiting_since is not None:
-                return
-            self._send_snapshot(member, progress)
+            if progress.waiting_since is None:
+                self._send_snapshot(member, progress)
+            else:
+                self._send_heartbeat(member)
             return
         request = message.append_request
         request.previous_index, request.previous_term = progress.next - 1, previous_term
@@ -473,15 +497,22 @@
                 progress.sent(self.now, entries[-1].index)
         self._send(member, message)
 
+    def _send_heartbeat(self, member: pb.Member) -> None:
+        """An append that asks for nothing: while a snapshot is on its way the leader must still be heard."""
+        message = self._message(member.replica_id)
+        message.append_request.sent_at_ms = int(self.now)
+        message.append_request.read_round = self.reads.round
+        self._send(member, message)
+
     def _send_snapshot(self, member: pb.Member, progress: Progress) -> None:
+        """Send the next piece of the snapshot that is on its way, or begin with the newest one."""
+        if progress.snapshot is None:
+            progress.snapshot = SnapshotSending.of(self.log.snapshot)
         message = self._message(member.replica_id)
-        sent = message.install_snapshot
-        snapshot = self.log.snapshot
-        sent.index, sent.term, sent.state = snapshot.index, snapshot.term, snapshot.state
-        sent.membership.CopyFrom(snapshot.membership)
-        sent.sent_at_ms = int(self.now)
-        sent.read_round = self.reads.round
-        progress.sent(self.now, sent.index)
+        progress.snapshot.fill(message.install_snapshot)
+        message.install_snapshot.sent_at_ms = int(self.now)
+        message.install_snapshot.read_round = self.reads.round
+        progress.sent(self.now, progress.snapshot.snapshot.index)
         self._send(member, message)
 
     def _append_replied(self, message: pb.ConsensusMessage) -> None:
--- /dev/null
+++ b/molespur/system/consensus/snapshot_transfer.py
@@ -0,0 +1,78 @@
+"""Snapshots that go from a leader to a follower in pieces.  Pure.
+
+A piece is sent once the piece before it has been answered.  The answer tells how many bytes the follower
+holds, so a transfer goes on where it stopped: after a lost piece, and also under another leader whose
+snapshot of the same index has the same bytes.
+"""
+
+from dataclasses import dataclass
+from zlib import crc32
+
+from ..rpc import molespur_pb2 as pb
+from .records import Snapshot
+
+PIECE_BYTES = 256 << 10
+
+
+@dataclass(slots=True)
+class SnapshotSending:
+    """The leader's side of one transfer; the snapshot stays the same until the transfer has ended."""
+
+    snapshot: Snapshot
+    checksum: int
+    offset: int = 0
+
+    @classmethod
+    def of(cls, snapshot: Snapshot) -> "SnapshotSending":
+        """A transfer that is to begin."""
+        return cls(snapshot, crc32(snapshot.state))
+
+    def fill(self, message: pb.InstallSnapshot) -> None:
+        """Put the next piece into a message."""
+        message.index, message.term = self.snapshot.index, self.snapshot.term
+        message.membership.CopyFrom(self.snapshot.membership)
+        message.offset, message.size = self.offset, len(self.snapshot.state)
+        message.checksum = self.checksum
+        message.state = self.snapshot.state[self.offset : self.offset + PIECE_BYTES]
+
+    def answered(self, reply: pb.AppendReply) -> bool:
+        """Take the follower's answer; whether it was one to this transfer."""
+        if reply.snapshot_index != self.snapshot.index:
+            return False
+        self.offset = min(reply.snapshot_received, len(self.snapshot.state))
+        return True
+
+
+class SnapshotReceiving:
+    """The follower's side: the pieces of at most one snapshot."""
+
+    def __init__(self):
+        self._key: tuple[int, int, int, int] | None = None
+        self._state = bytearray()
+
+    def take(self, message: pb.InstallSnapshot) -> Snapshot | None:
+        """Take a piece; return the snapshot once it is whole and its checksum is right."""
+        key = (message.index, message.term, message.size, message.checksum)
+        if key != self._key:
+            self._key, self._state = key, bytearray()
+        if message.offset != len(self._state):
+            return None  # sent twice, or after a loss: the answer tells where to go on
+        self._state += message.state
+        if len(self._state) < message.size:
+            return None
+        state = bytes(self._state)
+        self.forget()
+        if crc32(state) != message.checksum or len(state) != message.size:
+            return None
+        membership = pb.Membership()
+        membership.CopyFrom(message.membership)
+        return Snapshot(message.index, message.term, membership, state)
+
+    def forget(self) -> None:
+        """Drop all pieces."""
+        self._key, self._state = None, bytearray()
+
+    @property
+    def received(self) -> int:
+        """Bytes of the present transfer that are here."""
+        return len(self._state)
--- a/molespur/system/control_plane/calls.py
+++ b/molespur/system/control_plane/calls.py
@@ -1,14 +1,21 @@
 """What workers and the operator ask of the control plane, apart from how it is asked.
 
 Every process takes every call.  Calls about workers are handed to the owner of the shard; calls of the
-operator are led there by a redirect.
+operator are led there by a redirect.  The contact that each answer needs:
+
+- a configuration that is read: a majority confirms the lead after the call has come (`ReplicaHost.read`);
+- a change, a heartbeat that changes something, a goodbye: a majority has committed it
+  (`ReplicaHost.propose`), which also decides whether it is refused;
+- a heartbeat or goodbye that changes nothing: what it says is committed here, and a majority has answered
+  within the lease;
+- a refusal of a body that can't be read: none, since no state has a part in it.
+
+Without that contact the answer is 503 at once.
 """
 
-import asyncio
 import hashlib
 import json
 from collections.abc import Callable
-from itertools import count
 
 from absl import logging
 
@@ -16,27 +23,26 @@
 from ..faults import FaultPoint, strike
 from ..rpc import molespur_pb2 as pb
 from ..rpc.channel import Channel
+from ..rpc.peer_calls import PeerCalls
 from ..settings import configuration
 from ..shards.configuration import PutOutcome
 from ..shards.host import ReplicaHost
 from ..shards.placement import CONFIGURATION, WORKER_GROUPS, group_of_service
 from ..workers.liveness import WorkerLiveness
 
-FORWARD_S = 0.8
 STATES = {"ready": pb.READY, "draining": pb.DRAINING}
-PUT_WORKER, REMOVE_WORKER = "put-worker", "remove-worker"
+PUT_WORKER, REMOVE_WORKER, READ_INDEX = "put-worker", "remove-worker", "read-index"
+OK = 200
 
 
 class ControlCalls:
     """The calls, on top of the replicas that this process hosts."""
 
-    def __init__(self, host: ReplicaHost, clock: Callable[[], float], interval_ms: float):
-        self.host, self.clock = host, clock
+    def __init__(self, host: ReplicaHost, peers: PeerCalls, clock: Callable[[], float], interval_ms: float):
+        self.host, self.peers, self.clock = host, peers, clock
         self.liveness = {
             name: WorkerLiveness(host.groups[name].machine, interval_ms) for name in WORKER_GROUPS
         }
-        self._ids = count(1)
-        self._pending: dict[int, asyncio.Future] = {}
 
     # -- Workers -----------------------------------------------------------------------------------
 
@@ -59,54 +65,63 @@
         leader = self.host.leader(name)
         if leader is None:
             raise FleetError(ErrorKind.NO_LEADER, name)
-        await self._forward(leader, name, method, worker)
+        reply = await self.peers.call(leader.rpc_address, method, name, worker.SerializeToString())
+        if reply.status != OK:
+            raise FleetError(ErrorKind.OUTCOME_UNKNOWN, name)
         return leader.control_address
 
     async def _own(self, name: str, method: str, worker: pb.Worker) -> None:
         """The owner's part of a call."""
-        directory = self.host.groups[name].machine
-        if method == PUT_WORKER:
-            changed = self.liveness[name].heartbeat(self.clock(), worker)
-        else:
-            known = worker.id in directory.workers or worker.id not in directory.removed
-            changed = worker if known else None
+        if not self.host.has_lease(name):
+            raise FleetError(ErrorKind.NO_LEADER, name)
+        if method == REMOVE_WORKER:
+            directory = self.host.groups[name].machine
+            if worker.id in directory.workers or worker.id not in directory.removed:
+                await self.host.propose(name, pb.WorkerCommand(workers=[worker]).SerializeToString())
+            return
+        liveness = self.liveness[name]
+        changed = liveness.heartbeat(self.clock(), worker)
         if changed is not None:
             await self.host.propose(name, pb.WorkerCommand(workers=[changed]).SerializeToString())
-
-    async def _forward(self, leader: pb.Member, name: str, method: str, worker: pb.Worker) -> None:
-        dialer = self.host.dialers.get(leader.rpc_address)
-        identity = next(self._ids)
-        outcome = self._pending[identity] = asyncio.get_running_loop().create_future()
-        call = pb.Call(id=identity, method=method, subject=name, body=worker.SerializeToString())
-        try:
-            if dialer is None or not dialer.send(pb.Frame(call=call)):
-                raise FleetError(ErrorKind.NO_LEADER, name)
-            status = await asyncio.wait_for(outcome, FORWARD_S)
-        except TimeoutError as error:
-            raise FleetError(ErrorKind.OUTCOME_UNKNOWN, name) from error
-        finally:
-            del self._pending[identity]
-        if status != 200:
-            raise FleetError(ErrorKind.OUTCOME_UNKNOWN, name)
+            liveness.committed(changed)
 
     async def answer(self, channel: Channel, call: pb.Call) -> None:
         """Carry out a call that another process handed over."""
-        status = 200
+        reply = pb.Reply(id=call.id, status=OK)
         try:
-            if call.subject not in WORKER_GROUPS or call.method not in (PUT_WORKER, REMOVE_WORKER):
-                raise FleetError(ErrorKind.MALFORMED, call.method)
+            if call.subject not in self.host.groups:
+                raise FleetError(ErrorKind.MALFORMED, call.subject)
             if not self.host.leads(call.subject):
                 raise FleetError(ErrorKind.NO_LEADER, call.subject)
-            await self._own(call.subject, call.method, pb.Worker.FromString(call.body))
+            if call.method == READ_INDEX:
+                index = await self._confirmed_index(call.subject)
+                reply.body = pb.Offset(group=call.subject, index=index).SerializeToString()
+            elif call.method in (PUT_WORKER, REMOVE_WORKER) and call.subject in WORKER_GROUPS:
+                await self._own(call.subject, call.method, pb.Worker.FromString(call.body))
+            else:
+                raise FleetError(ErrorKind.MALFORMED, call.method)
         except FleetError as error:
-            status = error.answer.status
-        channel.send(pb.Frame(reply=pb.Reply(id=call.id, status=status)))
+            reply.status = error.answer.status
+        channel.send(pb.Frame(reply=reply))
+
+    async def read_barrier(self, name: str) -> int:
+        """An index of a group's log: whoever has applied it knows all that was acknowledged before this call.
+
+        Raises FleetError where no leader confirms it.
+        """
+        if self.host.leads(name):
+            return await self._confirmed_index(name)
+        leader = self.host.leader(name)
+        if leader is None:
+            raise FleetError(ErrorKind.NO_LEADER, name)
+        reply = await self.peers.call(leader.rpc_address, READ_INDEX, name)
+        if reply.status != OK:
+            raise FleetError(ErrorKind.NO_LEADER, name)
+        return pb.Offset.FromString(reply.body).index
 
-    def replied(self, reply: pb.Reply) -> None:
-        """The answer to a call that was handed over has come."""
-        outcome = self._pending.get(reply.id)
-        if outcome is not None and not outcome.done():
-            outcome.set_result(reply.status)
+    async def _confirmed_index(self, name: str) -> int:
+        await self.host.read(name)
+        return self.host.groups[name].replica.log.applied_index
 
     def became_owner(self, name: str) -> None:
         """This process has a group's lead."""
@@ -116,7 +131,8 @@
     async def look_for_silence(self) -> None:
         """Propose what follows from missing heartbeats, in the shards that this process owns."""
         for name in WORKER_GROUPS:
-            if not self.host.leads(name):
+            if not self.host.has_lease(name):
+                self.liveness[name].rest()
                 continue
             overdue = self.liveness[name].overdue(self.clock())
             if not overdue:
--- a/molespur/system/control_plane/orders.py
+++ b/molespur/system/control_plane/orders.py
@@ -1,7 +1,8 @@
 """Gives orders to workers: a singleton role, which the owner of a service's shard has.
 
 The fencing token is the term of the shard's group: two owners never share one, and a later owner has a higher
-one.  A new owner waits a lease before its first order, so that holders don't take turns.
+one.  A new owner waits a lease before its first order, so that holders don't take turns.  A worker that
+refuses a token since it has seen a higher one gets no order with that token again.
 """
 
 import asyncio
@@ -24,6 +25,7 @@
 ORDER_TIMEOUT_S = 0.8
 HANDOVER_MS = 1000.0  # on top of the lease, before a new owner gives orders
 TAKEN = (200, 202)
+FENCED_OFF = 412  # the worker has seen a higher fencing token
 DEFAULT_SWITCH_S = 2.0
 REPORTS, REPORT_PAUSE_S = 4, 0.25  # asked of a worker under orders, before its heartbeat is waited for
 
@@ -44,6 +46,7 @@
         self.owner_since: dict[str, float] = {}
         self.planners: dict[tuple[str, str], PhasePlanner] = {}  # by group and service
         self.given: Counter[tuple[str, str]] = Counter()  # (part, status or "no answer")
+        self.fenced_off: dict[str, int] = {}  # worker -> the token that it has refused
         self._client = None  # made with the first order: most processes never give one
         self._tasks: set[asyncio.Task] = set()
 
@@ -67,7 +70,7 @@
             for service, workers in services.items():
                 planner = self.planners.setdefault((group, service), PhasePlanner())
                 order = planner.plan(now, workers, self.schedulers.load(now, service))
-                if order is not None:
+                if order is not None and self.fenced_off.get(order.worker.id, -1) < fence:
                     task = asyncio.get_running_loop().create_task(self._give(group, order, fence))
                     self._tasks.add(task)
                     task.add_done_callback(self._tasks.discard)
@@ -96,6 +99,10 @@
             return
         logging.info("%s ordered to %s: %d", worker.id, order.phase, response.status_code)
         self.given[order.phase, str(response.status_code)] += 1
+        if response.status_code == FENCED_OFF:
+            logging.warning("%s has seen a higher token than %d: no more orders with it", worker.id, fence)
+            self.fenced_off[worker.id] = fence
+            return
         if response.status_code not in TAKEN:
             return
         liveness = self.calls.liveness[group]
--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -12,6 +12,7 @@
 from ..metrics import Metric
 from ..rpc import molespur_pb2 as pb
 from ..rpc.channel import Channel
+from ..rpc.peer_calls import PeerCalls
 from ..settings.process import ProcessSettings
 from ..shards.configuration import ConfigurationMachine
 from ..shards.host import ReplicaHost
@@ -42,8 +43,9 @@
         machines = {CONFIGURATION: ConfigurationMachine()}
         machines.update({name: WorkerDirectory() for name in WORKER_GROUPS})
         self.host = ReplicaHost(settings, store, machines, clock, Random())
-        self.calls = ControlCalls(self.host, clock, settings.heartbeat_interval_ms)
-        self.feed = FeedSource(self.host, clock)
+        self.peer_calls = PeerCalls(self.host.dialers.get)
+        self.calls = ControlCalls(self.host, self.peer_calls, clock, settings.heartbeat_interval_ms)
+        self.feed = FeedSource(self.host, clock, self.calls.read_barrier)
         self.schedulers = SchedulerMonitor(clock())
         self.orders = PhaseOrders(settings, self.host, self.calls, self.schedulers, clock)
         self.channels: set[Channel] = set()
@@ -126,7 +128,13 @@
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
             case "reply":
-                self.calls.replied(frame.reply)
+                self.peer_calls.replied(channel.label, frame.reply)
+            case "leave_request":
+                reply = self.host.leave_requested(frame.leave_request)
+                if reply.groups:
+                    channel.send(pb.Frame(leave_reply=reply))
+            case "leave_reply":
+                self.host.leaving.answered(frame.leave_reply)
 
     def _feed_heartbeat(self) -> None:
         now = clock()
@@ -136,9 +144,8 @@
         if announcement is Announcement.FEED_HEARTBEAT:
             self._feed_heartbeat()
             return
-        report = pb.Frame(monitor_report=pb.MonitorReport(alive=self.schedulers.next_report(now)))
-        for dialer in self.host.dialers.values():
-            dialer.send(report)
+        report = pb.MonitorReport(alive=self.schedulers.next_report(now))
+        self.host.tell_all(pb.Frame(monitor_report=report))
 
     async def _repeat(self) -> None:
         """What is done again and again."""
--- a/molespur/system/feed/source.py
+++ b/molespur/system/feed/source.py
@@ -2,18 +2,25 @@
 
 A scheduler names the offset (log index) that it has of each group.  If the changes since then are still
 kept it gets these, else the whole state.  What it is sent never has a lower offset than what it has.
+
+A scheduler that has nothing yet is started only on a state that certainly holds all that was acknowledged
+before it asked: the group's leader confirms an index with a majority, and this process has applied it.
 """
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from absl import logging
+
+from ..errors import FleetError
 from ..membership.ring import ring_position
 from ..rpc import molespur_pb2 as pb
 from ..rpc.channel import Channel
 from ..shards.host import ReplicaHost
 
 MAX_PEERS = 16  # schedulers that one exchanges its load with
-FRESH_MS = 2000.0  # a replica whose leader was silent longer starts no new follower
+FRESH_MS = 2000.0  # a replica whose leader was silent longer goes on with no follower
 
 
 @dataclass
@@ -22,6 +29,7 @@
 
     channel: Channel
     node: str
+    since: float  # when it came, ms on the steady clock
     offsets: dict[str, int] = field(default_factory=dict)
     started: set[str] = field(default_factory=set)  # groups that it is sent changes of
     peers: list[str] | None = None  # the schedulers that it was told to exchange its load with
@@ -42,16 +50,35 @@
     return sorted(addresses[other] for other in chosen if other in addresses)
 
 
+@dataclass(frozen=True, slots=True)
+class Confirmation:
+    """An index that holds all that was acknowledged before the time at which it was asked for."""
+
+    asked_at: float
+    index: int
+
+
 class FeedSource:
-    """Serves the feed from the groups that a process hosts."""
+    """Serves the feed from the groups that a process hosts.
 
-    def __init__(self, host: ReplicaHost, clock: Callable[[], float]):
-        self.host, self.clock = host, clock
+    `read_barrier(group)` gives an index that a leader has confirmed, or raises FleetError.
+    """
+
+    def __init__(
+        self,
+        host: ReplicaHost,
+        clock: Callable[[], float],
+        read_barrier: Callable[[str], Awaitable[int]],
+    ):
+        self.host, self.clock, self.read_barrier = host, clock, read_barrier
         self.followers: dict[Channel, Follower] = {}
+        self._confirmations: dict[str, Confirmation] = {}
+        self._asking: dict[str, asyncio.Task] = {}
 
     def subscribe(self, channel: Channel, request: pb.Subscribe) -> None:
         """Take in a follower; groups whose state may be old here follow once it is not."""
-        follower = Follower(channel, request.node, {o.group: o.index for o in request.offsets})
+        offsets = {offset.group: offset.index for offset in request.offsets}
+        follower = Follower(channel, request.node, self.clock(), offsets)
         self.followers[channel] = follower
         self.start(follower)
 
@@ -61,30 +88,54 @@
 
     def start_waiting(self) -> None:
         """Begin with groups that could not be begun with earlier."""
-        for follower in self.followers.values():
+        for follower in list(self.followers.values()):
             if len(follower.started) < len(self.host.groups):
                 self.start(follower)
 
     def start(self, follower: Follower) -> None:
-        """Send a follower what it lacks of each group that is fresh here."""
-        now = self.clock()
+        """Send a follower what it lacks of each group whose state here is new enough for it."""
         for name, group in self.host.groups.items():
-            replica = group.replica
-            behind = replica.log.applied_index < follower.offsets.get(name, 0)
-            fresh = replica.leader_silence(now) < FRESH_MS and replica.log.commit_index > 1
-            if name in follower.started or behind or not fresh:
+            if name in follower.started or not self._new_enough(follower, name):
                 continue
             follower.started.add(name)
             since = follower.offsets.get(name)
             if since is None or since < group.history_from:
-                self._send(
-                    follower, name, replica.log.applied_index, group.machine.feed_snapshot(), snapshot=True
-                )
+                index = group.replica.log.applied_index
+                self._send(follower, name, index, group.machine.feed_snapshot(), snapshot=True)
                 continue
             for index, payload in group.history:
                 if index > since:
                     self._send(follower, name, index, payload)
 
+    def _new_enough(self, follower: Follower, name: str) -> bool:
+        replica = self.host.groups[name].replica
+        if replica.log.commit_index <= 1:
+            return False
+        since = follower.offsets.get(name)
+        if since is not None:
+            return replica.log.applied_index >= since and replica.leader_silence(self.clock()) < FRESH_MS
+        confirmed = self._confirmations.get(name)
+        if confirmed is None or confirmed.asked_at < follower.since:
+            self._ask(name)
+            return False
+        return replica.log.applied_index >= confirmed.index
+
+    def _ask(self, name: str) -> None:
+        """Have the state confirmed; one question at a time serves all followers that wait."""
+        if name not in self._asking:
+            self._asking[name] = asyncio.get_running_loop().create_task(self._confirm(name, self.clock()))
+
+    async def _confirm(self, name: str, asked_at: float) -> None:
+        try:
+            index = await self.read_barrier(name)
+        except FleetError as error:
+            logging.info("feed: %s is not confirmed: %s", name, error)
+            return
+        finally:
+            del self._asking[name]
+        self._confirmations[name] = Confirmation(asked_at, index)
+        self.start_waiting()
+
     def changed(self, name: str, index: int, payload: bytes) -> None:
         """A change was committed: tell all that follow."""
         for follower in list(self.followers.values()):
--- a/molespur/system/shards/configuration.py
+++ b/molespur/system/shards/configuration.py
@@ -23,32 +23,40 @@
     def __init__(self):
         self.version, self.body = 0, b""
         self.taken: dict[bytes, None] = {}
+        self.refused: dict[bytes, int] = {}  # digest -> base version, where that is above the current one
 
     @property
     def size(self) -> int:
         """Bytes that a snapshot takes, roughly."""
-        return len(self.body) + 20 * len(self.taken)
+        return len(self.body) + 20 * len(self.taken) + 24 * len(self.refused)
 
     def apply(self, data: bytes) -> tuple[PutOutcome, bytes | None]:
         """Take one change if it builds on the current version.
 
         A change that was taken before is told so again, whatever came after it: its first acknowledgement
-        may have been lost, and it must never be refused.
+        may have been lost, and it must never be refused.  A change that was refused stays refused.  Versions
+        rise, so one on a version below the current one can never be taken; one on a version above it could
+        be later, and is remembered until the current version has passed its base.
         """
         command = pb.PutConfiguration.FromString(data)
         if command.digest in self.taken:
             return PutOutcome.TAKEN, None
-        if command.base_version != self.version:
+        if command.base_version != self.version or command.digest in self.refused:
+            if command.base_version > self.version:
+                self.refused[command.digest] = command.base_version
             return PutOutcome.MISMATCH, None
         if command.version <= self.version:
             return PutOutcome.NOT_NEWER, None
         self.version, self.body = command.version, command.body
         self.taken[command.digest] = None
+        self.refused = {digest: base for digest, base in self.refused.items() if base >= self.version}
         return PutOutcome.TAKEN, self.feed_snapshot()
 
     def snapshot(self) -> bytes:
         """All state, for another replica."""
         state = pb.ConfigurationState(version=self.version, body=self.body, taken_digests=list(self.taken))
+        for digest, base_version in self.refused.items():
+            state.refused.add(digest=digest, base_version=base_version)
         return state.SerializeToString()
 
     def restore(self, data: bytes) -> None:
@@ -56,6 +64,7 @@
         state = pb.ConfigurationState.FromString(data)
         self.version, self.body = state.version, state.body
         self.taken = dict.fromkeys(state.taken_digests)
+        self.refused = {change.digest: change.base_version for change in state.refused}
 
     def feed_snapshot(self) -> bytes:
         """The current configuration, for the data plane."""
--- a/molespur/system/shards/host.py
+++ b/molespur/system/shards/host.py
@@ -17,6 +17,7 @@
 from ..rpc import molespur_pb2 as pb
 from ..rpc.channel import Dialer
 from ..storage.store import Store, bootstrap_identity, new_identity
+from .leaving import Leaving
 from .membership_changes import MembershipPlanner
 
 TICK_S = 0.05
@@ -24,6 +25,7 @@
 HISTORY = 256  # changes kept for followers of the feed, for each group
 COMPACT_ENTRIES = 64
 COMPACT_BYTES = 1 << 20
+STATE_BYTES_PER_ENTRY = 1 << 10  # a large state is written again only after as many more entries
 PROPOSAL_S = 0.85  # callers move on after a second
 
 
@@ -72,6 +74,7 @@
         )
         self.groups = {name: self._open(name, machine, random) for name, machine in machines.items()}
         self.joined_at = float("-inf")
+        self.leaving = Leaving(self, clock, settings.bounds.grace_period_s)
         self._read_numbers = count(1)
 
     # -- Start ---------------------------------------------------------------------------------
@@ -135,16 +138,20 @@
             self._dial(address)
 
     async def stop(self) -> None:
-        """Hand over every lead, and wait a moment for it."""
-        for group in self.groups.values():
-            self._handle(group, raft.TransferLeadership())
-        for _ in range(12):
-            if not any(g.replica.role is raft.Role.LEADER for g in self.groups.values()):
-                break
-            await asyncio.sleep(TICK_S)
+        """Pass leads and votes on, then write no more."""
+        await self.leaving.run()
         if self.writer is not None:
             self.writer.stop()
 
+    def transfer_lead(self, group: HostedGroup) -> None:
+        """Hand the lead of a group over."""
+        self._handle(group, raft.TransferLeadership())
+
+    def tell_all(self, frame: pb.Frame) -> None:
+        """Send a frame to every other control-plane process that is known."""
+        for dialer in self.dialers.values():
+            dialer.send(frame)
+
     # -- What others ask ---------------------------------------------------------------------------
 
     def leads(self, group: str) -> bool:
@@ -155,6 +162,10 @@
         """Whether this process leads the group and a majority has followed it lately."""
         return self.groups[group].replica.has_lease(self.clock())
 
+    def in_touch(self, group: str) -> bool:
+        """Whether this process leads the group and can still commit: what it is asked is worth proposing."""
+        return self.groups[group].replica.in_touch(self.clock())
+
     def leader(self, group: str) -> pb.Member | None:
         """The group's leader, as far as known."""
         replica = self.groups[group].replica
@@ -180,6 +191,8 @@
         Raises FleetError: NO_LEADER when it was not taken, OUTCOME_UNKNOWN when it may be.
         """
         group = self.groups[name]
+        if not group.replica.in_touch(self.clock()):
+            raise FleetError(ErrorKind.NO_LEADER, name)
         outcome = asyncio.get_running_loop().create_future()
         actions = group.replica.handle(self.clock(), raft.Propose(data))
         for action in actions:
@@ -223,16 +236,38 @@
             self._handle(group, raft.Received(message))
 
     def join_requested(self, request: pb.JoinRequest) -> None:
-        """A replica that is in no membership asks to be taken in."""
+        """A replica that is in no membership asks to be taken in; it may not know who leads."""
         self._dial(request.member.rpc_address)
         for name in request.groups:
             group = self.groups.get(name)
-            if group is None or not self.leads(name):
+            if group is None:
+                continue
+            if not self.leads(name):
+                self._forward_join(name, request)
                 continue
             membership = group.planner.admit(group.replica, request.member)
             if membership is not None:
                 self._handle(group, raft.ChangeMembership(membership))
 
+    def _forward_join(self, name: str, request: pb.JoinRequest) -> None:
+        leader = self.leader(name)
+        dialer = self.dialers.get(leader.rpc_address) if leader is not None else None
+        if dialer is not None and not request.forwarded:
+            forwarded = pb.JoinRequest(member=request.member, groups=[name], forwarded=True)
+            dialer.send(pb.Frame(join=forwarded))
+
+    def leave_requested(self, request: pb.LeaveRequest) -> pb.LeaveReply:
+        """A replica's process was told to stop: the groups led here that need it no longer."""
+        released = []
+        for name in request.groups:
+            group = self.groups.get(name)
+            if group is None or not self.in_touch(name):
+                continue
+            group.planner.leaves(request.replica_id, self.clock())
+            if group.planner.may_leave(group.replica, request.replica_id, self.clock()):
+                released.append(name)
+        return pb.LeaveReply(groups=released)
+
     # -- Actions -----------------------------------------------------------------------------------
 
     def _handle(self, group: HostedGroup, event: raft.Event) -> None:
@@ -263,8 +298,18 @@
                     logging.info(
                         "%s: %s, leader %s", group.name, role.value, leader.replica_id if leader else "?"
                     )
+                    if role is not raft.Role.LEADER:
+                        self._fail_waiters(group)
                     self.on_role(group.name)
 
+    @staticmethod
+    def _fail_waiters(group: HostedGroup) -> None:
+        """The lead is lost: who waits is told at once that the outcome is unknown."""
+        waiters, group.waiters = group.waiters, {}
+        for waiter in waiters.values():
+            if not waiter.outcome.done():
+                waiter.outcome.set_exception(FleetError(ErrorKind.OUTCOME_UNKNOWN, group.name))
+
     @staticmethod
     def _read_ended(group: HostedGroup, number: int, confirmed: bool) -> None:
         outcome = group.reads.get(number)
@@ -298,7 +343,8 @@
         replica = group.replica
         behind = replica.log.applied_index - replica.log.snapshot.index
         heavy = group.log_bytes > max(COMPACT_BYTES, 2 * group.machine.size)
-        if behind >= COMPACT_ENTRIES or (heavy and behind > 1):
+        many = max(COMPACT_ENTRIES, group.machine.size // STATE_BYTES_PER_ENTRY)
+        if behind >= many or (heavy and behind > 1):
             group.log_bytes = 0
             self._handle(group, raft.Compact(replica.log.applied_index, group.machine.snapshot()))
 
@@ -321,10 +367,12 @@
             if g.replica.leader_silence(now) > 2 * raft.ELECTION_MS[1] and g.name not in outside
         ]
         if outside or lost:
-            frame = pb.Frame(join=pb.JoinRequest(member=self.self_member, groups=outside + lost))
-            for dialer in self.dialers.values():
-                dialer.send(frame)
+            self.tell_all(pb.Frame(join=pb.JoinRequest(member=self.self_member, groups=outside + lost)))
 
     def _dial(self, address: str) -> None:
         if address and address != self.settings.rpc_address and address not in self.dialers:
-            self.dialers[address] = Dialer(address, self.on_frame)
+            self.dialers[address] = Dialer(address, self.on_frame, self._opened)
+
+    def _opened(self, _channel) -> None:
+        """A channel to another process has opened: who is outside asks at once to be taken in."""
+        self.joined_at = float("-inf")
--- a/molespur/system/shards/membership_changes.py
+++ b/molespur/system/shards/membership_changes.py
@@ -1,15 +1,24 @@
 """How the leader of a replica group changes its members: one voter at a time, learners first.  Pure.
 
-A replica that comes with an empty disk is a learner until it has the whole log.  It then takes the place of
-the earlier replica at its address, or of a voter that has been silent too long.
+A replica that comes with an empty disk is a learner until it has the whole log.  It then takes the vote of
+
+- the earlier replica at its address, which is gone with its disk;
+- a voter that says that it leaves: the learner is made a voter first, so that at every moment the group bears
+  as many losses as before, and the leaving voter becomes a learner in the next change;
+- a voter that has been silent too long: it is removed first, since a group with a dead voter and one voter
+  more would need all the others for a majority.
+
+Times are milliseconds on the leader's steady clock.
 """
 
 from ..consensus.replica import Replica
 from ..rpc import molespur_pb2 as pb
 
-LOST_AFTER_MS = 2500.0  # a voter silent this long gives way to a learner that has caught up
+LOST_AFTER_MS = 1200.0  # a voter silent this long gives way to a learner that has caught up
 LEARNER_LOST_AFTER_MS = 10_000.0
 RECENT_MS = 1000.0
+LEAVING_MS = 1000.0  # a voter that leaves says so again and again; one that stops saying so stays
+SURPLUS_MS = 1500.0  # a voter too many that nobody accounts for is made a learner after this time
 LAG_ENTRIES = 4  # a learner this close to the end of the log has caught up
 
 
@@ -18,6 +27,8 @@
 
     def __init__(self, voters: int):
         self.voters_wanted = voters
+        self._leaving: dict[str, float] = {}  # replica -> when it said so last
+        self._surplus_since: float | None = None
 
     def admit(self, replica: Replica, joining: pb.Member) -> pb.Membership | None:
         """The membership with this replica as a learner, without an earlier one at its address."""
@@ -29,24 +40,94 @@
         learner.voter = False
         return pb.Membership(members=[*kept, learner])
 
+    def leaves(self, replica_id: str, now: float) -> None:
+        """A replica says that its process was told to stop."""
+        self._leaving[replica_id] = now
+
+    def may_leave(self, replica: Replica, replica_id: str, now: float) -> bool:
+        """Whether a leaving replica may end, as this leader sees it.
+
+        It may once a committed membership has no vote of it.  Where no learner stands by to take the vote, it
+        may once enough other voters hold all that is committed: what it has is then not the only copy.
+        """
+        if not replica.log.membership_committed:
+            return False
+        member = replica.member(replica_id)
+        if member is None or not member.voter:
+            return True
+        if self.stands_by(replica, now):
+            return False
+        voters = [name for name in replica.voters() if name != replica_id]
+        holding = sum(self._holds_committed(replica, name) for name in voters)
+        return 2 * holding > len(voters) + 1
+
+    def stands_by(self, replica: Replica, now: float) -> bool:
+        """Whether a learner is there that can take a vote, now or once it has caught up."""
+        return any(
+            not member.voter
+            and member.replica_id not in self._leaving
+            and self._silence(replica, member, now) < RECENT_MS
+            for member in replica.log.membership.members
+        )
+
     def plan(self, replica: Replica, now: float) -> pb.Membership | None:
         """The next change that the group needs, one voter at a time; None when there is none."""
+        self._leaving = {name: at for name, at in self._leaving.items() if now - at < LEAVING_MS}
         if not replica.log.membership_committed:
             return None
         members = list(replica.log.membership.members)
         voters = [m for m in members if m.voter]
+        return (
+            self._promotion(replica, members, voters, now)
+            or self._demotion(replica, members, voters, now)
+            or self._removal(replica, members, voters, now)
+        )
+
+    def _promotion(self, replica: Replica, members, voters, now: float) -> pb.Membership | None:
+        """A learner that has caught up becomes a voter, where one is missing or is about to leave."""
+        leaving = any(voter.replica_id in self._leaving for voter in voters)
+        missing = len(voters) < self.voters_wanted
+        if not missing and not (leaving and len(voters) == self.voters_wanted):
+            return None
+        ready = [m for m in members if not m.voter and self._caught_up(replica, m, now)]
+        if not ready:
+            return None
+        chosen = min(ready, key=lambda m: (sum(v.zone == m.zone for v in voters), m.replica_id))
+        return _with(members, chosen, voter=True)
+
+    def _demotion(self, replica: Replica, members, voters, now: float) -> pb.Membership | None:
+        """With one voter too many, one that leaves becomes a learner; this leader never does."""
+        if len(voters) <= self.voters_wanted:
+            self._surplus_since = None
+            return None
+        if self._surplus_since is None:
+            self._surplus_since = now
+        others = [voter for voter in voters if voter.replica_id != replica.id]
+        chosen = [voter for voter in others if voter.replica_id in self._leaving]
+        if not chosen and now - self._surplus_since > SURPLUS_MS:
+            # the one that was to leave has ended, or leads no more and runs on
+            chosen = sorted(others, key=lambda m: (-self._silence(replica, m, now), m.replica_id))
+        return _with(members, chosen[0], voter=False) if chosen else None
+
+    def _removal(self, replica: Replica, members, voters, now: float) -> pb.Membership | None:
+        """A voter that is lost makes room for a learner that has caught up; a lost learner goes."""
         ready = [m for m in members if not m.voter and self._caught_up(replica, m, now)]
-        if ready and len(voters) < self.voters_wanted:
-            chosen = min(ready, key=lambda m: (sum(v.zone == m.zone for v in voters), m.replica_id))
-            return _with(members, chosen, voter=True)
         lost = [m for m in voters if self._silence(replica, m, now) > LOST_AFTER_MS]
-        if ready and len(voters) >= self.voters_wanted and len(lost) == 1:
+        most = (len(voters) - 1) // 2  # with more silent ones the fault may be on this side
+        if ready and len(voters) >= self.voters_wanted and 0 < len(lost) <= most and replica.in_touch(now):
             return pb.Membership(members=[m for m in members if m is not lost[0]])
         gone = [m for m in members if not m.voter and self._silence(replica, m, now) > LEARNER_LOST_AFTER_MS]
         if gone:
             return pb.Membership(members=[m for m in members if m is not gone[0]])
         return None
 
+    @staticmethod
+    def _holds_committed(replica: Replica, name: str) -> bool:
+        if name == replica.id:
+            return replica.log.durable_index >= replica.log.commit_index
+        progress = replica.progress.get(name)
+        return progress is not None and progress.match >= replica.log.commit_index
+
     @staticmethod
     def _silence(replica: Replica, member: pb.Member, now: float) -> float:
         if member.replica_id == replica.id:
@@ -55,6 +136,8 @@
         return now - progress.heard_at if progress else 0.0
 
     def _caught_up(self, replica: Replica, member: pb.Member, now: float) -> bool:
+        if member.replica_id in self._leaving:
+            return False
         progress = replica.progress.get(member.replica_id)
         if progress is None or progress.match == 0:
             return False
@@ -63,6 +146,7 @@
 
 
 def _with(members: list[pb.Member], chosen: pb.Member, voter: bool) -> pb.Membership:
+    """The members with one of them made a voter or a learner."""
     changed = pb.Membership()
     for member in members:
         copy = changed.members.add()
--- a/molespur/system/workers/directory.py
+++ b/molespur/system/workers/directory.py
@@ -41,7 +41,7 @@
                 for identity in list(self.removed)[: len(self.removed) - REMOVED_KEPT]:
                     del self.removed[identity]
             return [_gone(worker.id)] if gone else []
-        if worker.id in self.removed:
+        if worker.id in self.removed or self._overtaken(worker):
             return []
         changed = [_told(worker)]
         earlier = self._at_address.get(worker.address)
@@ -53,6 +53,17 @@
         self._at_address[worker.address] = worker.id
         return changed
 
+    def _overtaken(self, worker: pb.Worker) -> bool:
+        """Whether a record was made from an older state than the one that is kept.
+
+        Two owners, or two calls at one, may each propose from what they knew; what a worker said last holds,
+        and a worker that leaves stays leaving.
+        """
+        known = self.workers.get(worker.id)
+        if known is None or worker.state == pb.DRAINING:
+            return False
+        return known.state == pb.DRAINING or known.sequence > worker.sequence > 0
+
     def _remove(self, worker_id: str) -> bool:
         """Drop a worker; whether it was there."""
         worker = self.workers.pop(worker_id, None)
--- a/molespur/system/workers/liveness.py
+++ b/molespur/system/workers/liveness.py
@@ -5,6 +5,7 @@
 
 from dataclasses import dataclass
 
+from ..errors import ErrorKind, FleetError
 from ..rpc import molespur_pb2 as pb
 from .directory import WorkerDirectory
 
@@ -29,14 +30,15 @@
         self.directory = directory
         self.silent_after_ms = MISSED_HEARTBEATS * interval_ms
         self.heard: dict[str, float] = {}
-        self.sequences: dict[str, int] = {}
+        self.committed_sequences: dict[str, int] = {}  # the newest call whose effect is committed
+        self.proposed_sequences: dict[str, int] = {}  # the newest call that was proposed, committed or not
         self.looked_at = 0.0
         self.ordered: dict[str, Order] = {}
 
     def begin(self, now: float) -> None:
         """Start as owner: every worker gets a whole interval to be heard here."""
         self.heard = dict.fromkeys(self.directory.workers, now)
-        self.sequences = {}
+        self.committed_sequences, self.proposed_sequences = {}, {}
         self.ordered = {}
         self.looked_at = now
 
@@ -59,27 +61,52 @@
         return changed
 
     def heartbeat(self, now: float, worker: pb.Worker) -> pb.Worker | None:
-        """Take a heartbeat; return the worker if its record has to change."""
+        """Take a heartbeat; return the worker if its record has to change.
+
+        None means that all it says is committed already, or was overtaken by a later call that is; so it may
+        be acknowledged.  Raises FleetError(OUTCOME_UNKNOWN) where a later call is not known to be committed.
+        """
         if worker.id in self.directory.removed:
             return None
-        if worker.sequence and worker.sequence <= self.sequences.get(worker.id, 0):
-            return None  # a late call
-        self.sequences[worker.id] = worker.sequence
-        self.heard[worker.id] = now
         known = self.directory.workers.get(worker.id)
+        if worker.state != pb.DRAINING and self._is_late(worker, known):
+            return None
+        self.heard[worker.id] = now
         order = self.ordered.get(worker.id)
         if order is not None and worker.state == pb.READY:
             if worker.phase != order.phase and now < order.until:
                 return None  # it is still changing its part
             del self.ordered[worker.id]
         if known is not None and _same(known, worker):
+            self.committed(worker)
             return None
-        if known is not None and known.sequence > worker.sequence > 0:
-            return None  # late, from before this owner's time
-        if known is not None and known.state == pb.DRAINING and worker.state != pb.DRAINING:
+        if known is not None and known.state == pb.DRAINING:
             return None  # a worker that leaves does not come back under the same identity
+        newest = max(worker.sequence, self.proposed_sequences.get(worker.id, 0))
+        self.proposed_sequences[worker.id] = newest
         return worker
 
+    def committed(self, worker: pb.Worker) -> None:
+        """What a heartbeat says is committed."""
+        newest = max(worker.sequence, self.committed_sequences.get(worker.id, 0))
+        self.committed_sequences[worker.id] = newest
+
+    def _is_late(self, worker: pb.Worker, known: pb.Worker | None) -> bool:
+        """Whether a later call of the same worker has been taken.  Raises FleetError(OUTCOME_UNKNOWN)."""
+        if not worker.sequence:
+            return False
+        if worker.sequence <= self.committed_sequences.get(worker.id, 0):
+            return True
+        if known is not None and known.sequence > worker.sequence:
+            return True  # from before this owner's time
+        if worker.sequence < self.proposed_sequences.get(worker.id, 0):
+            raise FleetError(ErrorKind.OUTCOME_UNKNOWN, f"{worker.id}: a later call is under way")
+        return False
+
+    def rest(self) -> None:
+        """No majority answers this owner: nobody is judged until every worker had time to be heard again."""
+        self.looked_at = float("-inf")
+
     def overdue(self, now: float) -> list[pb.Worker]:
         """Workers whose record has to change because they were not heard of."""
         paused = now - self.looked_at > PAUSE_MS
@@ -105,7 +132,8 @@
         for identity in [i for i in self.heard if i not in self.directory.workers]:
             if now - self.heard[identity] > GONE_AFTER_MS:
                 del self.heard[identity]
-                self.sequences.pop(identity, None)
+                self.committed_sequences.pop(identity, None)
+                self.proposed_sequences.pop(identity, None)
         # guards against taking a cut of this process's own links for the death of everyone
         return silent if live >= len(silent) else []
 
--- a/tests/system/control.py
+++ b/tests/system/control.py
@@ -9,6 +9,7 @@
 from molespur.system.control_plane.http import create_app
 from molespur.system.feed.source import FeedSource
 from molespur.system.membership.schedulers import SchedulerMonitor
+from molespur.system.rpc.peer_calls import PeerCalls
 from molespur.system.settings.process import ProcessSettings
 from molespur.system.shards.configuration import ConfigurationMachine
 from molespur.system.shards.host import ReplicaHost
@@ -57,7 +58,7 @@
         machines.update({name: WorkerDirectory() for name in WORKER_GROUPS})
         self.host = ReplicaHost(settings, Store(self.folder), machines, lambda: self.now, Random(1))
         self.host.start(InlineWriter(self.host))
-        self.calls = ControlCalls(self.host, lambda: self.now, 1000.0)
+        self.calls = ControlCalls(self.host, PeerCalls(self.host.dialers.get), lambda: self.now, 1000.0)
         self.host.on_role = lambda group: self.host.leads(group) and self.calls.became_owner(group)
         self.client = create_app(self.calls, self.metrics).test_client()
         self.told = []
@@ -66,9 +67,28 @@
 
     def metrics(self):
         orders = Counter({("prefill", "202"): 2})
-        return metrics(
-            self.host, FeedSource(self.host, lambda: self.now), SchedulerMonitor(), orders, 3, self.now
-        )
+        return metrics(self.host, self.feed_source(), SchedulerMonitor(), orders, 3, self.now)
+
+    def feed_source(self):
+        """The feed of this process."""
+        return FeedSource(self.host, lambda: self.now, self.calls.read_barrier)
+
+    def subscribe(self, source, channel, request):
+        """Take a follower in, and let what it waits for be confirmed."""
+
+        self._in_loop(lambda: source.subscribe(channel, request))
+
+    def look(self, source):
+        """Let the feed look for followers that wait."""
+        self._in_loop(source.start_waiting)
+
+    def _in_loop(self, call):
+        async def called():
+            call()
+            for _ in range(5):
+                await asyncio.sleep(0)
+
+        self.loop.run_until_complete(called())
 
     def pass_time(self, ms):
         """Let the clock run on."""
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -1,6 +1,7 @@
 """The consensus of a replica group: under loss, cuts, restarts, lost disks and planned work."""
 
 from random import Random
+from zlib import crc32
 
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
@@ -357,7 +358,8 @@
     message = pb.ConsensusMessage(group="test", sender=names[1], receiver=names[0], term=term)
     message.install_snapshot.index, message.install_snapshot.term = 4, term
     message.install_snapshot.membership.CopyFrom(first.membership)
-    message.install_snapshot.state = b"state"
+    message.install_snapshot.state, message.install_snapshot.size = b"state", 5
+    message.install_snapshot.checksum = crc32(b"state")
     return follower, follower.handle(5.0, raft.Received(message))
 
 
--- a/tests/system/test_feed.py
+++ b/tests/system/test_feed.py
@@ -7,7 +7,6 @@
 
 from molespur.system.feed import follower as following
 from molespur.system.feed.follower import FeedFollower
-from molespur.system.feed.source import FeedSource
 from molespur.system.rpc import molespur_pb2 as pb
 from molespur.system.settings.process import ProcessSettings
 from molespur.system.shards.placement import CONFIGURATION
@@ -36,11 +35,15 @@
 
 
 def source_of(plane):
-    source = FeedSource(plane.host, lambda: plane.now)
+    source = plane.feed_source()
     plane.host.on_change = source.changed
     return source
 
 
+def following_from(index):
+    return pb.Subscribe(node="edge-1", offsets=[pb.Offset(group=CONFIGURATION, index=index)])
+
+
 def versions(pipe):
     return [pb.ConfigurationState.FromString(update.payload).version for update in pipe.updates()]
 
@@ -48,7 +51,7 @@
 def test_a_follower_gets_a_snapshot_then_each_change(plane):
     plane.put(BODY % 1, 0)
     source, pipe = source_of(plane), Pipe()
-    source.subscribe(pipe, pb.Subscribe(node="edge-1"))
+    plane.subscribe(source, pipe, pb.Subscribe(node="edge-1"))
     assert [u.snapshot for u in pipe.updates()] == [True]
     plane.put(BODY % 3, 1)
     assert versions(pipe) == [1, 3] and not pipe.updates()[-1].snapshot
@@ -59,11 +62,11 @@
     for version in (1, 2, 3):
         plane.put(BODY % version, version - 1)
     first = Pipe()
-    source.subscribe(first, pb.Subscribe(node="edge-1"))
+    plane.subscribe(source, first, pb.Subscribe(node="edge-1"))
     at = first.updates()[-1].index
     plane.put(BODY % 4, 3)
     again = Pipe()
-    source.subscribe(again, pb.Subscribe(node="edge-1", offsets=[pb.Offset(group=CONFIGURATION, index=at)]))
+    plane.subscribe(source, again, following_from(at))
     assert versions(again) == [4] and not again.updates()[0].snapshot
 
 
@@ -72,7 +75,7 @@
     for version in range(1, 300):
         plane.put(BODY % version, version - 1)
     pipe = Pipe()
-    source.subscribe(pipe, pb.Subscribe(node="edge-1", offsets=[pb.Offset(group=CONFIGURATION, index=2)]))
+    plane.subscribe(source, pipe, following_from(2))
     assert versions(pipe) == [299] and pipe.updates()[0].snapshot
 
 
@@ -80,7 +83,7 @@
     plane.put(BODY % 1, 0)
     source, pipe = source_of(plane), Pipe()
     ahead = pb.Offset(group=CONFIGURATION, index=10_000)
-    source.subscribe(pipe, pb.Subscribe(node="edge-1", offsets=[ahead]))
+    plane.subscribe(source, pipe, pb.Subscribe(node="edge-1", offsets=[ahead]))
     assert pipe.updates() == []
 
 
@@ -90,10 +93,10 @@
     plane.host.groups[CONFIGURATION].replica._follow("")
     plane.host.groups[CONFIGURATION].replica.leader_heard_at = plane.now - 60_000.0
     source, pipe = source_of(plane), Pipe()
-    source.subscribe(pipe, pb.Subscribe(node="edge-1"))
+    plane.subscribe(source, pipe, pb.Subscribe(node="edge-1"))
     assert pipe.updates() == []
     plane.pass_time(3_000.0)
-    source.start_waiting()
+    plane.look(source)
     assert versions(pipe) == [1]
 
 
--- a/tests/system/virtual_fleet.py
+++ b/tests/system/virtual_fleet.py
@@ -300,6 +300,7 @@
         process = self.processes[receiver]
         if process.up:
             back = Link(self, receiver, sender, lambda answer: self.frame(receiver, sender, answer))
+            back.label = f"{sender}:{RPC_PORT}"
             process.plane._frame(back, frame)
 
     def _follow(self, name):
