Second losses after replacements on the virtual fleet; a wiped machine is found by its address

Found by the turnover: a wiped machine whose seeds are all gone dialled nobody, and messages to its former identity were dropped; it dials their senders now (test fails without).

--- a/molespur/system/shards/host.py
+++ b/molespur/system/shards/host.py
@@ -232,8 +232,13 @@
         if dialer is not None:
             dialer.peer_alive()
         group = self.groups.get(message.group)
-        if group is not None and message.receiver == self.replica_id:
+        if group is None:
+            return
+        if message.receiver == self.replica_id:
             self._handle(group, raft.Received(message))
+        elif group.replica.role is raft.Role.OUTSIDER:
+            # meant for a disk that was here before: its sender can take this replica in
+            self._dial(message.sender.partition("#")[0])
 
     def join_requested(self, request: pb.JoinRequest) -> None:
         """A replica that is in no membership asks to be taken in; it may not know who leads."""
--- a/tests/system/virtual_fleet.py
+++ b/tests/system/virtual_fleet.py
@@ -21,6 +21,7 @@
 from molespur.system.storage.store import Loaded
 
 SYNC_S = 0.02
+DISK_RETRY_S = 0.2
 LONGEST_S = 300.0  # of virtual time: a scenario that waits for what never comes fails
 LOST_ANSWERS = 0.08  # share of the answers that get lost on their way
 ORDER_S = 1e-6  # keeps frames of one connection in order
@@ -90,10 +91,16 @@
 
 
 class Writer:
-    """Writes to a disk after a time; what is on its way is lost with the process."""
+    """Writes to a disk after a time; what is on its way when power goes is there as a whole or not at all.
+
+    A transaction that is torn on the disk is undone when the database is opened: `test_torn_writes.py`.
+    """
+
+    failures = 0
 
     def __init__(self, fleet, process):
         self.fleet, self.process, self.waiting, self.busy = fleet, process, [], False
+        self.on_its_way = []
 
     def write(self, group, record):
         self.waiting.append((group, record))
@@ -103,18 +110,31 @@
     def _begin(self):
         self.busy = True
         batch, self.waiting = self.waiting, []
+        self.on_its_way = batch
         self.fleet.loop.call_later(SYNC_S * self.process.disk_slowness, self._written, batch)
 
     def _written(self, batch):
         if not self.process.up:
             return
+        if self.process.disk_full:
+            self.fleet.loop.call_later(DISK_RETRY_S, self._written, batch)
+            return
         self.process.disk.write(batch)
+        self.on_its_way = []
+        self.process.when_awake(self._told, batch)
+
+    def _told(self, batch):
         self.busy = False
         if self.waiting:
             self._begin()
         for group, record in batch:
             self.process.plane.host.written(group, record)
 
+    def power_lost(self):
+        """The batch that was being written may have reached the disk, though nobody was told."""
+        if self.on_its_way and self.fleet.random.random() < 0.5:
+            self.process.disk.write(self.on_its_way)
+
     def stop(self):
         pass
 
@@ -131,7 +151,7 @@
             self.open = False
             return False
         copy = pb.Frame.FromString(frame.SerializeToString())
-        delay = 0.001 + 0.003 * self.fleet.random.random()
+        delay = 0.001 + 0.003 * self.fleet.random.random() + self.fleet.lateness(self.here, copy)
         self.arrives_at = max(self.arrives_at + ORDER_S, self.fleet.loop.time() + delay)
         self.fleet.loop.call_at(self.arrives_at, self._arrive, copy)
         return True
@@ -162,8 +182,9 @@
 
     def __init__(self, fleet, address, disk, bootstrap):
         self.fleet, self.address, self.disk, self.up = fleet, address, disk, True
-        self.disk_slowness = 1.0
-        seeds = tuple(f"{a}:{HTTP_PORT}" for a in ADDRESSES)
+        self.disk_slowness, self.disk_full = 1.0, False
+        self.frozen, self._when_thawed = False, []
+        seeds = tuple(f"{a}:{HTTP_PORT}" for a in (ADDRESSES if bootstrap else fleet.seeds()))
         settings = ProcessSettings(
             f"core-{address}",
             address,
@@ -173,13 +194,41 @@
             listen={"ControlPlane": f"{address}:{HTTP_PORT}"},
             bootstrap=bootstrap,
             data_directory=address,
-            fault_tolerance=FaultTolerance(nodes=1),
+            fault_tolerance=FaultTolerance(nodes=fleet.tolerance),
         )
         self.plane = role.ControlPlane(settings)
         self.plane.host._dial = self._dial
-        self.plane.host.start(Writer(fleet, self))
+        self.writer = Writer(fleet, self)
+        self.plane.host.start(self.writer)
         self.client = create_app(self.plane.calls, self.plane.metrics).test_client()
-        self.tasks = [fleet.loop.create_task(c) for c in (self.plane.host.run(), self.plane._repeat())]
+        self._run()
+
+    def _run(self):
+        parts = (self.plane.host.run(), self.plane._repeat())
+        self.tasks = [self.fleet.loop.create_task(part) for part in parts]
+
+    def freeze(self):
+        """The process stands still; what comes meanwhile waits in its sockets."""
+        self.frozen = True
+        for task in self.tasks:
+            task.cancel()
+
+    def thaw(self):
+        """It goes on, first with what has come meanwhile: its timers are read after that."""
+        self.frozen = False
+        waiting, self._when_thawed = self._when_thawed, []
+        for call, arguments in waiting:
+            if self.up:
+                call(*arguments)
+        if self.up:
+            self._run()
+
+    def when_awake(self, call, *arguments):
+        """Call now, or once the process runs again."""
+        if self.frozen:
+            self._when_thawed.append((call, arguments))
+        else:
+            call(*arguments)
 
     def _dial(self, address):
         dialers = self.plane.host.dialers
@@ -191,6 +240,7 @@
 
     def end(self):
         self.up = False
+        self.writer.power_lost()
         for task in self.tasks:
             task.cancel()
 
@@ -202,15 +252,18 @@
         self.fleet, self.name, self.address, self.on_frame = fleet, name, address, on_frame
         self.host = address.partition(":")[0]
         self.channel = None
-        if not fleet.apart(name, self.host):
+        if not (fleet.apart(name, self.host) or fleet.apart(self.host, name)):
             process = fleet.processes[self.host]
             back = Link(fleet, self.host, name, self._told)
-            self.channel = Link(
-                fleet, name, self.host, lambda frame: process.up and process.plane._frame(back, frame)
-            )
+            self.channel = Link(fleet, name, self.host, lambda frame: self._arrived(process, back, frame))
             if on_open is not None:
                 on_open(self.channel)
 
+    @staticmethod
+    def _arrived(process, back, frame):
+        if process.up:
+            process.when_awake(process.plane._frame, back, frame)
+
     def _told(self, frame):
         if self.channel is not None:
             self.on_frame(self.channel, frame)
@@ -226,9 +279,17 @@
 class VirtualFleet:
     """Processes, schedulers, the network between them, and what everyone was told."""
 
-    def __init__(self, seed, monkeypatch, schedulers=2):
+    def __init__(self, seed, monkeypatch, schedulers=2, tolerance=1, spares=()):
         self.random, self.loop = Random(seed), VirtualLoop()
         self.processes, self.cut, self.checker = {}, set(), Checker()
+        self.one_way, self.late_from = (
+            set(),
+            set(),
+        )  # (from, to) that nothing passes; senders of late snapshots
+        self.tolerance, self.spares = (
+            tolerance,
+            tuple(spares),
+        )  # spares: members from the start, beside the seeds
         self._new_disk, self.identities = None, 0
         self.acknowledged = asyncio.Event()  # set with each acknowledgement to the operator
         monkeypatch.setattr(role, "Store", lambda _folder: self._new_disk)
@@ -236,7 +297,7 @@
         monkeypatch.setattr(role, "Random", lambda: Random(self.random.random()))
         monkeypatch.setattr(host, "new_identity", self._new_identity)
         self._monkeypatch = monkeypatch
-        self.schedulers = schedulers
+        self.schedulers, self.lost_answers = schedulers, LOST_ANSWERS
         self.followers = []
 
     def clock(self):
@@ -250,7 +311,7 @@
         """Run a coroutine function that takes the fleet, started with empty disks."""
 
         async def whole():
-            for address in ADDRESSES:
+            for address in (*ADDRESSES, *self.spares):
                 self.start(address, Disk(), bootstrap=True)
             for number in range(self.schedulers):
                 self._follow(f"edge-{number}")
@@ -278,6 +339,11 @@
         """The process ends; writes on their way are lost, as with power."""
         self.processes[address].end()
 
+    def seeds(self):
+        """Three processes that run, as an operator's list has them; the first ones where fewer do."""
+        up = [address for address, process in self.processes.items() if process.up]
+        return [*up, *ADDRESSES][: len(ADDRESSES)]
+
     def restart(self, address):
         self.start(address, self.processes[address].disk)
 
@@ -286,18 +352,62 @@
         self.start(address, Disk())
 
     def apart(self, one, other):
+        """Whether nothing passes from one to the other."""
         down = any(end in self.processes and not self.processes[end].up for end in (one, other))
-        return down or frozenset((one, other)) in self.cut
+        return down or frozenset((one, other)) in self.cut or (one, other) in self.one_way
 
-    def isolate(self, address):
-        names = [*ADDRESSES, *(name for name, _ in self.followers)]
+    def isolate(self, address, core_only=False):
+        """Cut a process off from the others, and from schedulers too unless `core_only`."""
+        followers = () if core_only else (name for name, _ in self.followers)
+        names = [*self.processes, *followers]
         self.cut |= {frozenset((address, other)) for other in names if other != address}
 
+    def halve(self, half):
+        """Cut some processes off from the other processes."""
+        rest = set(self.processes) - set(half)
+        self.cut |= {frozenset((one, other)) for one in half for other in rest}
+
     def heal(self):
         self.cut.clear()
+        self.one_way.clear()
+        self.late_from.clear()
+
+    def lateness(self, sender, frame):
+        """How much longer a frame takes, s: snapshots of some senders come late."""
+        is_snapshot = frame.consensus.HasField("install_snapshot")
+        return 1.5 * self.random.random() if is_snapshot and sender in self.late_from else 0.0
+
+    def leader(self, group=CONFIGURATION):
+        """Address of the process that leads a group with the newest term; None without one."""
+        leading = [
+            (process.plane.host.groups[group].replica.hard_state.term, address)
+            for address, process in self.processes.items()
+            if process.up and not process.frozen and process.plane.host.leads(group)
+        ]
+        return max(leading)[1] if leading else None
+
+    def voters(self, group=CONFIGURATION):
+        """Addresses of the voting members, as the leader sees them; of disks that are gone: the identity."""
+        leader = self.leader(group)
+        if leader is None:
+            return []
+        replica = self.processes[leader].plane.host.groups[group].replica
+        present = {process.plane.host.replica_id: address for address, process in self.processes.items()}
+        return [present.get(name, name) for name in replica.voters()]
+
+    async def stop(self, address):
+        """SIGTERM: the process passes on what it holds, then ends."""
+        process = self.processes[address]
+        await process.plane.host.stop()
+        if self.processes[address] is process and process.up:
+            process.end()
 
     def frame(self, sender, receiver, frame):
-        process = self.processes[receiver]
+        process = self.processes.get(receiver)
+        if process is not None and process.up:
+            process.when_awake(self._take, process, sender, receiver, frame)
+
+    def _take(self, process, sender, receiver, frame):
         if process.up:
             back = Link(self, receiver, sender, lambda answer: self.frame(receiver, sender, answer))
             back.label = f"{sender}:{RPC_PORT}"
@@ -335,21 +445,21 @@
 
     async def call(self, method, path, body, headers, address):
         """(status, body, location) of one call; None when nothing answers."""
-        process = self.processes[address]
-        if not process.up:
+        process = self.processes.get(address)
+        if process is None or not process.up or process.frozen:
             return None
         try:
             async with asyncio.timeout(1.0):
                 response = await process.client.open(path, method=method, data=body, headers=headers)
         except TimeoutError:
             return None
-        if not process.up or self.random.random() < LOST_ANSWERS:
+        if not process.up or process.frozen or self.random.random() < self.lost_answers:
             return None
         return response.status_code, await response.get_data(), response.headers.get("Location", "")
 
     async def ask(self, method, path, body=b"", headers=None, tries=12):
         """A clear answer, as the operator and workers look for one: elsewhere after a failure; else None."""
-        address = self.random.choice(ADDRESSES)
+        address = self.random.choice(list(self.processes))
         for _ in range(tries):
             answer = await self.call(method, path, body, headers or {}, address)
             if answer is not None and answer[0] == 307:
@@ -357,7 +467,7 @@
                 continue
             if answer is not None and answer[0] < 500:
                 return answer[0], answer[1]
-            address = self.random.choice(ADDRESSES)
+            address = self.random.choice(list(self.processes))
             await asyncio.sleep(0.2)
         return None
 
