--- a/tests/system/virtual_group.py
+++ b/tests/system/virtual_group.py
@@ -42,6 +42,9 @@
     def __init__(self):
         self.commands = []
 
+    def apply(self, data):
+        self.commands.append(data)
+
     def snapshot(self):
         return b"\n".join(self.commands)
 
@@ -54,7 +57,7 @@
 
     def __init__(self, group, address, disk):
         self.group, self.address, self.disk = group, address, disk
-        self.machine = Machine()
+        self.machine = group.machine()
         self.machine.restore(disk.snapshot.state)
         hard_state = raft.HardState(disk.hard_state.term, disk.hard_state.vote)
         self.replica = raft.Replica(
@@ -67,6 +70,8 @@
             group.now,
         )
         self.planner = MembershipPlanner(3)
+        self.waiters = {}  # index -> (term, what to call with the outcome)
+        self.on_read = {}  # number -> what to call once the read is confirmed
         self.reads = {}  # number -> commands that the read was answered with; None: refused
 
     def handle(self, event):
@@ -78,17 +83,26 @@
                 case raft.Persist():
                     self.group.write(self, action)
                 case raft.Apply(entry):
-                    if entry.kind == pb.COMMAND:
-                        self.machine.commands.append(entry.data)
+                    self.apply(entry)
                     self.group.applied(entry)
                 case raft.Restore(snapshot):
                     self.machine.restore(snapshot.state)
                 case raft.ReadConfirmed(number):
-                    self.reads[number] = list(self.machine.commands)
+                    if number in self.on_read:
+                        self.on_read.pop(number)()
+                    else:
+                        self.reads[number] = list(self.machine.commands)
                 case raft.ReadRefused(number):
+                    self.on_read.pop(number, None)
                     self.reads[number] = None
         return actions
 
+    def apply(self, entry):
+        outcome = self.machine.apply(entry.data) if entry.kind == pb.COMMAND else None
+        term, told = self.waiters.pop(entry.index, (0, None))
+        if told is not None and term == entry.term:
+            told(outcome)
+
     def tick(self):
         self.handle(raft.Tick())
         if self.replica.role is raft.Role.LEADER:
@@ -104,7 +118,8 @@
 class VirtualGroup:
     """Processes, the network between them, and what was committed where."""
 
-    def __init__(self, seed, count=3, loss=0.0, sync_ms=5.0):
+    def __init__(self, seed, count=3, loss=0.0, sync_ms=5.0, machine=Machine):
+        self.machine = machine
         self.random, self.now, self.loss, self.sync_ms = Random(seed), 0.0, loss, sync_ms
         self.queue, self.serial = [], 0
         self.cut, self.down, self.processes = set(), set(), {}
