--- a/molespur/system/data_plane/pool.py
+++ b/molespur/system/data_plane/pool.py
@@ -30,6 +30,14 @@
     rest_s: float = DEFAULT_REST_S
     rested_since: float = 0.0
 
+    def clean(self) -> bool:
+        """Whether nothing is left of the call that has ended: no byte came after its answer.
+
+        Such bytes would be read as the answer to the next call.
+        """
+        unread, _closed = self.connection._h11_state.trailing_data  # httpcore offers no other way to ask
+        return self.connection.is_idle() and not unread
+
     def usable(self, now: float, longest_rest_s: float) -> bool:
         """Whether a call may be sent on it after its rest."""
         rested = now - self.rested_since
@@ -84,7 +92,7 @@
 
     def release(self, pooled: PooledConnection) -> None:
         """A call on a connection is over: keep the connection if it can be used again."""
-        if pooled.connection.is_idle():
+        if pooled.clean():
             pooled.rested_since = self._now()
             self._resting.append(pooled)
             self._wake_one()
