A client's Priority does not go on; Connection can't take Molespur headers away; even splits

Cause: a client's own Priority went to the worker before the scheduler's; a Connection header that named Molespur-Model or the prefix removed these, and the worker ran a request whose headers weren't the client's; parts of a split were drawn, so 40 requests were off by a tenth. Tests for each.

--- a/molespur/system/data_plane/client_request.py
+++ b/molespur/system/data_plane/client_request.py
@@ -8,9 +8,14 @@
 
 HOP_BY_HOP = frozenset(
     (b"connection", b"keep-alive", b"proxy-connection", b"transfer-encoding", b"te", b"trailer", b"upgrade",
-     b"content-length", b"molespur-deadline-ms", b"molespur-expected-instance", b"proxy-authorization",
-     b"expect", b"kv-from", b"molespur-serving-phase")
+     b"content-length", b"proxy-authorization", b"expect")
 )  # fmt: skip
+SET_BY_SCHEDULER = frozenset(
+    (b"molespur-deadline-ms", b"molespur-expected-instance", b"molespur-serving-phase", b"kv-from",
+     b"priority")
+)  # fmt: skip
+NOT_FORWARDED = HOP_BY_HOP | SET_BY_SCHEDULER
+END_TO_END_PREFIX = b"molespur-"  # no `Connection` header can take these away
 DEFAULT_DEADLINE_MS = 30_000.0
 
 
@@ -42,10 +47,11 @@
         if lower == b"connection":
             nominated.update(token.strip().lower() for token in value.split(b","))
         named.setdefault(lower, value)
-        if lower not in HOP_BY_HOP:
+        if lower not in NOT_FORWARDED:
             headers.append((name, value))
     if size > limits.max_header_bytes:
         raise FleetError(ErrorKind.HEADERS_TOO_LARGE)
+    nominated = {name for name in nominated if not name.startswith(END_TO_END_PREFIX)}
     if nominated - {b"close", b"keep-alive"}:
         headers = [(name, value) for name, value in headers if name.lower() not in nominated]
     attempt_id = named.get(b"molespur-attempt-id", b"")
--- a/molespur/system/data_plane/state.py
+++ b/molespur/system/data_plane/state.py
@@ -22,6 +22,7 @@
 CONNECTION_SHARE = 0.9  # part of a worker's connections that all schedulers together may use
 LEAST_CONNECTIONS = 2
 ASSUMED_SCHEDULERS = 32  # while the control plane has not told how many there are
+GOLDEN_RATIO = 0.6180339887498949
 CACHE_SHARE = 0.6  # part of a worker's memory that prompts lately sent there are expected to keep
 
 
@@ -44,6 +45,7 @@
         self.complete = asyncio.Event()  # a configuration and a first snapshot of every shard have come
         self.by_hash: dict[int, WorkerTrack] = {}
         self.peer_work = PeerWorkTable(settings.node_name, self.by_hash)
+        self.split_positions: dict[str, float] = {}  # route -> where in the sum of its weights the next falls
         self.gone: list[str] = []  # addresses whose connections can be closed
 
     # -- The feed ------------------------------------------------------------------------------
@@ -164,12 +166,22 @@
             self.budget(service).schedulers(now, count)
 
     def pick_service(self, route) -> str:
-        """One of the route's services, by its weights."""
+        """One of the route's services, by its weights.
+
+        Positions that advance by the golden ratio fall evenly: the shares of a few dozen requests are right,
+        where those of as many draws would be off by a tenth.
+        """
         targets = route.targets()
         if len(targets) == 1:
             return targets[0].service
-        weights = [target.weight for target in targets]
-        return self.random.choices(targets, weights)[0].service
+        share = self.split_positions.get(route.name, self.random.random())
+        self.split_positions[route.name] = (share + GOLDEN_RATIO) % 1.0
+        left = share * sum(target.weight for target in targets)
+        for target in targets:
+            left -= target.weight
+            if left < 0:
+                return target.service
+        return next(target.service for target in reversed(targets) if target.weight > 0)
 
     @staticmethod
     def take_report(track: WorkerTrack, now: float, body: bytes) -> None:
--- a/tests/system/test_data_plane_parts.py
+++ b/tests/system/test_data_plane_parts.py
@@ -1,10 +1,13 @@
 """The small pure parts of the data plane: events, routes, budget, load, request heads."""
 
+from collections import Counter
 from itertools import pairwise
+from random import Random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from wire import settings
 
 from molespur.system.data_plane.budget import RetryBudget
 from molespur.system.data_plane.client_call import check_head, read_handle
@@ -12,9 +15,10 @@
 from molespur.system.data_plane.events import EventFilter
 from molespur.system.data_plane.load import LoadMeter
 from molespur.system.data_plane.routes import RouteTable
+from molespur.system.data_plane.state import DataPlaneState
 from molespur.system.data_plane.upstream import Head, UpstreamError
 from molespur.system.errors import ErrorKind, FleetError
-from molespur.system.settings.configuration import Configuration, Engine, Limits, Route, Service
+from molespur.system.settings.configuration import Configuration, Engine, Limits, Route, Service, Weight
 
 STREAM = b"".join(b"id: %d\ndata: token id: %d\n\n" % (n, n) for n in range(1, 8))
 
@@ -115,6 +119,9 @@
             (b"Connection", b"keep-alive, X-Hop"),
             (b"X-Hop", b"2"),
             (b"Kv-From", b"forged"),
+            (b"Priority", b"0"),
+            (b"Molespur-Serving-Phase", b"prefill"),
+            (b"Molespur-Expected-Instance", b"i-1"),
             (b"Molespur-Deadline-Ms", b"900"),
             (b"Transfer-Encoding", b"chunked"),
         ),
@@ -125,6 +132,26 @@
     assert names == [b"host", b"molespur-attempt-id", b"x-own"]
 
 
+def test_a_connection_header_takes_no_header_of_the_request_away():
+    named = (b"Molespur-Model", b"Molespur-Prompt-Prefix", b"Molespur-Attempt-Id")
+    request = read_head(
+        scope((b"Connection", b", ".join(named)), (named[0], b"m"), (named[1], b"a:1")), Limits()
+    )
+    assert {name for name, _ in request.headers} >= set(named) and request.prefix == b"a:1"
+
+
+@pytest.mark.parametrize("weights", [(90, 10), (50, 50), (1, 0, 3), (5, 5, 90)])
+def test_the_parts_of_a_split_have_their_shares_after_a_few_dozen_requests(weights):
+    targets = tuple(Weight(f"s{n}", weight) for n, weight in enumerate(weights))
+    for seed in range(20):
+        state = DataPlaneState(settings(), Random(seed))
+        route = Route("r", "h", "/", traffic_split=targets)
+        picked = Counter(state.pick_service(route) for _ in range(40))
+        for target in targets:
+            wanted = 40 * target.weight / sum(weights)
+            assert abs(picked[target.service] - wanted) <= 2 and (target.weight or not picked[target.service])
+
+
 def test_heads_that_make_no_sense_are_refused():
     with pytest.raises(FleetError) as problem:
         read_head(scope((b"X", b"y" * 20_000)), Limits())
