--- /dev/null
+++ b/tests/system/mutations/breaks.py
@@ -0,0 +1,138 @@
+"""The breaks: each puts one text in place of another in one file, and names the tests that must fail then."""
+
+from dataclasses import dataclass
+
+CONSENSUS = "molespur/system/consensus/"
+SHARDS = "molespur/system/shards/"
+DATA_PLANE = "molespur/system/data_plane/"
+TESTS = "tests/system/"
+
+
+@dataclass(frozen=True)
+class Break:
+    """One deliberate break."""
+
+    name: str
+    file: str
+    line: str
+    broken: str
+    tests: tuple[str, ...]
+
+
+CONSENSUS_TESTS = (TESTS + "test_consensus.py", TESTS + "test_exhaustive.py")
+CUT_TESTS = (TESTS + "test_cut_off_control.py",)
+HISTORY_TESTS = (TESTS + "test_operator_histories.py",)
+LOSS_TESTS = (TESTS + "test_second_loss.py",)
+CHANGE_TESTS = (TESTS + "test_many_changes.py",)
+CALLER_TESTS = (TESTS + "test_answers_and_callers.py",)
+PART_TESTS = (TESTS + "test_control_parts.py", TESTS + "test_liveness_contact.py", TESTS + "test_orders.py")
+
+BREAKS = (
+    # -- Votes, terms, commits ------------------------------------------------------------------------
+    Break("a vote that is told before it is on the disk", CONSENSUS + "replica.py",
+          "self._answer_vote(message, granted, after_write=True)",
+          "self._answer_vote(message, granted, after_write=False)", CONSENSUS_TESTS),
+    Break("a second vote in one term", CONSENSUS + "replica.py",
+          'granted = up_to_date and self.hard_state.vote in ("", message.sender)',
+          "granted = up_to_date", CONSENSUS_TESTS),
+    Break("a vote for a log that is behind", CONSENSUS + "replica.py",
+          "up_to_date = (request.last_term, request.last_index) >= mine",
+          "up_to_date = True", CONSENSUS_TESTS),
+    Break("a replica without a vote that votes", CONSENSUS + "replica.py",
+          "if self.role is Role.OUTSIDER or not self.is_voter():",
+          "if self.role is Role.OUTSIDER:", CONSENSUS_TESTS),
+    Break("a commit of an entry of an earlier term", CONSENSUS + "replica.py",
+          "if self.log.holds(majority, self.hard_state.term):",
+          "if True:", CONSENSUS_TESTS),
+    Break("a leader that counts its own entry before its sync", CONSENSUS + "replica.py",
+          "majority = self._reached(self.log.durable_index,",
+          "majority = self._reached(self.log.last_index,", CONSENSUS_TESTS),
+    Break("a follower that acknowledges before its sync", CONSENSUS + "replica.py",
+          "self._send(self._sender(message), reply, after_write=bool(new) or self.log.durable_index < last)",
+          "self._send(self._sender(message), reply)", CONSENSUS_TESTS),
+    Break("half of the voters are a majority", CONSENSUS + "progress.py",
+          "ranked[len(ranked) // 2]", "ranked[(len(ranked) - 1) // 2]", CONSENSUS_TESTS + LOSS_TESTS),
+    Break("a follower that takes entries without looking at what is before them", CONSENSUS + "replica.py",
+          "if self.log.term_at(previous) != previous_term:", "if self.log.term_at(previous) is None:",
+          CONSENSUS_TESTS + CHANGE_TESTS),
+    Break("a snapshot over later entries", CONSENSUS + "replica.py",
+          "if self.log.holds(sent.index, sent.term):", "if False:", CONSENSUS_TESTS),
+    Break("two voters that change at once", CONSENSUS + "replica.py",
+          "if len(new ^ set(self.voters())) > 1 or self.id not in new:", "if self.id not in new:",
+          CONSENSUS_TESTS),
+    Break("a membership that changes before the last one is committed", CONSENSUS + "replica.py",
+          "if self.role is not Role.LEADER or not self.log.membership_committed or self.transfer_to:",
+          "if self.role is not Role.LEADER or self.transfer_to:", CONSENSUS_TESTS),
+    # -- Point 1: contact before an answer ------------------------------------------------------------
+    Break("a read that is confirmed without a round", CONSENSUS + "read_index.py",
+          "while self._pending and self._pending[0].round <= majority_round:",
+          "while self._pending:", CONSENSUS_TESTS),
+    Break("a read before an entry of the own term is committed", CONSENSUS + "replica.py",
+          "if self.role is not Role.LEADER or not self._own_term_committed():\n            self._actions",
+          "if self.role is not Role.LEADER:\n            self._actions", CONSENSUS_TESTS),
+    Break("a leader that nobody answers and that goes on", CONSENSUS + "replica.py",
+          'self._follow("")  # check-quorum: a leader that no majority answers steps down',
+          "pass", CONSENSUS_TESTS + CUT_TESTS),
+    Break("a proposal without contact", SHARDS + "host.py",
+          "if not group.replica.in_touch(self.clock()):", "if False:", CUT_TESTS),
+    Break("a caller who waits although the lead is lost", SHARDS + "host.py",
+          "self._fail_waiters(group)", "pass", CUT_TESTS + (TESTS + "test_liveness_contact.py",)),
+    Break("a heartbeat acknowledged without contact", "molespur/system/control_plane/calls.py",
+          "if not self.host.has_lease(name):\n            raise", "if False:\n            raise",
+          CUT_TESTS + (TESTS + "test_liveness_contact.py",)),
+    Break("a heartbeat acknowledged that is not committed", "molespur/system/workers/liveness.py",
+          "if worker.state != pb.DRAINING and self._is_late(worker, known):",
+          "if self._is_late(worker, known) or worker.sequence <= self.proposed_sequences.get(worker.id, 0):",
+          CUT_TESTS + PART_TESTS),
+    Break("a scheduler that is started on an unconfirmed state", "molespur/system/feed/source.py",
+          "if confirmed is None or confirmed.asked_at < follower.since:", "if False:",
+          CUT_TESTS + (TESTS + "test_feed.py",)),
+    # -- Point 2: one winner, outcomes that stay --------------------------------------------------------
+    Break("a digest that is not kept", SHARDS + "configuration.py",
+          "self.taken[command.digest] = None", "pass", HISTORY_TESTS),
+    Break("digests that a snapshot loses", SHARDS + "configuration.py",
+          "self.taken = dict.fromkeys(state.taken_digests)", "self.taken = {}", HISTORY_TESTS),
+    Break("a refusal that is forgotten", SHARDS + "configuration.py",
+          "self.refused[command.digest] = command.base_version", "pass", HISTORY_TESTS),
+    Break("a change on another version than the current one", SHARDS + "configuration.py",
+          "if command.base_version != self.version or command.digest in self.refused:",
+          "if command.base_version < self.version or command.digest in self.refused:", HISTORY_TESTS),
+    # -- Point 3: votes that pass on ----------------------------------------------------------------------
+    Break("a stop that keeps the vote", SHARDS + "leaving.py",
+          "await asyncio.sleep(STEP_S)", "return", LOSS_TESTS),
+    Break("a silent voter that keeps its vote for long", SHARDS + "membership_changes.py",
+          "LOST_AFTER_MS = 1200.0", "LOST_AFTER_MS = 6000.0", LOSS_TESTS),
+    Break("a process that ends with the only other copy", SHARDS + "membership_changes.py",
+          "return 2 * holding > len(voters) + 1", "return True", LOSS_TESTS),
+    Break("a learner that gets a vote before it has the log", SHARDS + "membership_changes.py",
+          "near = progress.match + LAG_ENTRIES >= replica.log.last_index", "near = True",
+          LOSS_TESTS + (TESTS + "test_membership_changes.py",)),
+    Break("a wiped replica that keeps its vote", SHARDS + "membership_changes.py",
+          "if m.rpc_address != joining.rpc_address]", "]", LOSS_TESTS + CONSENSUS_TESTS),
+    # -- Point 4: catching up ---------------------------------------------------------------------------
+    Break("a snapshot whose checksum is not looked at", CONSENSUS + "snapshot_transfer.py",
+          "if crc32(state) != message.checksum or len(state) != message.size:",
+          "if len(state) != message.size:", CHANGE_TESTS),
+    Break("a conflict that goes back one entry a round trip", CONSENSUS + "log.py",
+          "while index > self.commit_index and self.term_at(index) == term:",
+          "for _ in range(1):", CHANGE_TESTS),
+    Break("a leader that is silent while a snapshot is on its way", CONSENSUS + "replica.py",
+          "self._send_heartbeat(member)\n            return", "return", CHANGE_TESTS),
+    # -- Point 5: callers and answers ----------------------------------------------------------------------
+    Break("a rejection of another request that counts", DATA_PLANE + "client_call.py",
+          "if rejected and answered in (attempt_id, None):", "if rejected:", CALLER_TESTS),
+    Break("an answer of any id", DATA_PLANE + "client_call.py",
+          "if answered != attempt_id:", "if False:", CALLER_TESTS),
+    Break("a resend of what may have run", DATA_PLANE + "exchange.py",
+          "if self.route.repeatable and self.runs < self.route.max_attempts:",
+          "if self.runs < self.route.max_attempts:", CALLER_TESTS),
+    Break("an answer without a length that counts as whole", DATA_PLANE + "client_call.py",
+          'raise UpstreamError(Failure.MAY_HAVE_RUN, "an answer without framing may be cut short")',
+          "pass", CALLER_TESTS),
+    # -- Orders and records ------------------------------------------------------------------------------
+    Break("a fence that was refused and is used again", "molespur/system/control_plane/orders.py",
+          "self.fenced_off[worker.id] = fence", "pass", PART_TESTS),
+    Break("an older record over draining", "molespur/system/workers/directory.py",
+          "if worker.id in self.removed or self._overtaken(worker):", "if worker.id in self.removed:",
+          PART_TESTS),
+)  # fmt: skip
--- /dev/null
+++ b/tests/system/test_exhaustive.py
@@ -0,0 +1,242 @@
+"""A bounded exhaustive search of the pure consensus: three replicas, few events, in every order.
+
+Events: a replica campaigns, a command is proposed, a message arrives (or never does), a disk syncs, a replica
+loses its power and what it had not synced.  States that were seen are not searched again.  In each state: one
+leader a term at most, one value at each committed place, and every committed entry on a majority of disks.
+"""
+
+import copy
+from dataclasses import dataclass, field
+
+import pytest
+
+from molespur.system.consensus import replica as raft
+from molespur.system.rpc import molespur_pb2 as pb
+
+NAMES = ("a#0", "b#0", "c#0")
+MOST_MESSAGES = 4  # on their way at once; older ones are lost
+CAMPAIGN_MS = 2000.0
+FIRST = raft.Snapshot(
+    1,
+    1,
+    pb.Membership(members=[pb.Member(replica_id=name, rpc_address=name, voter=True) for name in NAMES]),
+    b"",
+)
+
+
+class NoChance:
+    """Stands for the generator: timers are events here."""
+
+    def random(self):
+        return 0.5
+
+    def __deepcopy__(self, _memo):
+        return self
+
+
+@dataclass
+class Node:
+    """A replica, the records that its disk has not synced, and what the disk holds."""
+
+    replica: raft.Replica
+    unsynced: list = field(default_factory=list)
+    hard: tuple = (1, "")
+    entries: dict = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """How often each kind of event may still come."""
+
+    campaigns: int
+    proposals: int
+    crashes: int
+
+
+@dataclass
+class World:
+    """All that there is: nodes, messages on their way, and what was ever led or committed."""
+
+    nodes: list
+    messages: tuple
+    bounds: Bounds
+    now: float = 10_000.0
+    leaders: dict = field(default_factory=dict)
+    committed: dict = field(default_factory=dict)
+
+    def key(self):
+        """Two worlds with the same key have the same future, but for times."""
+        nodes = tuple(
+            (
+                node.replica.role, node.replica.hard_state.term, node.replica.hard_state.vote,
+                tuple((e.term, e.data) for e in node.replica.log.entries), node.replica.log.commit_index,
+                frozenset(node.replica.votes), node.hard, len(node.unsynced),
+                tuple(sorted((i, e.term) for i, e in node.entries.items())),
+                tuple(sorted((n, p.match, p.next) for n, p in node.replica.progress.items())),
+            )
+            for node in self.nodes
+        )  # fmt: skip
+        return nodes, tuple(sorted(content(message) for message in self.messages)), self.bounds
+
+    def after(self, event, *arguments):
+        """The world after one event."""
+        world = copy.deepcopy(self)
+        getattr(world, event)(*arguments)
+        world.check()
+        return world
+
+    # -- Events ------------------------------------------------------------------------------------
+
+    def campaign(self, number):
+        self.now += CAMPAIGN_MS
+        self.bounds = Bounds(self.bounds.campaigns - 1, self.bounds.proposals, self.bounds.crashes)
+        self.nodes[number].replica.election_at = self.now
+        self._handle(number, raft.Tick())
+
+    def propose(self, number):
+        self.bounds = Bounds(self.bounds.campaigns, self.bounds.proposals - 1, self.bounds.crashes)
+        self._handle(number, raft.Propose(b"%d" % self.bounds.proposals))
+
+    def arrive(self, place):
+        message = self.messages[place]
+        self.messages = self.messages[:place] + self.messages[place + 1 :]
+        self._handle(NAMES.index(message.receiver), raft.Received(message))
+
+    def sync(self, number):
+        node = self.nodes[number]
+        record = node.unsynced.pop(0)
+        node.hard = (record.hard_state.term, record.hard_state.vote)
+        if record.truncate_from is not None:
+            node.entries = {i: e for i, e in node.entries.items() if i < record.truncate_from}
+        node.entries.update({entry.index: entry for entry in record.entries})
+        for send in record.release:
+            self._send(send.message)
+        self._handle(number, raft.Persisted(record.sequence))
+
+    def crash(self, number):
+        self.bounds = Bounds(self.bounds.campaigns, self.bounds.proposals, self.bounds.crashes - 1)
+        node = self.nodes[number]
+        entries = [node.entries[index] for index in sorted(node.entries)]
+        node.unsynced = []
+        node.replica = raft.Replica(
+            "g", NAMES[number], NoChance(), raft.HardState(*node.hard), FIRST, entries, self.now
+        )
+
+    def _handle(self, number, event):
+        self.now += 1.0
+        for action in self.nodes[number].replica.handle(self.now, event):
+            match action:
+                case raft.Send(_, message):
+                    self._send(message)
+                case raft.Persist():
+                    self.nodes[number].unsynced.append(copy.deepcopy(action))
+                case raft.Apply(entry):
+                    known = self.committed.setdefault(entry.index, (entry.term, entry.data))
+                    assert known == (entry.term, entry.data), f"two values at {entry.index}"
+
+    def _send(self, message):
+        self.messages = (*self.messages, message)[-MOST_MESSAGES:]
+
+    # -- What can come next, and what must hold -----------------------------------------------------
+
+    def events(self):
+        for place in range(len(self.messages)):
+            yield "arrive", place
+        for number, node in enumerate(self.nodes):
+            if node.unsynced:
+                yield "sync", number
+            if self.bounds.proposals and node.replica.role is raft.Role.LEADER:
+                yield "propose", number
+            if self.bounds.campaigns and node.replica.role is not raft.Role.LEADER:
+                yield "campaign", number
+            if self.bounds.crashes:
+                yield "crash", number
+
+    def check(self):
+        for node in self.nodes:
+            if node.replica.role is raft.Role.LEADER:
+                known = self.leaders.setdefault(node.replica.hard_state.term, node.replica.id)
+                assert known == node.replica.id, "two leaders in one term"
+        for index, (term, _data) in self.committed.items():
+            holding = sum(index in node.entries and node.entries[index].term == term for node in self.nodes)
+            assert holding >= 2, f"the committed entry {index} is on {holding} disks"
+
+
+def content(message):
+    """A message but for its times."""
+    short = pb.ConsensusMessage()
+    short.CopyFrom(message)
+    for body in ("append_request", "append_reply"):
+        if short.HasField(body):
+            getattr(short, body).sent_at_ms = 0
+    return short.SerializeToString(deterministic=True)
+
+
+def search(world, most):
+    """Breadth first from a world, every order of events, until so many states were seen; how many were."""
+    seen, waiting = {world.key()}, [world]
+    while waiting and len(seen) < most:
+        following = []
+        for one in waiting:
+            for event in one.events():
+                after = one.after(*event)
+                key = after.key()
+                if key not in seen:
+                    seen.add(key)
+                    following.append(after)
+            if len(seen) >= most:
+                break
+        waiting = following
+    return len(seen)
+
+
+def fresh(campaigns, proposals, crashes):
+    nodes = [
+        Node(raft.Replica("g", name, NoChance(), raft.HardState(1, ""), FIRST, [], 0.0)) for name in NAMES
+    ]
+    return World(nodes, (), Bounds(campaigns, proposals, crashes))
+
+
+def led(proposals, campaigns, crashes):
+    """A world in which the first replica leads and its first entry is committed."""
+    world = fresh(1, proposals, crashes)
+    world = world.after("campaign", 0)
+    for _ in range(60):
+        unsynced = [number for number, node in enumerate(world.nodes) if node.unsynced]
+        if world.messages:
+            world = world.after("arrive", 0)
+        elif unsynced:
+            world = world.after("sync", unsynced[0])
+    assert world.nodes[0].replica.role is raft.Role.LEADER and world.committed
+    world.bounds = Bounds(campaigns, proposals, crashes)
+    return world
+
+
+@pytest.mark.parametrize(
+    ("world", "most"),
+    [
+        (lambda: fresh(campaigns=2, proposals=0, crashes=1), 2500),
+        (lambda: led(proposals=1, campaigns=1, crashes=1), 2500),
+        (lambda: led(proposals=2, campaigns=1, crashes=0), 2500),
+    ],
+    ids=["elections", "a change and a crash", "two changes and another leader"],
+)
+def test_every_order_of_a_few_events_keeps_what_was_committed(world, most):
+    assert search(world(), most) >= most // 2
+
+
+def test_the_search_finds_a_vote_that_is_given_twice(monkeypatch):
+    monkeypatch.setattr(raft.Replica, "_vote_requested", _careless_vote)
+    with pytest.raises(AssertionError, match="two leaders"):
+        world = fresh(campaigns=2, proposals=0, crashes=0)
+        search(world.after("campaign", 0).after("campaign", 1), 20_000)
+
+
+def _careless_vote(self, message):
+    """Votes for everybody, in any term."""
+    if message.term > self.hard_state.term and not message.vote_request.pre_vote:
+        self._adopt_term(message.term)
+    reply = self._message(message.sender, message.term)
+    reply.vote_reply.pre_vote = message.vote_request.pre_vote
+    reply.vote_reply.granted = True
+    self._send(self._sender(message), reply)
--- /dev/null
+++ b/tests/system/test_liveness_contact.py
@@ -0,0 +1,123 @@
+"""What an owner of a shard needs before it answers workers: contact with a majority, committed state."""
+
+import asyncio
+import json
+
+import pytest
+from control import OneControlPlane
+
+from molespur.system.errors import ErrorKind, FleetError
+from molespur.system.rpc import molespur_pb2 as pb
+from molespur.system.shards.placement import CONFIGURATION, WORKER_GROUPS
+from molespur.system.workers.directory import WorkerDirectory
+from molespur.system.workers.liveness import WorkerLiveness
+
+
+@pytest.fixture
+def plane(tmp_path):
+    made = OneControlPlane(tmp_path)
+    yield made
+    made.close()
+
+
+def worker(state=pb.READY, sequence=1, **changes):
+    fields = {"id": "i-1", "service": "s", "address": "10.9.0.1:80", "zone": "a", "capacity": 4, **changes}
+    return pb.Worker(state=state, sequence=sequence, **fields)
+
+
+def put(directory, record):
+    directory.apply(pb.WorkerCommand(workers=[record]).SerializeToString())
+
+
+def beat(plane, state="ready", sequence=1):
+    body = {"Service": "s", "Address": "10.9.0.1:80", "Zone": "a", "State": state, "Sequence": sequence}
+    return plane.call("PUT", "/api/instances/i-1", json.dumps(body).encode())[0]
+
+
+def test_a_heartbeat_is_acknowledged_again_only_once_its_first_call_is_committed():
+    directory = WorkerDirectory()
+    liveness = WorkerLiveness(directory, 1000.0)
+    put(directory, worker())
+    draining = liveness.heartbeat(0.0, worker(pb.DRAINING, 2))
+    assert draining is not None
+    again = liveness.heartbeat(10.0, worker(pb.DRAINING, 2))
+    assert again is not None, "the first proposal may never be committed"
+    put(directory, again)
+    liveness.committed(again)
+    assert liveness.heartbeat(20.0, worker(pb.DRAINING, 2)) is None
+
+
+def test_a_call_that_was_overtaken_by_one_under_way_has_no_clear_answer():
+    directory = WorkerDirectory()
+    liveness = WorkerLiveness(directory, 1000.0)
+    put(directory, worker())
+    liveness.heartbeat(0.0, worker(sequence=7, capacity=9))
+    with pytest.raises(FleetError) as caught:
+        liveness.heartbeat(5.0, worker(sequence=6, capacity=8))
+    assert caught.value.kind is ErrorKind.OUTCOME_UNKNOWN
+    assert liveness.heartbeat(6.0, worker(pb.DRAINING, 6)).state == pb.DRAINING, "leaving is never too late"
+
+
+@pytest.mark.parametrize("state", [pb.READY, pb.SWITCHING, pb.SILENT])
+def test_no_record_made_from_an_older_state_undoes_what_a_worker_said(state):
+    directory = WorkerDirectory()
+    put(directory, worker(sequence=3))
+    put(directory, worker(pb.DRAINING, 5))
+    put(directory, worker(state, 9))
+    assert directory.workers["i-1"].state == pb.DRAINING
+    other = WorkerDirectory()
+    put(other, worker(sequence=5, phase="prefill"))
+    put(other, worker(state, 4, phase="decode"))
+    assert other.workers["i-1"].phase == "prefill"
+
+
+def test_without_contact_a_heartbeat_that_changes_nothing_is_503(plane):
+    assert beat(plane) == 200
+    assert beat(plane, sequence=2) == 200
+    plane.host.has_lease = lambda _group: False
+    assert beat(plane, sequence=3) == 503
+    assert plane.call("DELETE", "/api/instances/i-1")[0] == 503
+    del plane.host.has_lease
+    assert beat(plane, sequence=3) == 200
+
+
+def test_an_owner_that_was_out_of_touch_judges_nobody_at_once(plane):
+    for sequence in range(1, 4):
+        beat(plane, sequence=sequence)
+        plane.pass_time(300.0)
+    plane.host.has_lease = lambda _group: False
+    plane.silence()
+    del plane.host.has_lease
+    plane.now += 900.0
+    plane.silence()
+    states = [w.state for name in WORKER_GROUPS for w in plane.host.groups[name].machine.workers.values()]
+    assert states == [pb.READY]
+
+
+def test_who_waits_is_told_at_once_when_the_lead_is_lost(plane):
+    class StalledWriter:
+        def write(self, _group, _record):
+            pass
+
+    plane.host.writer = StalledWriter()
+    replica = plane.host.groups[CONFIGURATION].replica
+
+    async def scenario():
+        proposal = asyncio.ensure_future(plane.host.propose(CONFIGURATION, b"x"))
+        await asyncio.sleep(0)
+        later = pb.ConsensusMessage(
+            group=CONFIGURATION,
+            sender="10.0.0.9:7000#0",
+            receiver=replica.id,
+            term=replica.hard_state.term + 1,
+        )
+        later.append_request.SetInParent()
+        plane.host.receive(later)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        assert proposal.done()
+        with pytest.raises(FleetError) as caught:
+            await proposal
+        assert caught.value.kind is ErrorKind.OUTCOME_UNKNOWN
+
+    plane.loop.run_until_complete(scenario())
--- /dev/null
+++ b/tests/system/test_membership_changes.py
@@ -0,0 +1,95 @@
+"""The leader's plan for its group: who gets a vote, who gives one up, and who may leave."""
+
+import pytest
+from virtual_group import VirtualGroup
+
+from molespur.system.consensus import replica as raft
+from molespur.system.rpc import molespur_pb2 as pb
+from molespur.system.shards.membership_changes import LOST_AFTER_MS, MembershipPlanner
+
+LEARNER = "10.0.0.9:1#9"
+
+
+@pytest.fixture
+def leader():
+    """A leader of three voters with a learner that has just been heard."""
+    group = VirtualGroup(41)
+    group.run(3000)
+    replica = group.leader().replica
+    planner = MembershipPlanner(3)
+    joining = pb.Member(replica_id=LEARNER, rpc_address="10.0.0.9:1")
+    group.leader().handle(raft.ChangeMembership(planner.admit(replica, joining)))
+    group.run(60)
+    replica.progress[LEARNER].heard_at = group.now
+    replica.progress[LEARNER].match = replica.log.last_index
+    return group, replica, planner
+
+
+def voters_of(membership):
+    return {m.replica_id for m in membership.members if m.voter}
+
+
+def followers(replica):
+    return [name for name in replica.voters() if name != replica.id]
+
+
+def test_with_nobody_leaving_or_lost_nothing_changes(leader):
+    group, replica, planner = leader
+    assert planner.plan(replica, group.now) is None
+
+
+def test_a_leaving_voter_is_replaced_before_it_gives_its_vote_up(leader):
+    group, replica, planner = leader
+    leaving = followers(replica)[0]
+    planner.leaves(leaving, group.now)
+    assert not planner.may_leave(replica, leaving, group.now)
+    larger = planner.plan(replica, group.now)
+    assert voters_of(larger) == {*replica.voters(), LEARNER}
+    replica.log.memberships.append((replica.log.commit_index, larger))
+    smaller = planner.plan(replica, group.now)
+    assert voters_of(smaller) == voters_of(larger) - {leaving}
+    replica.log.memberships.append((replica.log.commit_index, smaller))
+    assert planner.may_leave(replica, leaving, group.now)
+    assert planner.plan(replica, group.now) is None, "the one that left is no learner to promote"
+
+
+def test_a_learner_that_lacks_entries_gets_no_vote(leader):
+    group, replica, planner = leader
+    planner.leaves(followers(replica)[0], group.now)
+    replica.progress[LEARNER].match = 1
+    replica.log.entries.extend(
+        pb.LogEntry(index=replica.log.last_index + n, term=1, kind=pb.COMMAND) for n in range(1, 9)
+    )
+    assert planner.plan(replica, group.now) is None
+
+
+def test_a_silent_voter_makes_room_only_while_the_leader_is_in_touch(leader):
+    group, replica, planner = leader
+    lost = followers(replica)[0]
+    replica.progress[lost].heard_at = group.now - LOST_AFTER_MS - 1.0
+    assert voters_of(planner.plan(replica, group.now)) == set(replica.voters()) - {lost}
+    for name in followers(replica):
+        replica.progress[name].heard_at = group.now - LOST_AFTER_MS - 1.0
+    assert planner.plan(replica, group.now) is None, "with all silent the fault may be here"
+    replica.progress[followers(replica)[1]].heard_at = group.now
+    for name in followers(replica):
+        replica.progress[name].acknowledged_send = group.now - 5000.0
+    replica.led_since = group.now - 5000.0
+    assert planner.plan(replica, group.now) is None, "no majority answers"
+
+
+def test_a_voter_too_many_that_nobody_accounts_for_becomes_a_learner(leader):
+    group, replica, planner = leader
+    planner.leaves(followers(replica)[0], group.now)
+    larger = planner.plan(replica, group.now)
+    replica.log.memberships.append((replica.log.commit_index, larger))
+    assert planner.plan(replica, group.now + 1100.0) is None
+    smaller = planner.plan(replica, group.now + 4000.0)
+    assert len(voters_of(smaller)) == 3 and replica.id in voters_of(smaller)
+
+
+def test_one_that_stops_saying_that_it_leaves_stays(leader):
+    group, replica, planner = leader
+    planner.leaves(followers(replica)[0], group.now)
+    replica.progress[LEARNER].heard_at = group.now + 2000.0
+    assert planner.plan(replica, group.now + 2000.0) is None
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -23,8 +23,8 @@
 
 
 @asynccontextmanager
-async def order_taker():
-    """A worker's address that takes every order; gives its address and the orders."""
+async def order_taker(status=b"202 Accepted"):
+    """A worker's address that answers every order alike; gives its address and the orders."""
     orders = []
 
     async def serve(reader, writer):
@@ -33,7 +33,7 @@
                 head = await reader.readuntil(b"\r\n\r\n")
                 length = int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0] or 0)
                 orders.append(json.loads(await reader.readexactly(length)))
-                writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+                writer.write(b"HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n" % status)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
@@ -105,3 +105,20 @@
             task.cancel()
 
     plane.loop.run_until_complete(scenario())
+
+
+def test_a_worker_that_has_seen_a_higher_fence_gets_no_order_with_the_same_one_again(plane):
+    async def scenario():
+        async with order_taker(b"412 Precondition Failed") as (address, taken):
+            register(plane, address)
+            orders = orders_of(plane)
+            plane.pass_time(plane.host.settings.bounds.lease_ms + HANDOVER_MS + 100.0)
+            for _ in range(400):
+                orders.look(plane.now)
+                plane.pass_time(300.0)
+                if orders._tasks:
+                    await asyncio.gather(*orders._tasks)
+            assert len(orders.fenced_off) > 1
+            assert len(taken) == len(orders.fenced_off), "each worker was asked once with this fence"
+
+    plane.loop.run_until_complete(scenario())
