--- a/molespur/system/consensus/replica.py
+++ b/molespur/system/consensus/replica.py
@@ -71,6 +71,7 @@
         self.reads = ReadIndex()
         self.receiving = SnapshotReceiving()
         self.leader_heard_at = float("-inf")
+        self.leader_heard_last = ""  # who that was
         self.transfer_to = ""
         self.now = now
         self.heartbeat_at = now
@@ -269,6 +270,7 @@
             self._lead()
 
     def _lead(self) -> None:
+        voted = self.votes
         self._set_role(Role.LEADER, self.id)
         self.led_since = self.now
         self.progress = {
@@ -276,6 +278,9 @@
             for m in self.log.membership.members
             if m.replica_id != self.id
         }
+        if self.leader_heard_last in self.progress and self.leader_heard_last not in voted:
+            # the leader before may be lost: its silence has lasted since it was heard of last
+            self.progress[self.leader_heard_last].heard_at = self.leader_heard_at
         self._propose(pb.NOOP, b"")
 
     # -- Messages ------------------------------------------------------------------------------
@@ -373,7 +378,7 @@
     # -- Replication: the follower's side --------------------------------------------------------
 
     def _heard_leader(self, message: pb.ConsensusMessage) -> None:
-        self.leader_heard_at = self.now
+        self.leader_heard_at, self.leader_heard_last = self.now, message.sender
         self._reset_election()
         if self.role is not Role.FOLLOWER or self.leader_id != message.sender:
             self._follow(message.sender)
--- a/tests/system/mutations/breaks.py
+++ b/tests/system/mutations/breaks.py
@@ -19,7 +19,7 @@
     tests: tuple[str, ...]
 
 
-CONSENSUS_TESTS = (TESTS + "test_consensus.py", TESTS + "test_exhaustive.py")
+CONSENSUS_TESTS = (TESTS + "test_votes.py", TESTS + "test_consensus.py", TESTS + "test_exhaustive.py")
 CUT_TESTS = (TESTS + "test_cut_off_control.py",)
 HISTORY_TESTS = (TESTS + "test_operator_histories.py",)
 LOSS_TESTS = (TESTS + "test_second_loss.py",)
--- a/tests/system/test_second_loss.py
+++ b/tests/system/test_second_loss.py
@@ -152,6 +152,25 @@
     VirtualFleet(5, monkeypatch, schedulers=1).run(history)
 
 
+def test_the_vote_of_a_lost_machine_moves_within_two_seconds_of_its_successors_start(monkeypatch):
+    """Whoever is lost: also the leader, whose successor has to be elected first."""
+
+    async def history(fleet):
+        await asyncio.sleep(BEFORE_S)
+        for turn in range(4):
+            leaving = fleet.leader() if turn % 2 else next(a for a in fleet.voters() if a != fleet.leader())
+            spare = f"10.0.1.{turn + 1}"
+            await replace(fleet, leaving, spare, planned=False)
+            await asyncio.sleep(2.0)
+            for group in GROUPS:
+                assert spare in fleet.voters(group) and leaving not in fleet.voters(group)
+                assert len(fleet.voters(group)) == 3
+            await asyncio.sleep(SYNC_TIME_S)
+
+    for seed in range(4):
+        VirtualFleet(seed, monkeypatch, schedulers=1).run(history)
+
+
 def test_a_process_that_is_stopped_with_nobody_to_take_its_vote_keeps_it(monkeypatch):
     """A rolling restart: each process ends soon, keeps its vote, and is a voter again when it is back."""
 
