--- a/tests/system/mutations/breaks.py
+++ b/tests/system/mutations/breaks.py
@@ -25,7 +25,7 @@
 LOSS_TESTS = (TESTS + "test_second_loss.py",)
 CHANGE_TESTS = (TESTS + "test_many_changes.py",)
 CALLER_TESTS = (TESTS + "test_answers_and_callers.py",)
-PART_TESTS = (TESTS + "test_control_parts.py", TESTS + "test_liveness_contact.py", TESTS + "test_orders.py")
+PART_TESTS = (TESTS + "test_workers.py", TESTS + "test_liveness_contact.py", TESTS + "test_orders.py")
 
 BREAKS = (
     # -- Votes, terms, commits ------------------------------------------------------------------------
--- /dev/null
+++ b/tests/system/test_configuration.py
@@ -0,0 +1,91 @@
+"""The operator's configuration: which changes are taken, what can be used."""
+
+import pytest
+
+from molespur.system.errors import ANSWERS, ErrorKind, FleetError
+from molespur.system.rpc import molespur_pb2 as pb
+from molespur.system.settings import configuration
+from molespur.system.shards.configuration import ConfigurationMachine, PutOutcome
+
+
+def change(version, base, body=b""):
+    body = body or b"%d" % version
+    digest = b"%d:%s" % (base, body)
+    return pb.PutConfiguration(
+        version=version, base_version=base, digest=digest, body=body
+    ).SerializeToString()
+
+
+def test_of_two_changes_on_one_version_one_wins():
+    machine = ConfigurationMachine()
+    assert machine.apply(change(1, 0))[0] is PutOutcome.TAKEN
+    assert machine.apply(change(5, 1, b"a"))[0] is PutOutcome.TAKEN
+    assert machine.apply(change(5, 1, b"b"))[0] is PutOutcome.MISMATCH
+    assert machine.apply(change(7, 1))[0] is PutOutcome.MISMATCH
+    assert (machine.version, machine.body) == (5, b"a")
+
+
+def test_a_change_that_was_taken_is_never_refused():
+    machine = ConfigurationMachine()
+    for version, base in ((1, 0), (3, 1), (4, 3)):
+        machine.apply(change(version, base))
+    copy = ConfigurationMachine()
+    copy.restore(machine.snapshot())
+    for known in (machine, copy):
+        assert [known.apply(change(v, b)) for v, b in ((1, 0), (3, 1), (4, 3))] == [
+            (PutOutcome.TAKEN, None)
+        ] * 3
+        assert known.version == 4
+
+
+def test_a_version_must_be_newer():
+    machine = ConfigurationMachine()
+    machine.apply(change(4, 0))
+    assert machine.apply(change(4, 4, b"x"))[0] is PutOutcome.NOT_NEWER
+    assert machine.apply(change(3, 4))[0] is PutOutcome.NOT_NEWER
+
+
+ROUTE = '{"Name":"r","Host":"h","PathPrefix":"/p/","TimeoutMs":%s,"Service":"%s"}'
+
+
+@pytest.mark.parametrize(
+    ("body", "kind", "field"),
+    [
+        ('{"Version":1', ErrorKind.UNREADABLE, "JSON"),
+        ("[]", ErrorKind.UNREADABLE, "object"),
+        ('{"Version":"1"}', ErrorKind.INVALID_CONFIGURATION, "Version"),
+        ('{"Routes":[]}', ErrorKind.INVALID_CONFIGURATION, "Version"),
+        ('{"Version":0}', ErrorKind.INVALID_CONFIGURATION, "Version"),
+        ('{"Version":1,"Routes":[' + ROUTE % (9, "s") + "]}", ErrorKind.INVALID_CONFIGURATION, "Service"),
+        (
+            '{"Version":1,"Services":[{"Name":"s"}],"Routes":[' + ROUTE % (0, "s") + "]}",
+            ErrorKind.INVALID_CONFIGURATION,
+            "TimeoutMs",
+        ),
+        (
+            '{"Version":1,"Services":[{"Name":"s"}],"Routes":['
+            + f"{ROUTE % (9, 's')},{ROUTE % (9, 's')}"
+            + "]}",
+            ErrorKind.INVALID_CONFIGURATION,
+            "PathPrefix",
+        ),
+        (
+            '{"Version":1,"Services":[{"Name":"s"}],"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/",'
+            '"TrafficSplit":[{"Service":"s","Weight":0}]}]}',
+            ErrorKind.INVALID_CONFIGURATION,
+            "TrafficSplit",
+        ),
+    ],
+)
+def test_a_configuration_that_cannot_be_used_is_refused_in_one_line(body, kind, field):
+    with pytest.raises(FleetError) as problem:
+        configuration.parse(body.encode())
+    assert problem.value.kind is kind and field in problem.value.detail and "\n" not in problem.value.detail
+    assert 400 <= ANSWERS[kind].status < 500
+
+
+def test_unknown_keys_are_passed_over():
+    known = configuration.parse(
+        b'{"Version":2,"New":1,"Services":[{"Name":"s","Tls":false,"Engine":{"stride":9}}]}'
+    )
+    assert known.version == 2 and known.services[0].engine.capacity == 1
