--- a/molespur/standins/members.py
+++ b/molespur/standins/members.py
@@ -56,6 +56,27 @@
     return text.decode().splitlines()
 
 
+DRAWN_NETS = (60, 251)  # those below are named by callers
+
+
+def reserved_net() -> tuple[socket.socket, int]:
+    """A second octet of loopback hosts that no other process of this machine has, and the socket that keeps it.
+
+    Raises OSError where all are taken.
+    """
+    nets = list(range(*DRAWN_NETS))
+    random.shuffle(nets)
+    for net in nets:
+        lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            lock.bind((f"127.{net}.255.254", GOSSIP_PORT))
+        except OSError:
+            lock.close()
+            continue
+        return lock, net
+    raise OSError("every net of loopback hosts is taken")
+
+
 class Members:
     """n members in `directory`; `net` picks the second octet of their hosts.
 
@@ -79,7 +100,7 @@
         filed: bool = False,
     ):
         self.directory, self.n, self.python = Path(directory), n, python
-        self.net = net if net is not None else random.randint(20, 250)
+        self._net_lock, self.net = reserved_net() if net is None else (None, net)
         self.fleet, self.faultline, self.seeds = dict(FAST if fleet is None else fleet), faultline, seeds
         self.settings = SETTINGS if settings is None else settings  # the platform's, in LB_CONFIG
         self.tables = tables or {}  # more tables of the deployment file, such as [registry]
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -15,7 +15,7 @@
 from molespur.fleet import wire
 from molespur.fleet.model import VERSION, Ack, News, Packet, Ping, State
 from molespur.standins import viewcheck
-from molespur.standins.members import FAST, GOSSIP_PORT, SETTINGS, Members, ask
+from molespur.standins.members import FAST, GOSSIP_PORT, SETTINGS, Members, ask, reserved_net
 
 AGREE_S = 10.0  # for views to agree after a change, at a probe each 200 ms
 IDS9 = {f"m{i}" for i in range(9)}
@@ -251,3 +251,10 @@
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         sock.bind((fleet.host(0), GOSSIP_PORT))  # free: the member did not take it
     assert '"fleet.off"' in fleet.log_path(0).read_text()
+
+
+def test_no_two_fleets_of_this_machine_draw_the_same_net():
+    kept = [reserved_net() for _ in range(60)]
+    assert len({net for _, net in kept}) == 60 and min(net for _, net in kept) > 38
+    for lock, _ in kept:
+        lock.close()
