--- a/molespur/standins/members.py
+++ b/molespur/standins/members.py
@@ -60,7 +60,7 @@
 
 
 def reserved_net() -> tuple[socket.socket, int]:
-    """A second octet of loopback hosts that no other process of this machine has, and the socket that keeps it.
+    """A second octet of loopback hosts that no other fleet here has, and the socket that keeps it.
 
     Raises OSError where all are taken.
     """
