--- a/tests/system/test_many_changes.py
+++ b/tests/system/test_many_changes.py
@@ -86,7 +86,7 @@
     for number in range(200):
         old.handle(raft.Propose(b"lost%d" % number))
     group.run(4000)
-    propose_many(group, 3, b"kept")
+    propose_many(group, 60, b"kept")
     group.leader().handle(raft.TransferLeadership())  # the next leader begins behind the entries just kept
     group.run(500)
     rejections = []
