Sight: what a replica has applied against what its leader names; why a source is left

A lasting lag is logged once a second, both indices are figures, and a scheduler that leaves its source logs its offsets. No change of logic.

--- a/molespur/system/consensus/following.py
+++ b/molespur/system/consensus/following.py
@@ -17,6 +17,7 @@
     def _append_requested(self, message: pb.ConsensusMessage) -> None:
         self._heard_leader(message)
         request = message.append_request
+        self.named_commit_index = max(self.named_commit_index, request.commit_index)
         previous = request.previous_index
         if previous < self.log.snapshot.index:
             # entries that the snapshot stands for are committed, so they match
--- a/molespur/system/consensus/replica_state.py
+++ b/molespur/system/consensus/replica_state.py
@@ -49,6 +49,7 @@
         self.receiving = SnapshotReceiving()
         self.leader_heard_at = float("-inf")
         self.leader_heard_last = ""  # who that was
+        self.named_commit_index = 0  # the highest that a leader has named; it may be beyond the own log
         self.transfer_to = ""
         self.now = now
         self.heartbeat_at = now
--- a/molespur/system/feed/follower.py
+++ b/molespur/system/feed/follower.py
@@ -114,7 +114,11 @@
             if not silent and not stale and not far:
                 return
             why = "silent" if silent else "stale" if stale else "another is nearer"
-            logging.info("feed: leaving %s: %s", self.source.address, why)
+            logging.info(
+                "feed: leaving %s: %s; heard %d ms ago, its leaders silent for %d ms; offsets %s",
+                self.source.address, why, now - max(self.heard_at, self.since), self.leader_silence_ms,
+                ", ".join(f"{group} {index}" for group, index in sorted(self.offsets.items())),
+            )  # fmt: skip
             if far:
                 self.homeward_at, self._order = now, []
             self.source.stop()
--- a/molespur/system/shards/host.py
+++ b/molespur/system/shards/host.py
@@ -17,6 +17,7 @@
 from ..rpc import molespur_pb2 as pb
 from ..rpc.channel import Dialer
 from ..storage.store import Store, bootstrap_identity, new_identity
+from .lag import LagLog
 from .leaving import Leaving
 from .membership_changes import MembershipPlanner
 
@@ -50,6 +51,7 @@
     waiters: dict[int, Waiter] = field(default_factory=dict)
     reads: dict[int, asyncio.Future] = field(default_factory=dict)
     log_bytes: int = 0
+    lag: LagLog = field(default_factory=LagLog)
 
 
 class ReplicaHost:
@@ -130,6 +132,7 @@
             self._handle(group, raft.Tick())
             self._plan(group, now)
             self._maybe_compact(group)
+            self._maybe_log_lag(group, now)
         self._maybe_join(now)
 
     def reseed(self, settings) -> None:
@@ -152,6 +155,16 @@
         for dialer in self.dialers.values():
             dialer.send(frame)
 
+    @staticmethod
+    def _maybe_log_lag(group: HostedGroup, now: float) -> None:
+        replica = group.replica
+        applied, named = replica.log.applied_index, replica.named_commit_index
+        if group.lag.due(now, applied, named):
+            logging.warning(
+                "%s: lags: applied %d, log ends at %d, its leader names %d, heard %d ms ago",
+                group.name, applied, replica.log.last_index, named, replica.leader_silence(now),
+            )  # fmt: skip
+
     # -- What others ask ---------------------------------------------------------------------------
 
     def leads(self, group: str) -> bool:
