--- a/molespur/system/rpc/channel.py
+++ b/molespur/system/rpc/channel.py
@@ -32,6 +32,7 @@
         self._received = bytearray()
         self._outgoing: list[bytes] = []
         self.label = ""  # who is at the other end, once it has said so
+        self.error: Exception | None = None  # why the connection was lost; None: it was closed in order
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the socket's options (asyncio callback)."""
@@ -65,9 +66,9 @@
             return
         self.on_frame(self, frame)
 
-    def connection_lost(self, _error: Exception | None) -> None:
+    def connection_lost(self, error: Exception | None) -> None:
         """Tell the owner (asyncio callback)."""
-        self.transport = None
+        self.transport, self.error = None, error
         self.on_lost(self)
 
     @property
@@ -147,12 +148,14 @@
                 failures += 1
                 await self._pause(delay)
                 continue
+            logging.info("rpc: channel to %s open after %d failed tries", self.address, failures)
             failures = 0
             channel.label = self.address
             self.channel = channel
             if self.on_open is not None:
                 self.on_open(channel)
             await lost.wait()
+            logging.info("rpc: channel to %s lost: %s", self.address, channel.error or "closed")
             self.channel = None
             if self.on_lost is not None:
                 self.on_lost(channel)
