--- /dev/null
+++ b/tests/system/propagation.py
@@ -0,0 +1,163 @@
+"""How long an acknowledged change takes until it is in force at each scheduler, on the virtual fleet.
+
+An operator changes the configuration again and again while control-plane processes are in trouble.  Times are
+milliseconds of virtual time, from an acknowledgement until a scheduler has that version or a newer one.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from virtual_fleet import ADDRESSES, VirtualFleet
+
+from molespur.system.rpc import molespur_pb2 as pb
+from molespur.system.shards.placement import CONFIGURATION
+
+CHANGE_EVERY_S = 0.05
+SETTLED_S = 6.0
+BEFORE_S = 2.0
+AFTER_S = 4.0
+DISK_HANGS = 1e4  # times as slow
+
+
+@dataclass(frozen=True)
+class Acknowledgement:
+    """A version that an operator was told is taken, and when (ms)."""
+
+    at: float
+    version: int
+
+
+@dataclass
+class Propagation:
+    """What operators were told, and when each scheduler had which version."""
+
+    clock: Callable[[], float]
+    acknowledged: list[Acknowledgement] = field(default_factory=list)
+    in_force: dict[str, list[Acknowledgement]] = field(
+        default_factory=dict
+    )  # scheduler -> what it has, since
+
+    def watch(self, name: str, follower) -> None:
+        """Note each version that a scheduler puts in force."""
+        told, seen = follower.on_update, self.in_force.setdefault(name, [])
+
+        def update(group: str, snapshot: bool, payload: bytes) -> None:
+            told(group, snapshot, payload)
+            if group == CONFIGURATION:
+                seen.append(Acknowledgement(self.clock(), pb.ConfigurationState.FromString(payload).version))
+
+        follower.on_update = update
+
+    def delays(self) -> list[float]:
+        """For each acknowledged change and scheduler: the time until it was in force; inf: never."""
+        return [
+            max(next((s.at for s in seen if s.version >= told.version), float("inf")) - told.at, 0.0)
+            for seen in self.in_force.values()
+            for told in self.acknowledged
+        ]
+
+    def worst(self) -> float:
+        """The longest time."""
+        return max(self.delays())
+
+
+async def change_again_and_again(fleet: VirtualFleet, seen: Propagation) -> None:
+    """One operator, whose next change is built on the last one that was taken."""
+    version = 0
+    while True:
+        answer = await fleet.put(version + 1, version, f"m{version + 1}")
+        if answer is not None and answer[0] == 200:
+            version += 1
+            seen.acknowledged.append(Acknowledgement(fleet.clock(), version))
+        await asyncio.sleep(CHANGE_EVERY_S)
+
+
+def others(fleet: VirtualFleet, address: str) -> list[str]:
+    """The other control-plane processes."""
+    return [other for other in fleet.processes if other != address]
+
+
+def cut_off(fleet, address):
+    """Nothing passes between it and anybody."""
+    fleet.isolate(address)
+
+
+def cut_from_control(fleet, address):
+    """Nothing passes between it and the other control-plane processes."""
+    fleet.isolate(address, core_only=True)
+
+
+def not_heard(fleet, address):
+    """What it sends to the other control-plane processes is lost."""
+    fleet.one_way |= {(address, other) for other in others(fleet, address)}
+
+
+def not_hearing(fleet, address):
+    """What the other control-plane processes send to it is lost."""
+    fleet.one_way |= {(other, address) for other in others(fleet, address)}
+
+
+def freeze(fleet, address):
+    """It stands still."""
+    fleet.processes[address].freeze()
+
+
+def hang_disk(fleet, address):
+    """Its disk answers nothing."""
+    fleet.processes[address].disk_slowness = DISK_HANGS
+
+
+def fill_disk(fleet, address):
+    """Its disk refuses every write."""
+    fleet.processes[address].disk_full = True
+
+
+TROUBLES = {
+    "cut off": cut_off,
+    "cut from control": cut_from_control,
+    "not heard": not_heard,
+    "not hearing": not_hearing,
+    "frozen": freeze,
+    "disk hangs": hang_disk,
+    "disk full": fill_disk,
+}
+
+
+def heal(fleet, address):
+    """The trouble is over."""
+    fleet.heal()
+    process = fleet.processes[address]
+    process.disk_slowness, process.disk_full = 1.0, False
+    if process.frozen:
+        process.thaw()
+
+
+def chosen(fleet: VirtualFleet, role: str) -> str:
+    """The leader of the configuration's shard, or a follower."""
+    leader = fleet.leader()
+    return leader if role == "leader" else next(a for a in ADDRESSES if a != leader)
+
+
+def measure(monkeypatch, trouble, role: str, for_s: float, seed: int, schedulers: int = 9) -> Propagation:
+    """Play one trouble of one process; return what was seen."""
+    seen = None
+
+    async def history(fleet):
+        nonlocal seen
+        await asyncio.sleep(SETTLED_S)
+        seen = Propagation(fleet.clock)
+        for name, follower in fleet.followers:
+            seen.watch(name, follower)
+        operator = asyncio.create_task(change_again_and_again(fleet, seen))
+        await asyncio.sleep(BEFORE_S)
+        address = chosen(fleet, role)
+        trouble(fleet, address)
+        await asyncio.sleep(for_s)
+        heal(fleet, address)
+        await asyncio.sleep(AFTER_S)
+        operator.cancel()
+        await asyncio.sleep(AFTER_S)
+
+    VirtualFleet(seed, monkeypatch, schedulers=schedulers).run(history)
+    return seen
