--- a/molespur/system/rpc/channel.py
+++ b/molespur/system/rpc/channel.py
@@ -177,10 +177,11 @@
         """
         loop = asyncio.get_running_loop()
         channel.liveness = ChannelLiveness(loop.time())
-        while not lost.is_set():
+        while True:
             with suppress(TimeoutError):
                 async with asyncio.timeout(QUIET_S):
                     await lost.wait()
+                    return
             match channel.liveness.look(loop.time()):
                 case Step.ASK:
                     channel.send(pb.Frame(ping=pb.Ping()))
--- a/tests/system/test_second_loss.py
+++ b/tests/system/test_second_loss.py
@@ -136,7 +136,12 @@
 
 
 def test_a_vote_passes_on_within_a_second_of_the_stop(monkeypatch):
-    """In all groups, while the leaving process still runs, and it ends soon after."""
+    """In all groups, while the leaving process still runs, and it ends soon after.
+
+    The failure behind the seeds after the first: the process led a group itself and passed its lead to
+    the member that had just got a vote.  The new leader saw no learner standing by and let the process
+    go, with its own vote still there: four voters, one of them gone.
+    """
 
     async def history(fleet):
         await asyncio.sleep(BEFORE_S)
@@ -149,11 +154,16 @@
             for group in GROUPS:
                 assert leaving not in fleet.voters(group) and spare in fleet.voters(group)
 
-    VirtualFleet(5, monkeypatch, schedulers=1).run(history)
+    for seed in (5, *range(100, 108)):
+        VirtualFleet(seed, monkeypatch, schedulers=1).run(history)
 
 
 def test_the_vote_of_a_lost_machine_moves_within_two_seconds_of_its_successors_start(monkeypatch):
-    """Whoever is lost: also the leader, whose successor has to be elected first."""
+    """Whoever is lost: also the leader, whose successor has to be elected first.
+
+    The failure behind the seeds from 4 on: with one voter of three lost the two others became candidates in
+    the same moment, split the votes, and did so again: three seconds without a leader.
+    """
 
     async def history(fleet):
         await asyncio.sleep(BEFORE_S)
@@ -167,7 +177,7 @@
                 assert len(fleet.voters(group)) == 3
             await asyncio.sleep(SYNC_TIME_S)
 
-    for seed in range(4):
+    for seed in range(16):
         VirtualFleet(seed, monkeypatch, schedulers=1).run(history)
 
 
