A process ends only once its vote is taken away; of two candidates one gives way

Causes: a leader that has just been elected sees no learner standing by and released a voter while the group had one voter too many (four voters, one gone); two of three voters split the votes twice (3.1 s without a leader).

--- a/molespur/system/consensus/elections.py
+++ b/molespur/system/consensus/elections.py
@@ -4,7 +4,7 @@
 from .progress import Progress
 from .records import Role
 from .replica_state import ReplicaState
-from .timing import ELECTION_MS, FIRST_ELECTION_MS
+from .timing import ELECTION_MS, FIRST_ELECTION_MS, YIELD_MS
 
 
 class Elections(ReplicaState):
@@ -71,6 +71,10 @@
         up_to_date = (request.last_term, request.last_index) >= mine
         if request.pre_vote:
             granted = up_to_date and message.term > self.hard_state.term
+            if granted and self.role is Role.PRE_CANDIDATE and message.sender > self.id:
+                # both would get every pre-vote and split the votes: the one with the lower identity gives way
+                self._follow("")
+                self._reset_election(YIELD_MS)
             self._answer_vote(message, granted, after_write=False)
             return
         if message.term > self.hard_state.term:
--- a/molespur/system/shards/membership_changes.py
+++ b/molespur/system/shards/membership_changes.py
@@ -57,6 +57,8 @@
             return True
         if self.stands_by(replica, now):
             return False
+        if len(replica.voters()) > self.voters_wanted:
+            return False  # its vote is the one too many: the learner that stood by has got one already
         voters = [name for name in replica.voters() if name != replica_id]
         holding = sum(self._holds_committed(replica, name) for name in voters)
         return 2 * holding > len(voters) + 1
--- a/tests/system/test_membership_changes.py
+++ b/tests/system/test_membership_changes.py
@@ -53,6 +53,20 @@
     assert planner.plan(replica, group.now) is None, "the one that left is no learner to promote"
 
 
+def test_a_voter_stays_until_the_vote_too_many_is_taken_from_it(leader):
+    """The learner that stood by has its vote already, so none stands by any more."""
+    group, replica, planner = leader
+    leaving = followers(replica)[0]
+    planner.leaves(leaving, group.now)
+    larger = planner.plan(replica, group.now)
+    replica.log.memberships.append((replica.log.commit_index, larger))
+    assert len(replica.voters()) == 4 and not planner.stands_by(replica, group.now)
+    for name in replica.voters():
+        if name != replica.id:
+            replica.progress[name].match = replica.log.last_index
+    assert not planner.may_leave(replica, leaving, group.now)
+
+
 def test_a_learner_that_lacks_entries_gets_no_vote(leader):
     group, replica, planner = leader
     planner.leaves(followers(replica)[0], group.now)
--- a/tests/system/test_votes.py
+++ b/tests/system/test_votes.py
@@ -64,3 +64,26 @@
     voter = replica()
     assert asked(voter, NAMES[1], term=TERM + 1, pre_vote=True) == (True, False)
     assert (voter.hard_state.term, voter.hard_state.vote) == (TERM, "")
+
+
+def pre_candidate(name):
+    """A replica that has just asked the others whether they would vote for it."""
+    made = replica(name)
+    made.handle(10_000.0, raft.Tick())
+    assert made.role is raft.Role.PRE_CANDIDATE
+    return made
+
+
+def test_of_two_that_ask_at_once_the_lower_identity_gives_way():
+    """Else both would get every pre-vote, and split the votes."""
+    lower, higher = pre_candidate(NAMES[0]), pre_candidate(NAMES[1])
+    assert asked(lower, higher.id, term=TERM + 1, pre_vote=True) == (True, False)
+    assert lower.role is raft.Role.FOLLOWER and lower.election_at > lower.now
+    assert asked(higher, lower.id, term=TERM + 1, pre_vote=True) == (True, False)
+    assert higher.role is raft.Role.PRE_CANDIDATE
+
+
+def test_nobody_gives_way_to_one_whose_log_is_shorter():
+    lower = pre_candidate(NAMES[0])
+    assert asked(lower, NAMES[1], term=TERM + 1, pre_vote=True, last=(0, 0)) == (False, False)
+    assert lower.role is raft.Role.PRE_CANDIDATE
