Commits are told at once; a better source is taken as soon as it is known; propagation table

A follower whose answer came after the majority's learned of a commit with the next heartbeat; a scheduler with old state looked for another source every 200 ms only, and tried some that had just said they were old.

--- /dev/null
+++ b/benchmarks/propagation.py
@@ -0,0 +1,73 @@
+"""How long acknowledged changes take to be in force everywhere while control-plane processes are in trouble.
+
+Usage:
+  python -m benchmarks.propagation [--seeds=N] [--schedulers=N] [--voters=N] [--course=NAME] [--jobs=N]
+
+Options:
+  --seeds=N       how many histories of each trouble [default: 16]
+  --schedulers=N  schedulers that follow the feed [default: 9]
+  --voters=N      control-plane processes, 3 or 5 [default: 3]
+  --course=NAME   one, "two in a row" or "again and again" [default: one]
+  --jobs=N        processes at once [default: 4]
+
+Plays the virtual fleet of the tests (virtual clock, links of 1 to 4 ms, disks of 20 ms a sync); prints
+p50, p99 and the worst time from an acknowledgement until a scheduler has that version or a newer one, in
+ms of virtual time.
+"""
+
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from itertools import groupby
+from pathlib import Path
+
+from absl import logging
+from docopt import docopt
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "tests" / "system"))
+
+import pytest  # noqa: E402
+from propagation import TROUBLES, Run, measure  # noqa: E402
+
+LENGTHS_S = (4.0, 12.0)
+
+
+def delays(run: Run) -> list[float]:
+    """Play one run; the time of each change at each scheduler, ms."""
+    logging.set_verbosity(logging.FATAL)
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        return measure(monkeypatch, run).delays()
+
+
+def quantile(ordered: list[float], share: float) -> float:
+    """The value that this share of them does not exceed."""
+    return ordered[min(int(share * len(ordered)), len(ordered) - 1)]
+
+
+def main() -> None:
+    """Print the table."""
+    options = docopt(__doc__)
+    shape = {
+        "course": options["--course"],
+        "schedulers": int(options["--schedulers"]),
+        "voters": int(options["--voters"]),
+    }
+    runs = [
+        Run(trouble, role, for_s, seed, **shape)
+        for trouble in TROUBLES
+        for role in ("follower", "leader")
+        for for_s in LENGTHS_S
+        for seed in range(int(options["--seeds"]))
+    ]
+    with ProcessPoolExecutor(int(options["--jobs"])) as pool:
+        played = list(zip(runs, pool.map(delays, runs), strict=True))
+    print("| trouble | of | s | p50 | p99 | worst | seed |\n| --- | --- | --- | --- | --- | --- | --- |")
+    for (trouble, role, for_s), group in groupby(played, key=lambda p: (p[0].trouble, p[0].role, p[0].for_s)):
+        of_seed = {run.seed: seen for run, seen in group}
+        ordered = sorted(delay for seen in of_seed.values() for delay in seen)
+        seed = max(of_seed, key=lambda s: max(of_seed[s]))
+        figures = " | ".join(f"{quantile(ordered, share):.0f}" for share in (0.5, 0.99, 1.0))
+        print(f"| {trouble} | {role} | {for_s:g} | {figures} | {seed} |")
+
+
+if __name__ == "__main__":
+    main()
--- a/molespur/system/consensus/leading.py
+++ b/molespur/system/consensus/leading.py
@@ -70,14 +70,21 @@
             if entries:
                 request.entries.extend(entries)
                 progress.sent(self.now, entries[-1].index)
+        last = request.entries[-1].index if request.entries else request.previous_index
+        progress.commit_told = min(request.commit_index, last)
         self._send(member, message)
 
     def _claim(self, request: pb.AppendRequest, progress: Progress) -> None:
-        """Tell a member up to when, by its own clock, the commit index holds all that was acknowledged."""
+        """Tell a member up to when, by its own clock, the commit index holds all that was acknowledged.
+
+        Never later than its last reply, so that no clock is taken to run like another for longer than a
+        round trip.
+        """
         confirmed_at = self._confirmed_by_lead(self.now)
         if progress.life and confirmed_at > float("-inf"):
+            before_reply = max(progress.heard_at - confirmed_at, 0.0)
             request.life = progress.life
-            request.confirmed_at_ms = floor(progress.replied_at + confirmed_at - progress.heard_at)
+            request.confirmed_at_ms = floor(progress.replied_at - before_reply)
 
     def _send_heartbeat(self, member: pb.Member) -> None:
         """An append that asks for nothing: while a snapshot is on its way the leader must still be heard."""
@@ -106,11 +113,18 @@
         if message.append_reply.success:
             self._advance_commit()
         member = self.member(message.sender)
-        if member and progress.match < self.log.last_index and progress.waiting_since is None:
+        if member and progress.waiting_since is None and self._lacks(progress):
             self._replicate(member)
         if self.transfer_to == message.sender and progress.match == self.log.last_index:
             self._send(member, self._timeout_now(message.sender))
 
+    def _lacks(self, progress: Progress) -> bool:
+        """Whether a member can use a message now:
+
+        it lacks entries, or does not know that some are committed.
+        """
+        return progress.match < self.log.last_index or progress.commit_told < self.log.commit_index
+
     def _advance_commit(self) -> None:
         majority = self._reached(self.log.durable_index, lambda progress: progress.match)
         if majority is None or majority <= self.log.commit_index:
--- a/molespur/system/consensus/progress.py
+++ b/molespur/system/consensus/progress.py
@@ -23,6 +23,7 @@
     life: int = 0  # of the process that sent it; 0: none has come
     waiting_since: float | None = None  # an append with entries, or a snapshot, is out since then
     waiting_for: int = 0  # the last index that it holds
+    commit_told: int = 0  # the commit index that it can have learned from what was sent
     snapshot: SnapshotSending | None = None  # a snapshot is on its way, in pieces
 
     def sent(self, now: float, last_index: int) -> None:
--- a/molespur/system/feed/follower.py
+++ b/molespur/system/feed/follower.py
@@ -134,7 +134,7 @@
         frame = pb.Frame(ping=pb.Ping(sent_at_ms=int(now)))
         if self.source is not None:
             self.source.send(frame)
-        if self._looks % MONITOR_LOOKS == 0 or self.choice.age(now) > self.choice.budget.leave_ms:
+        if self._looks % MONITOR_LOOKS == 0 or self.choice.is_old(now):
             for dialer in self.monitors.values():
                 dialer.send(frame)
 
@@ -195,6 +195,10 @@
             self.choice.told_everything(sent_at, pong.state_age_ms, pong.configuration_age_ms)
             self._confirmed.set()
             self._confirmed = asyncio.Event()
+        if self.choice.is_old(self.clock()):
+            self._watch(
+                self.clock()
+            )  # what was just said may name a better source: no need to wait for a look
 
     def _update(self, update: pb.FeedUpdate) -> None:
         if update.index < self.offsets.get(update.group, 0) or (
--- a/molespur/system/feed/sources.py
+++ b/molespur/system/feed/sources.py
@@ -35,6 +35,9 @@
     heard_at: float = float("-inf")
 
 
+_NEVER = _Report()
+
+
 @dataclass(frozen=True, slots=True)
 class Turn:
     """The step to another source."""
@@ -74,6 +77,10 @@
         """Time since which something may have been acknowledged that this scheduler lacks."""
         return now - self.confirmed_at
 
+    def is_old(self, now: float) -> bool:
+        """Whether the state here is so old that another source is called for."""
+        return self.age(now) > self.budget.leave_ms
+
     def configuration_age(self, now: float) -> float:
         """The same for the configuration alone."""
         return now - self.configuration_confirmed_at
@@ -91,16 +98,16 @@
     def look(self, now: float, reachable: bool) -> Turn | None:
         """The turn that is due; `reachable`: whether a channel to the source is open."""
         if self.address is None:
-            return self._turn(now, self._next(), None)
+            return self._turn(now, self._next(now), None)
         waited = now - self.since
         if not reachable and waited > UNREACHABLE_MS:
-            return self._turn(now, self._freshest(now) or self._next(), LeaveReason.UNREACHABLE)
-        if self.age(now) > self.budget.leave_ms and waited > self._patience(now):
+            return self._turn(now, self._freshest(now) or self._next(now), LeaveReason.UNREACHABLE)
+        if self.is_old(now) and waited > self._patience(now):
             better = self._freshest(now)
             if better is not None:
                 return self._turn(now, better, LeaveReason.OLD)
-            if waited > SEARCH_MS and not self._all_old(now):
-                return self._turn(now, self._next(), LeaveReason.OLD)
+            if waited > SEARCH_MS and self._unheard(now):
+                return self._turn(now, self._next(now), LeaveReason.OLD)
         home = self.home()
         settled = min(waited, now - self._left_for_home_at) > HOMEWARD_MS
         if home is not None and settled and self._report_age(now, home) < self.budget.leave_ms:
@@ -133,16 +140,19 @@
         fresh = [a for a in self._others() if self._report_age(now, a) < most]
         return min(fresh, key=lambda a: (self.zones[a] != self.zone, self._report_age(now, a)), default=None)
 
-    def _all_old(self, now: float) -> bool:
-        """Whether every other process has said lately that its state is old too: there is none to turn to."""
-        valid = [self._reports.get(a, _Report()).heard_at > now - REPORT_VALID_MS for a in self._others()]
-        return all(valid)
+    def _unheard(self, now: float) -> list[str]:
+        """The other processes that have said nothing of their age lately."""
+        known = self._reports.get
+        return [a for a in self._others() if known(a, _NEVER).heard_at <= now - REPORT_VALID_MS]
+
+    def _next(self, now: float) -> str:
+        """Processes of which nothing is known, in turn: those of the own zone first, else in an order by lot.
 
-    def _next(self) -> str:
-        """Processes in turn: those of the own zone first, else in an order drawn by lot."""
-        self._untried = [a for a in self._untried if a in self.zones and a != self.address]
+        One that has said lately that its state is old is no better than the source that is left.
+        """
+        candidates = self._unheard(now) or list(self._others()) or list(self.zones)
+        self._untried = [a for a in self._untried if a in candidates]
         if not self._untried:
-            addresses = [a for a in self.zones if a != self.address] or list(self.zones)
-            self.random.shuffle(addresses)
-            self._untried = sorted(addresses, key=lambda a: self.zones[a] == self.zone)
+            self.random.shuffle(candidates)
+            self._untried = sorted(candidates, key=lambda a: self.zones[a] == self.zone)
         return self._untried.pop()
--- a/tests/system/propagation.py
+++ b/tests/system/propagation.py
@@ -17,6 +17,7 @@
 SETTLED_S = 6.0
 BEFORE_S = 2.0
 AFTER_S = 4.0
+HEALED_S = 1.0  # between two troubles
 DISK_HANGS = 1e4  # times as slow
 
 
@@ -131,14 +132,63 @@
         process.thaw()
 
 
-def chosen(fleet: VirtualFleet, role: str) -> str:
+def chosen(fleet: VirtualFleet, role: str, but: str = "") -> str:
     """The leader of the configuration's shard, or a follower."""
     leader = fleet.leader()
-    return leader if role == "leader" else next(a for a in ADDRESSES if a != leader)
+    if role == "leader" and leader not in (None, but):
+        return leader
+    return next(a for a in fleet.processes if a not in (leader, but))
+
+
+async def one_trouble(fleet: VirtualFleet, trouble, role: str, for_s: float) -> None:
+    """One process is in trouble."""
+    address = chosen(fleet, role)
+    trouble(fleet, address)
+    await asyncio.sleep(for_s)
+    heal(fleet, address)
+
+
+async def two_in_a_row(fleet: VirtualFleet, trouble, role: str, for_s: float) -> None:
+    """One process after the other is in the same trouble."""
+    first = chosen(fleet, role)
+    trouble(fleet, first)
+    await asyncio.sleep(for_s)
+    heal(fleet, first)
+    await asyncio.sleep(HEALED_S)
+    second = chosen(fleet, role, but=first)
+    trouble(fleet, second)
+    await asyncio.sleep(for_s)
+    heal(fleet, second)
+
+
+async def again_and_again(fleet: VirtualFleet, trouble, role: str, for_s: float) -> None:
+    """The trouble of one process comes and goes every second."""
+    address = chosen(fleet, role)
+    for _ in range(int(for_s / 2)):
+        trouble(fleet, address)
+        await asyncio.sleep(1.0)
+        heal(fleet, address)
+        await asyncio.sleep(1.0)
+
+
+COURSES = {"one": one_trouble, "two in a row": two_in_a_row, "again and again": again_and_again}
+
+
+@dataclass(frozen=True)
+class Run:
+    """What is played."""
+
+    trouble: str
+    role: str = "follower"
+    for_s: float = 4.0
+    seed: int = 1
+    course: str = "one"
+    schedulers: int = 9
+    voters: int = 3
 
 
-def measure(monkeypatch, trouble, role: str, for_s: float, seed: int, schedulers: int = 9) -> Propagation:
-    """Play one trouble of one process; return what was seen."""
+def measure(monkeypatch, run: Run) -> Propagation:
+    """Play one run; return what was seen."""
     seen = None
 
     async def history(fleet):
@@ -149,13 +199,14 @@
             seen.watch(name, follower)
         operator = asyncio.create_task(change_again_and_again(fleet, seen))
         await asyncio.sleep(BEFORE_S)
-        address = chosen(fleet, role)
-        trouble(fleet, address)
-        await asyncio.sleep(for_s)
-        heal(fleet, address)
+        await COURSES[run.course](fleet, TROUBLES[run.trouble], run.role, run.for_s)
         await asyncio.sleep(AFTER_S)
         operator.cancel()
         await asyncio.sleep(AFTER_S)
 
-    VirtualFleet(seed, monkeypatch, schedulers=schedulers).run(history)
+    spares = tuple(f"10.0.0.{number}" for number in range(len(ADDRESSES) + 1, run.voters + 1))
+    fleet = VirtualFleet(
+        run.seed, monkeypatch, schedulers=run.schedulers, tolerance=run.voters // 2, spares=spares
+    )
+    fleet.run(history)
     return seen
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -33,6 +33,17 @@
     assert all(history == [b"a"] for history in commands(group).values())
 
 
+def test_every_follower_learns_of_a_commit_in_a_few_round_trips_not_with_the_next_heartbeat():
+    """Also one whose own answer came after that of another follower, which made the majority."""
+    group = VirtualGroup(12)
+    group.run(3000)
+    for number in range(20):
+        group.propose(b"%d" % number)
+        group.run(45)  # three messages of 5 ms at most, two writes of 5 ms, and the commit once more
+        assert all(commands(group)[a][-1:] == [b"%d" % number] for a in group.processes), number
+        group.run(37 * number % 150)
+
+
 def test_nothing_is_committed_without_a_majority():
     group = VirtualGroup(2)
     group.run(3000)
--- /dev/null
+++ b/tests/system/test_sources.py
@@ -0,0 +1,82 @@
+"""The choice of a source: by the age of the state that each brings."""
+
+from random import Random
+
+import pytest
+
+from molespur.system.feed.budget import LOOK_MS, FreshnessBudget
+from molespur.system.feed.sources import SEARCH_MS, LeaveReason, SourceChoice
+
+PROMISE_MS = 2000.0
+LEAVE_MS = FreshnessBudget(PROMISE_MS).leave_ms
+
+
+class Scheduler:
+    """A choice whose processes answer with the ages that the test sets; None: no answer."""
+
+    def __init__(self, zones):
+        self.choice = SourceChoice("a", FreshnessBudget(PROMISE_MS), Random(3))
+        self.choice.zones = dict(zones)
+        self.ages = dict.fromkeys(zones, 100.0)
+        self.now, self.turns = 0.0, []
+
+    def run(self, ms, reachable=True):
+        for _ in range(int(ms / LOOK_MS)):
+            turn = self.choice.look(self.now, reachable)
+            if turn is not None:
+                self.turns.append(turn)
+            for address, age in self.ages.items():
+                if age is not None:
+                    self.choice.reported(self.now, address, self.now, age)
+                    if address == self.choice.address:
+                        self.choice.told_everything(self.now, age, age)
+            self.now += LOOK_MS
+        return self.turns[-1]
+
+
+@pytest.fixture
+def scheduler():
+    made = Scheduler({"p": "a", "q": "b", "r": "c"})
+    made.run(2000)
+    return made
+
+
+def test_a_source_in_order_is_kept(scheduler):
+    scheduler.run(20_000)
+    assert [turn.address for turn in scheduler.turns] == ["p"], "the one of the own zone, and no other"
+
+
+def test_an_old_source_is_left_for_the_freshest_of_the_others(scheduler):
+    scheduler.ages.update(p=None, q=700.0, r=150.0)
+    turn = scheduler.run(LEAVE_MS + 3 * LOOK_MS)
+    assert (turn.address, turn.reason) == ("r", LeaveReason.OLD)
+
+
+def test_a_source_is_not_left_for_one_that_is_hardly_fresher(scheduler):
+    scheduler.ages.update(p=850.0, q=700.0, r=700.0)
+    assert scheduler.run(2000).address == "p"
+
+
+def test_one_that_has_said_that_it_is_old_is_not_tried_while_another_has_said_nothing(scheduler):
+    scheduler.ages.update(p=None, q=5000.0, r=None)
+    turn = scheduler.run(LEAVE_MS + SEARCH_MS + 2000.0)
+    assert "q" not in [t.address for t in scheduler.turns] and turn.address in ("p", "r")
+
+
+def test_nobody_is_tried_while_all_others_say_that_they_are_old(scheduler):
+    scheduler.ages.update(p=5000.0, q=5000.0, r=5000.0)
+    scheduler.run(10_000)
+    assert [turn.address for turn in scheduler.turns] == ["p"]
+
+
+def test_an_unreachable_source_is_left_at_once(scheduler):
+    began = scheduler.now
+    scheduler.run(3 * LOOK_MS, reachable=False)
+    assert scheduler.turns[1].reason is LeaveReason.UNREACHABLE
+    assert scheduler.choice.since - began <= 2 * LOOK_MS
+
+
+def test_an_age_never_falls_by_an_old_answer(scheduler):
+    before = scheduler.choice.confirmed_at
+    scheduler.choice.told_everything(0.0, 0.0, 0.0)
+    assert scheduler.choice.confirmed_at == before
--- a/tests/system/test_state_age.py
+++ b/tests/system/test_state_age.py
@@ -13,13 +13,36 @@
 """
 
 import pytest
-from propagation import TROUBLES, measure
+from propagation import TROUBLES, Run, measure
 
 PROMISE_MS = 2000.0  # ConfigPropagationMs of the virtual fleet's settings
+WORST_MS = 1200.0  # under one trouble
+WORST_OF_TWO_MS = 1600.0
+SEEDS = (1, 2)
 
 
 @pytest.mark.parametrize("role", ["leader", "follower"])
 def test_schedulers_do_not_stay_with_a_source_that_hears_its_leader_and_learns_nothing(role, monkeypatch):
-    seen = measure(monkeypatch, TROUBLES["not heard"], role, for_s=8.0, seed=1)
+    seen = measure(monkeypatch, Run("not heard", role, for_s=8.0))
     assert len(seen.acknowledged) > 60, "changes went on"
     assert seen.worst() <= PROMISE_MS
+
+
+@pytest.mark.parametrize("role", ["leader", "follower"])
+@pytest.mark.parametrize("trouble", TROUBLES)
+def test_a_change_is_in_force_well_within_the_promise_under_any_one_trouble(trouble, role, monkeypatch):
+    for seed in SEEDS:
+        seen = measure(monkeypatch, Run(trouble, role, seed=seed))
+        assert len(seen.acknowledged) > 30 and seen.worst() <= WORST_MS, seed
+
+
+@pytest.mark.parametrize("course", ["two in a row", "again and again"])
+@pytest.mark.parametrize("trouble", ["cut off", "not heard", "not hearing", "frozen"])
+def test_two_troubles_and_one_that_comes_and_goes_keep_the_promise_too(trouble, course, monkeypatch):
+    seen = measure(monkeypatch, Run(trouble, "leader", course=course))
+    assert len(seen.acknowledged) > 30 and seen.worst() <= WORST_OF_TWO_MS
+
+
+def test_five_voters_and_many_schedulers(monkeypatch):
+    seen = measure(monkeypatch, Run("not heard", "leader", schedulers=40, voters=5))
+    assert seen.worst() <= WORST_MS
