A soak of real processes, and its first find: answers lost with connections that are reset

molespur system soak: both roles on loopback, a fault line between control-plane processes, clients that keep their connections, two operators, workers that come and go, everything from a seed; a checker of thirteen rules.

--- a/benchmarks/propagation.py
+++ b/benchmarks/propagation.py
@@ -25,8 +25,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "tests" / "system"))
 
-import pytest  # noqa: E402
-from propagation import TROUBLES, Run, measure  # noqa: E402
+import pytest
+from propagation import TROUBLES, Run, measure
 
 LENGTHS_S = (4.0, 12.0)
 
--- a/molespur/__main__.py
+++ b/molespur/__main__.py
@@ -2,6 +2,7 @@
 
 import gc
 import os
+import signal
 import sys
 
 FLEET_COMMANDS = ("data-plane", "control-plane", "check-settings", "check-configuration")
@@ -10,6 +11,7 @@
 def main() -> int:
     """Run what the arguments say, and import no more than that needs."""
     if len(sys.argv) > 1 and sys.argv[1] in FLEET_COMMANDS:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)  # the settings are still to be read
         gc.disable()  # until the role runs: imports make nothing that has to be collected
         if sys.argv[1] == "data-plane":
             from .system.early_listener import open_early
--- a/molespur/system/client/cli.py
+++ b/molespur/system/client/cli.py
@@ -9,24 +9,26 @@
   molespur system snapshot save FILE [--settings=FILE]
   molespur system snapshot look PATH [--json]
   molespur system demo [--rate=PER_SECOND] [--seconds=SECONDS] [--json]
+  molespur system soak [--seed=N] [--minutes=MINUTES] [--processes=N] [--json]
   molespur system --help
 
-Commands:
-  status       the fleet at a glance: configuration, schedulers, workers by state, shards that tell nothing
-  workers      every registered worker with its part and state
-  members      the processes of the control plane
-  feed         the offset up to which each shard has been told
-  shards       each shard at each process of the control plane: who leads, terms, how far it is
-  config get   print the configuration in force
-  config put   check a configuration and put it in force on top of the current version
-  config diff  compare a file with the configuration in force
-  check        tell whether a settings file or a configuration can be used, with the line at fault
-  snapshot save  keep configuration, workers and offsets of a running fleet in a file
-  snapshot look  show such a file, or what the DataDirectory of a stopped control-plane process holds
-  demo         start a small fleet on this machine with stand-in workers, send traffic, lose a control-plane
-               process and a worker, and show second by second what clients met
+Commands: status       the fleet at a glance: configuration, schedulers, workers by state, shards that
+tell nothing workers      every registered worker with its part and state members      the processes of
+the control plane feed         the offset up to which each shard has been told shards       each shard at
+each process of the control plane: who leads, terms, how far it is config get   print the configuration
+in force config put   check a configuration and put it in force on top of the current version config diff
+compare a file with the configuration in force check        tell whether a settings file or a
+configuration can be used, with the line at fault snapshot save  keep configuration, workers and offsets
+of a running fleet in a file snapshot look  show such a file, or what the DataDirectory of a stopped
+control-plane process holds demo         start a small fleet on this machine with stand-in workers, send
+traffic, lose a control-plane process and a worker, and show second by second what clients met soak
+real processes under long, overlapping trouble, with clients, operators and workers that come and go; all
+that was said is checked, and what is found is printed with the place of the logs
 
 Options:
+  --seed=N             what the trouble of a soak follows from [default: 1]
+  --minutes=MINUTES    length of a soak, at most 120 [default: 1]
+  --processes=N        processes of a soak, 5 to 60, three of them of the control plane [default: 7]
   --settings=FILE  settings whose SeedNodes and PortRange lead to the fleet; else MOLESPUR_SETTINGS names them
   --on=VERSION     the version that the change builds on, in place of the current one
   --rate=PER_SECOND   requests of the demo [default: 20]
@@ -60,6 +62,7 @@
     "members": report.member_rows,
     "feed": report.feed_rows,
 }
+LEAST_PROCESSES = 5  # of a soak
 OWN_FAULTS = (ErrorKind.BAD_SETTINGS, ErrorKind.UNREADABLE)
 
 
@@ -79,6 +82,8 @@
 def _run(options: dict) -> int:
     if options["demo"]:
         return _demo(options)
+    if options["soak"]:
+        return _soak(options)
     if options["check"]:
         return _check(Path(options["FILE"]), of_process=options["settings"])
     if options["look"]:
@@ -137,6 +142,18 @@
     return DONE
 
 
+def _soak(options: dict) -> int:
+    from ..soak.report import render
+    from ..soak.run import run_soak
+
+    minutes, processes = _number(options, "--minutes", 120.0), int(_number(options, "--processes", 60.0))
+    if processes < LEAST_PROCESSES:
+        raise FleetError(ErrorKind.UNREADABLE, f"--processes: {LEAST_PROCESSES} at least: {processes}")
+    result = run_soak(int(_number(options, "--seed", 1e9)), minutes * 60.0, processes)
+    print(render(result, options["--json"]))
+    return FAILED if result.findings else DONE
+
+
 def _number(options: dict, name: str, most: float) -> float:
     """A positive number from an option.  Raises FleetError(UNREADABLE)."""
     try:
--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -69,7 +69,7 @@
         ended = asyncio.Event()
         repeated = (self.host.run(), self._repeat(), watch.run())
         self.host.start(DiskWriter(self.host.store, self.host.written))
-        listener = await loop.create_server(self._accept, self.settings.ip, self.settings.rpc_port)
+        listener = await loop.create_server(self._accept, self.settings.local_ip, self.settings.rpc_port)
         served = asyncio.Event()
         http = loop.create_task(self._serve(served))
         logging.info("control plane %s: replica %s", self.settings.node_name, self.host.replica_id)
--- a/molespur/system/demo/worker.py
+++ b/molespur/system/demo/worker.py
@@ -41,9 +41,11 @@
         engine: Engine,
         clock: Callable[[], float],
         others: Callable[[str], "StandInWorker | None"],
+        on_arrival: Callable[[str, str, bool], None] = lambda _worker, _attempt, _runs: None,
     ):
+        """`on_arrival(worker, attempt, runs)` is called for each request that comes, but for reads."""
         self.name, self.service, self.address, self.zone = name, service, address, zone
-        self.engine, self.clock, self.others = engine, clock, others
+        self.engine, self.clock, self.others, self.on_arrival = engine, clock, others, on_arrival
         self.down = asyncio.Event()  # set when it is lost
         self.served = 0
         self.app = self._create_app()
@@ -117,17 +119,20 @@
         source = request.headers.get("Kv-From")
         if source is not None and not await self._fetch(source):
             return Response("", 503, {**stamp, **NOT_EXECUTED})
-        if not self.engine.begin():
+        begins = self.engine.begin()
+        self.on_arrival(self.name, stamp["Molespur-Attempt-Id"], begins)
+        if not begins:
             return Response("", 503, {**stamp, **NOT_EXECUTED})
         ready_at = self.clock() if source is not None else self.engine.read(self.clock(), tokens, parts)
         head = {**stamp, "Molespur-Server-Stamp": f"{self.name}.{self.served}", "Versions": "1"}
-        return Response(self._events(ready_at, most), 200, head, content_type="text/event-stream")
+        events = self._events(ready_at, most, stamp["Molespur-Attempt-Id"].encode())
+        return Response(events, 200, head, content_type="text/event-stream")
 
-    async def _events(self, ready_at: float, most: int) -> AsyncIterator[bytes]:
+    async def _events(self, ready_at: float, most: int, attempt: bytes) -> AsyncIterator[bytes]:
         try:
             await self._until(ready_at)
             for number in range(1, most + 1):
-                yield b"id: %d\ndata: token\n\n" % number
+                yield b"id: %d\ndata: %s\n\n" % (number, attempt)
                 await asyncio.sleep(self.engine.pause_ms() / 1000.0)
             self.served += 1
         finally:
--- a/molespur/system/feed/follower.py
+++ b/molespur/system/feed/follower.py
@@ -107,7 +107,7 @@
         watched = {*wanted, home} if home is not None else set(wanted)
         for address in sorted(watched):
             if address not in self.monitors and address != self.choice.address:
-                self.monitors[address] = Dialer(address, self._frame, self._opened)
+                self.monitors[address] = self._dialer(address)
         for address in [a for a in self.monitors if a not in watched]:
             self.monitors.pop(address).stop()
         frame = pb.Frame(scheduler_heartbeat=self._beat())
@@ -158,10 +158,13 @@
             self.source.stop()
         self.source = self.monitors.pop(turn.address, None)
         if self.source is None:
-            self.source = Dialer(turn.address, self._frame, self._opened)
+            self.source = self._dialer(turn.address)
         elif self.source.channel is not None:
             self._subscribe(self.source.channel)
 
+    def _dialer(self, address: str) -> Dialer:
+        return Dialer(address, self._frame, self._opened, bind_ip=self.settings.bind_ip)
+
     def _opened(self, channel: Channel) -> None:
         """A channel is open: follow the source, and let a monitor know at once of this scheduler."""
         if channel.label == self.choice.address:
--- a/molespur/system/rpc/channel.py
+++ b/molespur/system/rpc/channel.py
@@ -116,8 +116,17 @@
 class Dialer:
     """Keeps a channel open to one address.  `on_open` is called with each new channel."""
 
-    def __init__(self, address: str, on_frame: Callable, on_open: Callable | None = None, on_lost=None):
+    def __init__(
+        self,
+        address: str,
+        on_frame: Callable,
+        on_open: Callable | None = None,
+        on_lost=None,
+        bind_ip: str = "",
+    ):
+        """`bind_ip`: the address that connections come from; the system's choice where it is empty."""
         self.address, self.on_frame, self.on_open, self.on_lost = address, on_frame, on_open, on_lost
+        self._origin = {"local_addr": (bind_ip, 0)} if bind_ip else {}
         self.channel: Channel | None = None
         self._stopped = False
         self._peer_alive = asyncio.Event()
@@ -192,7 +201,9 @@
     async def _connect(self, host: str, port: int, lost: asyncio.Event) -> Channel:
         """Open a channel.  Raises OSError; TimeoutError for a silent peer, or after `peer_alive`."""
         loop = asyncio.get_running_loop()
-        dial = loop.create_connection(lambda: Channel(self.on_frame, lambda _channel: lost.set()), host, port)
+        dial = loop.create_connection(
+            lambda: Channel(self.on_frame, lambda _channel: lost.set()), host, port, **self._origin
+        )
         made, heard = loop.create_task(dial), loop.create_task(self._peer_alive.wait())
         try:
             await asyncio.wait((made, heard), timeout=CONNECT_TIMEOUT_S, return_when=asyncio.FIRST_COMPLETED)
--- a/molespur/system/settings/process.py
+++ b/molespur/system/settings/process.py
@@ -60,6 +60,12 @@
     heartbeat_interval_ms: float = 1000.0
     fault_tolerance: FaultTolerance = field(factory=FaultTolerance)
     bounds: Bounds = field(factory=Bounds)
+    bind_ip: str = ""
+
+    @property
+    def local_ip(self) -> str:
+        """Where this process is itself: others reach it by `ip`, which may lead through a relay."""
+        return self.bind_ip or self.ip
 
     @property
     def rpc_port(self) -> int:
--- a/molespur/system/shards/host.py
+++ b/molespur/system/shards/host.py
@@ -403,7 +403,9 @@
 
     def _dial(self, address: str) -> None:
         if address and address != self.settings.rpc_address and address not in self.dialers:
-            self.dialers[address] = Dialer(address, self.on_frame, self._opened)
+            self.dialers[address] = Dialer(
+                address, self.on_frame, self._opened, bind_ip=self.settings.bind_ip
+            )
 
     def _opened(self, _channel) -> None:
         """A channel to another process has opened: who is outside asks at once to be taken in."""
--- /dev/null
+++ b/molespur/system/soak/plain_worker.py
@@ -0,0 +1,158 @@
+"""A stand-in worker of a service without a model: small, quick, and exact about what it ran.
+
+It answers with the attempt's id and the length of the body, or with a stream of numbered events, which
+it takes up after `Last-Event-Id`.  It registers, and leaves in order or without a word.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+
+import httpx
+
+HEARTBEAT_S = 0.8
+CALL_S = 1.0
+DRAIN_S = 2.0  # DrainTimeoutMs: it serves on this long after the acknowledgement
+LONGER_S = 0.3
+WORK_S = 0.01
+EVENT_S = 0.01
+EVENTS = 12
+SLOTS = 64
+
+
+class PlainWorker:
+    """One worker, for one life."""
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        address: str,
+        zone: str,
+        on_arrival: Callable[[str, str, bool], None],
+        on_goodbye: Callable[[str], None],
+    ):
+        self.name, self.service, self.address, self.zone = name, service, address, zone
+        self.on_arrival, self.on_goodbye = on_arrival, on_goodbye
+        self.leaving = asyncio.Event()
+        self.down = asyncio.Event()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._sequence = 0
+        self._running = 0
+
+    async def run(self, control: Callable[[], Sequence[str]]) -> None:
+        """Serve and register until lost, or until it has left.  `control`: addresses to register at."""
+        host, _, port = self.address.rpartition(":")
+        server = await asyncio.start_server(self._serve, host, int(port))
+        registering = asyncio.get_running_loop().create_task(self._register(control))
+        try:
+            await self.down.wait()
+        finally:
+            registering.cancel()
+            server.close()
+            for writer in self._writers:
+                writer.transport.abort()
+
+    # -- Registration --------------------------------------------------------------------------
+
+    async def _register(self, control: Callable[[], Sequence[str]]) -> None:
+        async with httpx.AsyncClient(timeout=CALL_S) as client:
+            while not self.leaving.is_set():
+                await self._tell(client, control(), "ready")
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(HEARTBEAT_S):
+                        await self.leaving.wait()
+            if await self._tell(client, control(), "draining", tries=6):
+                self.on_goodbye(self.name)
+            await asyncio.sleep(DRAIN_S + LONGER_S)
+            for address in control():
+                with suppress(httpx.HTTPError):
+                    if (await client.delete(f"http://{address}/api/instances/{self.name}")).is_success:
+                        break
+            self.down.set()
+
+    async def _tell(
+        self, client: httpx.AsyncClient, control: Sequence[str], state: str, tries: int = 1
+    ) -> bool:
+        self._sequence += 1
+        body = {
+            "Service": self.service, "Address": self.address, "Zone": self.zone, "Version": "stand-in",
+            "Capacity": SLOTS, "State": state, "Sequence": self._sequence,
+        }  # fmt: skip
+        for _ in range(tries):
+            for address in control:
+                with suppress(httpx.HTTPError):
+                    answer = await client.put(f"http://{address}/api/instances/{self.name}", json=body)
+                    if answer.is_success:
+                        return True
+        return False
+
+    # -- Requests ------------------------------------------------------------------------------
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                fields = _fields(head)
+                body = await _body(reader, fields)
+                await self._answer(writer, head.split(" ", 2)[1], fields, len(body))
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, writer, path: str, fields: dict[str, str], length: int) -> None:
+        attempt = fields.get("molespur-attempt-id", "")
+        head = f"Molespur-Attempt-Id: {attempt}\r\n"
+        if fields.get("molespur-expected-instance", self.name) != self.name:
+            writer.write(f"HTTP/1.1 421 Misdirected\r\n{head}Content-Length: 0\r\n\r\n".encode())
+            return
+        runs = self._running < SLOTS
+        self.on_arrival(self.name, attempt, runs)
+        if not runs:
+            writer.write(
+                f"HTTP/1.1 503 Full\r\n{head}Molespur-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+            return
+        head += f"Molespur-Server-Stamp: {self.name}.{attempt}\r\n"
+        self._running += 1
+        try:
+            await asyncio.sleep(WORK_S)
+            if "/stream/" in path or "/resumable/" in path:
+                await self._stream(writer, head, attempt, int(fields.get("last-event-id", "0") or 0))
+            else:
+                answer = f"{attempt}:{length}".encode()
+                writer.write(
+                    f"HTTP/1.1 200 OK\r\n{head}Content-Length: {len(answer)}\r\n\r\n".encode() + answer
+                )
+            await writer.drain()
+        finally:
+            self._running -= 1
+
+    async def _stream(self, writer, head: str, attempt: str, after: int) -> None:
+        head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
+        for number in range(after + 1, EVENTS + 1):
+            event = f"id: {number}\ndata: {attempt}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(EVENT_S)
+        writer.write(b"0\r\n\r\n")
+
+
+def _fields(head: str) -> dict[str, str]:
+    lines = (line.partition(":") for line in head.split("\r\n")[1:] if line)
+    return {name.strip().lower(): value.strip() for name, _, value in lines}
+
+
+async def _body(reader: asyncio.StreamReader, fields: dict[str, str]) -> bytes:
+    if fields.get("transfer-encoding", "").lower() == "chunked":
+        parts = []
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            parts.append(await reader.readexactly(size))
+            await reader.readexactly(2)
+        await reader.readuntil(b"\r\n")
+        return b"".join(parts)
+    return await reader.readexactly(int(fields.get("content-length", "0") or 0))
--- /dev/null
+++ b/molespur/system/soak/records.py
@@ -0,0 +1,160 @@
+"""What a soak notes: requests and answers, runs at workers, changes, probes, what was done to processes.
+
+Times are seconds on the steady clock of the soak's own process.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class RequestKind(Enum):
+    """What a request may do, by its route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"  # may not be taken up again
+    RESUMABLE = "resumable"
+
+
+class Ending(Enum):
+    """How an exchange ended for the client."""
+
+    ANSWERED = "answered"  # a whole answer
+    CUT = "cut"  # the connection ended within the answer
+    NO_ANSWER = "no answer"  # the connection ended before it
+    UNSENT = "unsent"  # the connection ended before all of the request had left
+    NOT_CONNECTED = "not connected"
+    OUT_OF_TIME = "out of time"
+    LEFT = "left"  # the client gave it up
+
+
+@dataclass(slots=True)
+class Exchange:
+    """One request of a client and what became of it."""
+
+    attempt: str
+    kind: RequestKind
+    scheduler: str
+    sent_at: float  # when its last byte was sent
+    pipelined: bool = False  # it was sent while an earlier one had no answer yet
+    ended_at: float = 0.0
+    ending: Ending = Ending.NO_ANSWER
+    status: int = 0
+    own: bool = True  # the answer was that of this request
+    events: list[int] = field(default_factory=list)  # ids of a stream's events
+    events_wanted: int = 0
+    from_event: int = 0  # it goes on after this one
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request has come to a worker."""
+
+    at: float
+    worker: str
+    attempt: str
+    runs: bool  # False: rejected as not executed
+
+
+@dataclass(slots=True)
+class Change:
+    """One change of the configuration that an operator asked for."""
+
+    version: int
+    base: int
+    operator: str
+    sent_at: float
+    answered_at: float = 0.0
+    status: int = 0  # the clear answer; 0: none came
+    added: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationRead:
+    """An operator has read the configuration at one process."""
+
+    sent_at: float
+    answered_at: float
+    process: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """A request that only shows whether a route is in force at a scheduler."""
+
+    sent_at: float
+    answered_at: float
+    scheduler: str
+    route: str
+    status: int
+
+
+class Deed(Enum):
+    """What is done to a process."""
+
+    START = "start"
+    TERMINATE = "terminate"
+    KILL = "kill"
+    FREEZE = "freeze"
+    THAW = "thaw"
+    RELOAD = "reload"
+    CUT = "cut"  # from control-plane processes
+    HEAL = "heal"
+    RESET = "reset"  # of its connections to others
+    EXIT = "exit"  # it has ended
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessDeed:
+    """One deed, when it was done."""
+
+    at: float
+    process: str
+    deed: Deed
+    code: int = 0  # of an exit
+
+
+@dataclass(frozen=True, slots=True)
+class Goodbye:
+    """A worker's word that it leaves was acknowledged."""
+
+    at: float
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerLost:
+    """A worker was ended without a word."""
+
+    at: float
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """What a process uses, and the configuration that it says is in force."""
+
+    at: float
+    process: str
+    pid: int
+    memory_kb: int
+    descriptors: int
+    version: int | None = None
+
+
+@dataclass
+class Log:
+    """Everything that was noted in one run."""
+
+    exchanges: list[Exchange] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    changes: list[Change] = field(default_factory=list)
+    reads: list[ConfigurationRead] = field(default_factory=list)
+    probes: list[Probe] = field(default_factory=list)
+    deeds: list[ProcessDeed] = field(default_factory=list)
+    goodbyes: list[Goodbye] = field(default_factory=list)
+    losses: list[WorkerLost] = field(default_factory=list)
+    samples: list[Sample] = field(default_factory=list)
+    last_read: int | None = None  # the version that was read back at the end
--- a/tests/system/test_feed.py
+++ b/tests/system/test_feed.py
@@ -108,7 +108,7 @@
 
     made = []
 
-    def __init__(self, address, on_frame, on_open=None):
+    def __init__(self, address, on_frame, on_open=None, bind_ip=""):
         self.address, self.on_frame, self.channel, self.stopped = address, on_frame, Pipe(), False
         self.channel.label = address
         FakeDialer.made.append(self)
--- a/tests/system/virtual_fleet.py
+++ b/tests/system/virtual_fleet.py
@@ -248,7 +248,7 @@
 class FollowerDialer:
     """A scheduler's channel to a control-plane process, in place of `Dialer`."""
 
-    def __init__(self, fleet, name, address, on_frame, on_open=None):
+    def __init__(self, fleet, name, address, on_frame, on_open=None, bind_ip=""):
         self.fleet, self.name, self.address, self.on_frame = fleet, name, address, on_frame
         self.host = address.partition(":")[0]
         self.channel = None
@@ -440,8 +440,8 @@
         self.loop.create_task(self._run_follower(name, made))
 
     async def _run_follower(self, name, made):
-        def dialer(*arguments):
-            return FollowerDialer(self, name, *arguments)
+        def dialer(*arguments, **options):
+            return FollowerDialer(self, name, *arguments, **options)
 
         while True:
             following.Dialer = dialer  # each turn of a follower is one step without a wait
