--- a/molespur/system/data_plane/client_server.py
+++ b/molespur/system/data_plane/client_server.py
@@ -6,18 +6,20 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from enum import Enum
 
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.asyncio.tcp_server import MAX_RECV, TCPServer
 from hypercorn.asyncio.worker_context import WorkerContext
-from hypercorn.events import Closed, RawData
+from hypercorn.events import Closed, Event, RawData
 
 from .. import early_listener
 from ..errors import ANSWERS, ErrorKind
 from ..serving import http_config
 from ..settings.configuration import Limits
 
+LINGER_S = 0.5  # how long a connection that is closed takes in what its client still sends
 REASONS = {408: b"Request Timeout"}
 
 
@@ -70,12 +72,37 @@
         loop = asyncio.get_running_loop()
         super().__init__(server.app, loop, server.config, server.context, {}, reader, writer)
         self.idle_task = RequestTimer(server.limits, writer.close, loop)
+        self._lingering: asyncio.TimerHandle | None = None
 
     def close_if_resting(self) -> None:
         """Close the connection unless a request is under way on it."""
         if self.idle_task.waiting is not Waiting.ANSWER:
             self.writer.close()
 
+    async def protocol_send(self, event: Event) -> None:
+        """What hypercorn's protocol asks for: a close is a lingering one."""
+        if isinstance(event, Closed):
+            self._linger()
+        else:
+            await super().protocol_send(event)
+
+    def _linger(self) -> None:
+        """Say that nothing more comes, and take in what the client still sends until it closes.
+
+        A socket that is closed with bytes unread resets the connection, and the answer that was just sent is
+        lost with it: RFC 9112, section 9.6.
+        """
+        if self._lingering is not None or self.writer.is_closing():
+            return
+        self._lingering = asyncio.get_running_loop().call_later(LINGER_S, self.writer.close)
+        with suppress(OSError, RuntimeError):
+            self.writer.write_eof()
+
+    async def _close(self) -> None:
+        if self._lingering is not None:
+            self._lingering.cancel()
+        await super()._close()
+
     async def _read_data(self) -> None:
         while not self.reader.at_eof():
             head_due = asyncio.timeout_at(self.idle_task.head_due)
@@ -86,6 +113,8 @@
                 if head_due.expired():
                     await self.protocol_send(RawData(closing_answer(ErrorKind.HEADERS_TOO_SLOW)))
                 break
+            if self._lingering is not None:
+                continue
             self.idle_task.received()
             await self.protocol.handle(RawData(data))
         await self.protocol.handle(Closed())
--- a/molespur/system/soak/checker.py
+++ b/molespur/system/soak/checker.py
@@ -42,7 +42,7 @@
         for deed in log.deeds:
             self.deeds[deed.process].append(deed)
         self.taken = [change for change in log.changes if change.status == 200]
-        self.lost_at = {loss.worker: loss.at for loss in log.losses}
+        self.ended_at = {end.worker: end.at for end in log.ends}
 
     def runs(self, exchange: Exchange) -> list[Arrival]:
         """The workers' runs of a request."""
@@ -123,7 +123,7 @@
 
 
 def _worker_went(index: _Index, arrivals: list[Arrival], until: float) -> bool:
-    return any(index.lost_at.get(arrival.worker, until + 1.0) <= until for arrival in arrivals)
+    return any(index.ended_at.get(arrival.worker, until + 1.0) <= until for arrival in arrivals)
 
 
 def _grace_over(index: _Index, exchange: Exchange) -> bool:
--- a/molespur/system/soak/plain_worker.py
+++ b/molespur/system/soak/plain_worker.py
@@ -14,6 +14,8 @@
 CALL_S = 1.0
 DRAIN_S = 2.0  # DrainTimeoutMs: it serves on this long after the acknowledgement
 LONGER_S = 0.3
+RETRY_S = 0.2
+GOODBYE_TRIES = 15
 WORK_S = 0.01
 EVENT_S = 0.01
 EVENTS = 12
@@ -62,7 +64,7 @@
                 with suppress(TimeoutError):
                     async with asyncio.timeout(HEARTBEAT_S):
                         await self.leaving.wait()
-            if await self._tell(client, control(), "draining", tries=6):
+            if await self._tell(client, control(), "draining", tries=GOODBYE_TRIES):
                 self.on_goodbye(self.name)
             await asyncio.sleep(DRAIN_S + LONGER_S)
             for address in control():
@@ -85,6 +87,7 @@
                     answer = await client.put(f"http://{address}/api/instances/{self.name}", json=body)
                     if answer.is_success:
                         return True
+            await asyncio.sleep(RETRY_S)
         return False
 
     # -- Requests ------------------------------------------------------------------------------
--- a/molespur/system/soak/records.py
+++ b/molespur/system/soak/records.py
@@ -125,8 +125,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class WorkerLost:
-    """A worker was ended without a word."""
+class WorkerEnded:
+    """A worker's connections have ended: it was lost, or has left, acknowledged or not."""
 
     at: float
     worker: str
@@ -155,6 +155,6 @@
     probes: list[Probe] = field(default_factory=list)
     deeds: list[ProcessDeed] = field(default_factory=list)
     goodbyes: list[Goodbye] = field(default_factory=list)
-    losses: list[WorkerLost] = field(default_factory=list)
+    ends: list[WorkerEnded] = field(default_factory=list)
     samples: list[Sample] = field(default_factory=list)
     last_read: int | None = None  # the version that was read back at the end
--- a/molespur/system/soak/run.py
+++ b/molespur/system/soak/run.py
@@ -27,7 +27,7 @@
 from .operators import SERVICE, Operators
 from .plain_worker import PlainWorker
 from .plan import Event, Trouble
-from .records import Arrival, Change, Deed, Goodbye, Log, Probe, WorkerLost
+from .records import Arrival, Change, Deed, Goodbye, Log, Probe, WorkerEnded
 
 CONTROL_PROCESSES = 3
 CLIENTS = 12
@@ -247,6 +247,7 @@
             await worker.run(lambda: control_addresses(self.fleet))
         finally:
             self.workers.pop(worker.name, None)
+            self.log.ends.append(WorkerEnded(self.clock(), worker.name))
 
     def _arrived(self, worker: str, attempt: str, runs: bool) -> None:
         self.log.arrivals.append(Arrival(self.clock(), worker, attempt, runs))
@@ -261,7 +262,6 @@
         if event.trouble is Trouble.WORKER_DRAIN:
             worker.leaving.set()
             return
-        self.log.losses.append(WorkerLost(self.clock(), worker.name))
         worker.down.set()
 
     # -- Watching ------------------------------------------------------------------------------
