--- a/tests/system/mutations/breaks.py
+++ b/tests/system/mutations/breaks.py
@@ -26,6 +26,10 @@
 CHANGE_TESTS = (TESTS + "test_many_changes.py",)
 CALLER_TESTS = (TESTS + "test_answers_and_callers.py",)
 PART_TESTS = (TESTS + "test_workers.py", TESTS + "test_liveness_contact.py", TESTS + "test_orders.py")
+AGE_TESTS = tuple(
+    TESTS + f"test_{name}.py"
+    for name in ("state_age_of_replicas", "sources", "feed", "old_configuration", "state_age")
+)
 
 BREAKS = (
     # -- Votes, terms, commits ------------------------------------------------------------------------
@@ -138,4 +142,38 @@
     Break("an older record over draining", "molespur/system/workers/directory.py",
           "if worker.id in self.removed or self._overtaken(worker):", "if worker.id in self.removed:",
           PART_TESTS),
+    # -- The age of state, channels, ends ------------------------------------------------------------------
+    Break("a claim before an entry of the own term is committed", CONSENSUS + "replica_state.py",
+          "if self.role is not Role.LEADER or not self._own_term_committed():\n            return float",
+          "if self.role is not Role.LEADER:\n            return float", AGE_TESTS),
+    Break("a claim that reaches beyond the follower's last reply", CONSENSUS + "leading.py",
+          "max(progress.heard_at - confirmed_at, 0.0)", "progress.heard_at - self.now", AGE_TESTS),
+    Break("a claim made to another life of the process", CONSENSUS + "following.py",
+          "if request.life == self.life:", "if request.life:", AGE_TESTS),
+    Break("a claim that holds before its index is applied", CONSENSUS + "state_age.py",
+          "while self._claims and self._claims[0].commit_index <= index:", "while self._claims:", AGE_TESTS),
+    Break("a commit that is told with the next heartbeat", CONSENSUS + "leading.py",
+          "return progress.match < self.log.last_index or progress.commit_told < self.log.commit_index",
+          "return progress.match < self.log.last_index", CONSENSUS_TESTS),
+    Break("a source that answers before it has sent everything", "molespur/system/feed/source.py",
+          "follows=follower is not None and len(follower.started) == len(self.host.groups),",
+          "follows=True,", AGE_TESTS),
+    Break("a scheduler that takes a monitor's word for its own state", "molespur/system/feed/follower.py",
+          "if from_source and pong.follows:", "if pong.follows:", AGE_TESTS),
+    Break("a source that is kept however old its state is", "molespur/system/feed/sources.py",
+          "return self.age(now) > self.budget.leave_ms", "return False", AGE_TESTS),
+    Break("a refusal out of a configuration of any age", DATA_PLANE + "ingress.py",
+          "if kind in REFUSED_BY_CONFIGURATION and not self.freshness.may_refuse():", "if False:", AGE_TESTS),
+    Break("a channel that is kept though nothing comes back", "molespur/system/rpc/liveness.py",
+          "return Step.GIVE_UP if now - self._asked_at > ANSWER_S else Step.NOTHING", "return Step.NOTHING",
+          (TESTS + "test_channel_liveness.py",)),
+    Break("a connection that is closed over unread bytes", DATA_PLANE + "client_server.py",
+          "            self._linger()\n", "            await self._close()\n",
+          (TESTS + "test_closing_connections.py",)),
+    Break("a process that ends while its vote is one too many", SHARDS + "membership_changes.py",
+          "if len(replica.voters()) > self.voters_wanted:", "if False:",
+          (TESTS + "test_membership_changes.py",)),
+    Break("two candidates of which neither gives way", CONSENSUS + "elections.py",
+          "if granted and self.role is Role.PRE_CANDIDATE and message.sender > self.id:", "if False:",
+          (TESTS + "test_votes.py",)),
 )  # fmt: skip
--- a/tests/system/test_feed.py
+++ b/tests/system/test_feed.py
@@ -313,3 +313,34 @@
     wanted = following.monitors("edge-1", follower.choice.zones)
     assert sorted(address for address, _ in beats_sent()) == sorted(wanted)
     assert all(beat.peer_address == "10.0.0.9:7010" and not beat.leaving for _, beat in beats_sent())
+
+
+# -- The age of the state that a source brings -------------------------------------------------------
+
+
+def pong_to(plane, source, channel):
+    return source.pong(channel, pb.Ping(sent_at_ms=7))
+
+
+def test_a_source_says_that_it_has_sent_everything_only_once_it_has(plane):
+    plane.put(BODY % 1, 0)
+    source, pipe = source_of(plane), Pipe()
+    assert not pong_to(plane, source, pipe).follows, "it does not follow yet"
+    ahead = pb.Subscribe(node="edge-1", offsets=[pb.Offset(group=CONFIGURATION, index=10_000)])
+    plane.subscribe(source, pipe, ahead)
+    assert not pong_to(plane, source, pipe).follows, "the source is behind its follower"
+    other = Pipe()
+    plane.subscribe(source, other, pb.Subscribe(node="edge-2"))
+    told = pong_to(plane, source, other)
+    assert told.follows and told.sent_at_ms == 7
+    assert told.state_age_ms < 1000 and told.configuration_age_ms <= told.state_age_ms
+
+
+def test_a_source_whose_lead_is_not_confirmed_grows_old(plane):
+    source, pipe = source_of(plane), Pipe()
+    plane.subscribe(source, pipe, pb.Subscribe(node="edge-1"))
+    replica = plane.host.groups[CONFIGURATION].replica
+    replica._follow("")
+    before = pong_to(plane, source, pipe).configuration_age_ms
+    plane.now += 500.0
+    assert pong_to(plane, source, pipe).configuration_age_ms == before + 500
--- /dev/null
+++ b/tests/system/test_soak_checker.py
@@ -0,0 +1,143 @@
+"""The soak's checker finds each rule broken where it is, and nothing in a run that keeps them all."""
+
+import pytest
+
+from molespur.system.soak import checker
+from molespur.system.soak.records import (
+    Arrival,
+    Change,
+    ConfigurationRead,
+    Deed,
+    Ending,
+    Exchange,
+    Goodbye,
+    Log,
+    Probe,
+    ProcessDeed,
+    RequestKind,
+    Sample,
+    WorkerEnded,
+)
+
+
+def exchange(attempt="a1", kind=RequestKind.NON_IDEMPOTENT, **differs):
+    made = Exchange(attempt, kind, "edge", 10.0, ended_at=10.1, ending=Ending.ANSWERED, status=200)
+    for name, value in differs.items():
+        setattr(made, name, value)
+    return made
+
+
+def stream(events, ending=Ending.ANSWERED, **differs):
+    return exchange(kind=RequestKind.STREAM, events=events, events_wanted=3, ending=ending, **differs)
+
+
+def ran(attempt="a1", at=10.05, worker="w", runs=True):
+    return Arrival(at, worker, attempt, runs)
+
+
+def change(version=2, base=1, status=200, **differs):
+    return Change(version, base, "north", 5.0, 5.1, status, **differs)
+
+
+def log(**parts):
+    made = Log(last_read=parts.pop("last_read", 2))
+    made.changes.append(change())
+    for name, value in parts.items():
+        getattr(made, name).extend(value)
+    return made
+
+
+def probe(status, at=9.0, route="/n/"):
+    return Probe(at, at + 0.01, "edge", route, status)
+
+
+ADDED = change(3, 2, added=("/n/",))
+DROPPED = change(4, 3, removed=("/n/",))
+TOLD_TO_END = ProcessDeed(9.9, "edge", Deed.TERMINATE)
+CUT_OFF = {"ending": Ending.NO_ANSWER, "status": 0}
+
+KEPT = {
+    "served once": log(exchanges=[exchange()], arrivals=[ran()]),
+    "refused and never run": log(exchanges=[exchange(status=503)], arrivals=[ran(runs=False)]),
+    "repeated where it may be": log(
+        exchanges=[exchange(kind=RequestKind.IDEMPOTENT)], arrivals=[ran(), ran(at=10.07, worker="v")]
+    ),
+    "a stream that was cut by the end of its worker": log(
+        exchanges=[stream([1, 2], Ending.CUT)], arrivals=[ran()], ends=[WorkerEnded(10.09, "w")]
+    ),
+    "a stream taken up again": log(exchanges=[stream([2, 3], from_event=1)], arrivals=[ran()]),
+    "lost with a process that was killed": log(
+        exchanges=[exchange(**CUT_OFF)], deeds=[ProcessDeed(10.06, "edge", Deed.KILL)]
+    ),
+    "crossed the close of a process that was told to end": log(
+        exchanges=[exchange(**CUT_OFF)], deeds=[TOLD_TO_END]
+    ),
+    "in force": log(changes=[ADDED], probes=[probe(200)], last_read=3),
+    "not in force yet": log(changes=[ADDED], probes=[probe(404, at=6.0)], last_read=3),
+    "not in force at a scheduler that was frozen": log(
+        changes=[ADDED], probes=[probe(404)], last_read=3, deeds=[ProcessDeed(8.0, "edge", Deed.THAW)]
+    ),
+    "dropped": log(changes=[ADDED, DROPPED], probes=[probe(404)], last_read=4),
+    "left and at rest": log(exchanges=[exchange()], arrivals=[ran(at=3.9)], goodbyes=[Goodbye(2.0, "w")]),
+    "told to end": log(deeds=[ProcessDeed(3.0, "edge", Deed.EXIT, 0)]),
+    "a newer version in another life": log(
+        samples=[Sample(1.0, "edge", 7, 1, 1, 5), Sample(2.0, "edge", 8, 1, 1, 3)]
+    ),
+}
+
+BROKEN = {
+    "ran twice": ("TWICE", log(exchanges=[exchange()], arrivals=[ran(), ran(at=10.07, worker="v")])),
+    "refused, and ran": ("REFUSED", log(exchanges=[exchange(status=503)], arrivals=[ran()])),
+    "refused, and ran later": ("REFUSED", log(exchanges=[exchange(status=429)], arrivals=[ran(at=11.0)])),
+    "another's answer": ("MIXED", log(exchanges=[exchange(own=False)], arrivals=[ran()])),
+    "a piece is missing": ("ORDER", log(exchanges=[stream([1, 3])], arrivals=[ran()])),
+    "a piece came twice": ("ORDER", log(exchanges=[stream([1, 2, 2, 3])], arrivals=[ran()])),
+    "whole ahead of its last piece": ("ORDER", log(exchanges=[stream([1, 2])], arrivals=[ran()])),
+    "a piece is missing in a stream that was cut": (
+        "ORDER",
+        log(exchanges=[stream([1, 3], Ending.CUT)], arrivals=[ran()], ends=[WorkerEnded(10.09, "w")]),
+    ),
+    "unasked": ("UNASKED", log(arrivals=[ran("zz")])),
+    "lost for no reason": ("LOST", log(exchanges=[exchange(**CUT_OFF)])),
+    "lost by planned work after it was passed on": (
+        "LOST",
+        log(exchanges=[exchange(**CUT_OFF)], arrivals=[ran()], deeds=[TOLD_TO_END]),
+    ),
+    "a new route is refused": ("CONFIG", log(changes=[ADDED], probes=[probe(404)], last_read=3)),
+    "a dropped route is served": (
+        "CONFIG",
+        log(changes=[ADDED, DROPPED], probes=[probe(200)], last_read=4),
+    ),
+    "both of two changes are taken": ("CONFIG", log(changes=[change(3, 1)], last_read=3)),
+    "an old configuration is read": ("CONFIG", log(reads=[ConfigurationRead(6.0, 6.1, "core", 1)])),
+    "a process went back": (
+        "CONFIG",
+        log(samples=[Sample(1.0, "edge", 7, 1, 1, 5), Sample(2.0, "edge", 7, 1, 1, 3)]),
+    ),
+    "what was acknowledged is gone": ("LOST", log(last_read=1)),
+    "nothing can be read back": ("RECOVER", log(last_read=None)),
+    "a worker that has left is sent to": (
+        "DRAIN",
+        log(exchanges=[exchange()], arrivals=[ran()], goodbyes=[Goodbye(7.0, "w")]),
+    ),
+    "a process ended by itself": ("EXIT", log(deeds=[ProcessDeed(3.0, "edge", Deed.EXIT, 132)])),
+}
+
+
+@pytest.mark.parametrize("what", KEPT)
+def test_nothing_is_found_where_the_rules_are_kept(what):
+    assert checker.check(KEPT[what]) == []
+
+
+@pytest.mark.parametrize("what", BROKEN)
+def test_each_broken_rule_is_found(what):
+    rule, told = BROKEN[what]
+    assert {finding.rule for finding in checker.check(told)} == {rule}
+
+
+def test_every_rule_has_a_run_that_breaks_it():
+    found = set()
+    for name, rule in checker.RULES.items():
+        if any(list(rule(checker._Index(told))) for _, told in BROKEN.values()):
+            found.add(name)
+    assert found == set(checker.RULES)
--- /dev/null
+++ b/tests/system/test_soak_parts.py
@@ -0,0 +1,91 @@
+"""Parts of the soak: its course follows from the seed; the line between processes cuts, resets and heals."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from molespur.system.soak import plan
+from molespur.system.soak.fault_line import FaultLine
+
+LENGTH_S = 300.0
+PORT = 18990
+FRONT, BACK, OTHER = "127.0.31.1", "127.0.31.2", "127.0.31.3"
+
+
+def test_the_course_follows_from_the_seed():
+    assert plan.make(5, LENGTH_S) == plan.make(5, LENGTH_S) != plan.make(6, LENGTH_S)
+
+
+def test_all_kinds_of_trouble_come():
+    met = {event.trouble for seed in range(10) for event in plan.make(seed, LENGTH_S)}
+    assert met == set(plan.Trouble)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_one_control_machine_is_lost_at_a_time(seed):
+    lost = [
+        event
+        for event in plan.make(seed, LENGTH_S)
+        if event.trouble in plan.CONTROL_TROUBLES and event.trouble not in plan.HARMLESS
+    ]
+    for earlier, later in itertools.pairwise(lost):
+        assert later.at >= earlier.at + earlier.for_s + plan.SYNC_S
+
+
+def test_schedulers_are_troubled_in_series_that_overlap():
+    events = [e for e in plan.make(3, LENGTH_S) if e.trouble in plan.SCHEDULER_TROUBLES]
+    together = [b for a, b in itertools.pairwise(events) if b.at < a.at + a.for_s]
+    assert len(together) > len(events) / 4
+
+
+async def connected(line, scenario):
+    """An echo behind the line, and a connection to it from the other process."""
+
+    async def echo(reader, writer):
+        while data := await reader.read(100):
+            writer.write(data.upper())
+        writer.close()
+
+    server = await asyncio.start_server(echo, BACK, PORT)
+    await line.serve("core", FRONT, BACK, PORT)
+    line.know("other", OTHER)
+    reader, writer = await asyncio.open_connection(FRONT, PORT, local_addr=(OTHER, 0))
+    try:
+        async with asyncio.timeout(10):
+            await scenario(reader, writer)
+    finally:
+        writer.transport.abort()
+        line.stop()
+        server.close()
+
+
+def play(scenario):
+    line = FaultLine()
+    asyncio.run(connected(line, lambda *ends: scenario(line, *ends)))
+
+
+def test_what_a_cut_holds_up_goes_on_once_it_heals():
+    async def scenario(line, reader, writer):
+        writer.write(b"a")
+        assert await reader.readexactly(1) == b"A"
+        line.cut("core", ["other"], outgoing=True, incoming=False)
+        writer.write(b"b")
+        waiting = asyncio.ensure_future(reader.readexactly(1))
+        done, _ = await asyncio.wait([waiting], timeout=0.1)
+        assert not done, "what it sends is held up"
+        line.heal("core")
+        assert await waiting == b"B"
+
+    play(scenario)
+
+
+def test_a_reset_breaks_the_connections_of_a_process():
+    async def scenario(line, reader, writer):
+        writer.write(b"a")
+        await reader.readexactly(1)
+        line.reset("core")
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await reader.readexactly(1)
+
+    play(scenario)
