--- a/tests/system/test_state_age_of_replicas.py
+++ b/tests/system/test_state_age_of_replicas.py
@@ -117,6 +117,29 @@
     assert age(group, other) <= CALM_MS + 400.0
 
 
+def test_an_answer_from_a_log_that_does_not_join_makes_a_new_leader_certain_of_nothing():
+    """It proves that nobody else leads, not that this leader knows what those before it have committed."""
+    group = settled()
+    first = group.leader()
+    group.kill(first.address)
+    group.sync_ms = 400.0
+    while group.leader() is first or group.leader() is None:
+        group.run(5)
+    leader, other = group.leader(), next(p for p in followers(group) if p.address not in group.down)
+    confirmed = leader.replica.age.confirmed_at
+    reply = pb.ConsensusMessage(
+        group=GROUP,
+        sender=other.replica.id,
+        receiver=leader.replica.id,
+        term=leader.replica.hard_state.term,
+    )
+    reply.append_reply.success = False
+    reply.append_reply.match_index = 1
+    reply.append_reply.sent_at_ms = int(group.now)
+    leader.replica.handle(group.now, raft.Received(reply))
+    assert age(group, leader) == group.now - confirmed
+
+
 def test_what_a_leader_claims_is_acknowledged_nowhere_else():
     """Whatever a young state lacks was acknowledged after the time of which it is certain."""
     for seed in range(12):
