Split host.py by concern; the circle of client_call.py and ingress.py is gone

A group as it is hosted (group.py) and who comes and leaves (membership.py) out of host.py: 412 to 279 lines. What requests share is serving_context.py.

--- a/molespur/system/control_plane/figures.py
+++ b/molespur/system/control_plane/figures.py
@@ -8,7 +8,8 @@
 from ..metrics import Metric, MetricKind, counter, gauge
 from ..rpc import molespur_pb2 as pb
 from ..rpc import traffic
-from ..shards.host import HostedGroup, ReplicaHost
+from ..shards.group import HostedGroup
+from ..shards.host import ReplicaHost
 from ..shards.placement import CONFIGURATION, WORKER_GROUPS
 
 
--- a/molespur/system/data_plane/client_call.py
+++ b/molespur/system/data_plane/client_call.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from absl import logging
 
@@ -18,6 +17,7 @@
 from .exchange import Exchange, Failure
 from .patience import Patience, patience
 from .request_counts import WORKER
+from .serving_context import ServingContext
 from .upstream import (
     ATTEMPT_ID,
     EXPECTED_INSTANCE,
@@ -28,9 +28,6 @@
     UpstreamResponse,
 )
 
-if TYPE_CHECKING:
-    from .ingress import Ingress
-
 PREFILL_PATIENCE = 4.0, 400.0  # forecasts, and ms, after which a prefill call is given up
 RUN_PATIENCE = 4.0, 700.0  # the same for a run that may be tried elsewhere, until its first answer
 MOST_DOUBT = 3.0  # with few schedulers heard, forecasts are poor: so many times longer at most
@@ -44,17 +41,17 @@
 
     def __init__(
         self,
-        ingress: "Ingress",
+        context: ServingContext,
         request: ClientRequest,
         route: Route,
         service: Service,
         demand: Demand,
         send: Callable,
     ):
-        self.ingress, self.request, self.route, self.service = ingress, request, route, service
+        self.context, self.request, self.route, self.service = context, request, route, service
         self.demand, self.send = demand, send
-        self.clock = ingress.clock
-        state = ingress.state
+        self.clock = context.clock
+        state = context.state
         self.policy = state.policy
         self.exchange = Exchange(
             route,
@@ -87,7 +84,7 @@
                     self._free()  # it goes another way: nobody will take that memory
                 event = await self._attempt(step, self._run_call, action)
             case machine.Answer(kind):
-                await self.ingress.answer(self.send, kind)
+                await self.context.answer(self.send, kind)
                 return machine.Finish()
             case machine.Cut():
                 raise AnswerCut
@@ -95,13 +92,13 @@
 
     async def _attempt(self, step: Step, call, *arguments) -> machine.Event:
         """One call to a worker, counted as own work there for as long as it takes."""
-        key, begun = next(self.ingress.keys), self.clock()
+        key, begun = next(self.context.keys), self.clock()
         self.policy.begin(begun, step, self.demand, key)
-        meter = self.ingress.state.meter(self.service.name)
+        meter = self.context.state.meter(self.service.name)
         meter.read(begun, step.read)
         meter.running += step.part is not Part.PREFILL
-        self.ingress.state.peer_work.placed(step.worker, self.demand.shared)
-        self.ingress.state.peer_work.touch(step.worker)
+        self.context.state.peer_work.placed(step.worker, self.demand.shared)
+        self.context.state.peer_work.touch(step.worker)
         failed, outcome = True, "unknown"
         expected = (step.part.value, step.worker.id, step.run, step.wait, step.forecast)
         try:
@@ -118,10 +115,10 @@
             raise
         finally:
             now = self.clock()
-            self.ingress.counts.calls[step.part.value, outcome] += 1
+            self.context.counts.calls[step.part.value, outcome] += 1
             self.policy.ended(now, step, key, failed, now - begun)
             meter.running -= step.part is not Part.PREFILL
-            self.ingress.state.peer_work.touch(step.worker)
+            self.context.state.peer_work.touch(step.worker)
             logging.vlog(1, "%s: %s at %s: run %.0f wait %.0f forecast %.0f, first answer %.0f, all %.0f ms",
                          self.route.name, *expected, self.first_at - begun, now - begun)  # fmt: skip
 
@@ -140,13 +137,13 @@
         ]
         if step.part is not Part.PLAIN:
             headers.append((b"Priority", b"%d" % step.rank))
-        response = await self.ingress.upstreams.call(
+        response = await self.context.upstreams.call(
             step.worker.address,
             self.request.method,
             self.request.target,
             headers,
             self.request.body,
-            self.ingress.state.connections(self.service),
+            self.context.state.connections(self.service),
             repeatable=step.part is Part.PREFILL or self.route.repeatable,
         )
         try:
@@ -159,7 +156,7 @@
     def _first_answer(self, step: Step, key: int, begun: float) -> None:
         self.first_at = self.clock()
         self.policy.first_answer(self.first_at, step, self.demand, key, self.first_at - begun)
-        self.ingress.state.peer_work.touch(step.worker)
+        self.context.state.peer_work.touch(step.worker)
 
     # -- The prompt read apart -------------------------------------------------------------------
 
@@ -181,7 +178,7 @@
 
     def _free(self) -> None:
         if self.held is not None:
-            self.ingress.free_handle(*self.held, self.service)
+            self.context.free_handle(*self.held, self.service)
             self.held = None
 
     # -- The answer ------------------------------------------------------------------------------
@@ -274,11 +271,11 @@
 
     async def _send_head(self, head: Head, length: int | None) -> None:
         self.head_sent = True
-        self.ingress.counts.answers[str(head.status), WORKER] += 1
+        self.context.counts.answers[str(head.status), WORKER] += 1
         headers = [(k, v) for k, v in head.headers if k not in NOT_FORWARDED and k != b"content-length"]
         if length is not None:
             headers.append((b"content-length", str(length).encode()))
-        if self.ingress.stopping:
+        if self.context.stopping:
             headers.append((b"connection", b"close"))
         await self.send({"type": "http.response.start", "status": head.status, "headers": headers})
 
@@ -288,7 +285,7 @@
             raise AnswerCut
         ran = self.exchange.runs or self.exchange.state is machine.State.RUNNING
         kind = ErrorKind.OUT_OF_TIME if ran else ErrorKind.OUT_OF_TIME_UNSENT
-        await self.ingress.answer(self.send, kind)
+        await self.context.answer(self.send, kind)
 
 
 def seconds_of_patience(step: Step, forecasts: float, least_ms: float) -> float:
--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -3,20 +3,18 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
-from itertools import count
 from typing import Protocol
 
-from ..errors import ANSWERS, REFUSED_BY_CONFIGURATION, ErrorKind, FleetError
+from ..errors import REFUSED_BY_CONFIGURATION, ErrorKind, FleetError
 from ..settings.configuration import Route, Service
 from .client_call import ClientCall
 from .client_request import ClientRequest, demand_of, read_head
-from .request_counts import RequestCounts
+from .serving_context import ServingContext
 from .state import DataPlaneState
-from .upstream import UpstreamError, Upstreams
+from .upstream import Upstreams
 
 STATE_WAIT_MS = 800.0  # longest wait of a request for the first state from the feed, or for a fresh one
 STATE_WAIT_SHARE = 0.25  # and the part of its time that it may take
-HANDLE_FREE_S = 1.0
 
 
 class ConfigurationFreshness(Protocol):
@@ -29,7 +27,7 @@
         """Wait until that is so, or this long (s)."""
 
 
-class Ingress:
+class Ingress(ServingContext):
     """Serves clients' requests on top of the state and the connections to workers."""
 
     def __init__(
@@ -39,12 +37,9 @@
         clock: Callable[[], float],
         freshness: ConfigurationFreshness,
     ):
-        self.state, self.upstreams, self.clock, self.freshness = state, upstreams, clock, freshness
-        self.stopping = False
+        super().__init__(state, upstreams, clock)
+        self.freshness = freshness
         self.open_requests = 0
-        self.keys = count()  # of calls to workers
-        self.counts = RequestCounts()
-        self._background: set[asyncio.Task] = set()
 
     async def serve(self, scope, receive, send) -> None:
         """One request (ASGI)."""
@@ -137,41 +132,6 @@
             return ErrorKind.OLD_CONFIGURATION
         return kind
 
-    async def answer(self, send, kind: ErrorKind) -> None:
-        """Answer by ourselves."""
-        answer = ANSWERS[kind]
-        self.counts.answers[str(answer.status), kind.value] += 1
-        headers = [(b"content-length", b"0")]
-        if answer.retry_after_s is not None:
-            headers.append((b"retry-after", f"{answer.retry_after_s:.3f}".encode()))
-        if self.stopping or answer.status in (400, 413, 431, 408):
-            headers.append((b"connection", b"close"))
-        await send({"type": "http.response.start", "status": answer.status, "headers": headers})
-        await send({"type": "http.response.body", "body": b"", "more_body": False})
-
-    def free_handle(self, address: str, handle: str, service: Service) -> None:
-        """Give memory back that nobody will take."""
-        task = asyncio.get_running_loop().create_task(self._free_handle(address, handle, service))
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
-
-    async def _free_handle(self, address: str, handle: str, service: Service) -> None:
-        target = f"/api/kv-handle/{handle}".encode()
-        with suppress(UpstreamError, TimeoutError):
-            async with asyncio.timeout(HANDLE_FREE_S):
-                response = await self.upstreams.call(
-                    address,
-                    "DELETE",
-                    target,
-                    [(b"Host", address.encode())],
-                    b"",
-                    self.state.connections(service),
-                )
-                try:
-                    await response.read()
-                finally:
-                    await response.close()
-
 
 def _longest_wait_s(request: ClientRequest) -> float:
     """How long a request may wait for state that it needs, s."""
--- /dev/null
+++ b/molespur/system/data_plane/serving_context.py
@@ -0,0 +1,60 @@
+"""What all requests at one scheduler share: state, connections, counts, own answers, freed memory."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from itertools import count
+
+from ..errors import ANSWERS, ErrorKind
+from ..settings.configuration import Service
+from .request_counts import RequestCounts
+from .state import DataPlaneState
+from .upstream import UpstreamError, Upstreams
+
+HANDLE_FREE_S = 1.0
+
+
+class ServingContext:
+    """Shared by the ingress and the calls of its requests."""
+
+    def __init__(self, state: DataPlaneState, upstreams: Upstreams, clock: Callable[[], float]):
+        self.state, self.upstreams, self.clock = state, upstreams, clock
+        self.stopping = False
+        self.keys = count()  # of calls to workers
+        self.counts = RequestCounts()
+        self._background: set[asyncio.Task] = set()
+
+    async def answer(self, send, kind: ErrorKind) -> None:
+        """Answer by ourselves."""
+        answer = ANSWERS[kind]
+        self.counts.answers[str(answer.status), kind.value] += 1
+        headers = [(b"content-length", b"0")]
+        if answer.retry_after_s is not None:
+            headers.append((b"retry-after", f"{answer.retry_after_s:.3f}".encode()))
+        if self.stopping or answer.status in (400, 413, 431, 408):
+            headers.append((b"connection", b"close"))
+        await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    def free_handle(self, address: str, handle: str, service: Service) -> None:
+        """Give memory back that nobody will take."""
+        task = asyncio.get_running_loop().create_task(self._free_handle(address, handle, service))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _free_handle(self, address: str, handle: str, service: Service) -> None:
+        target = f"/api/kv-handle/{handle}".encode()
+        with suppress(UpstreamError, TimeoutError):
+            async with asyncio.timeout(HANDLE_FREE_S):
+                response = await self.upstreams.call(
+                    address,
+                    "DELETE",
+                    target,
+                    [(b"Host", address.encode())],
+                    b"",
+                    self.state.connections(service),
+                )
+                try:
+                    await response.read()
+                finally:
+                    await response.close()
--- a/molespur/system/shards/host.py
+++ b/molespur/system/shards/host.py
@@ -5,9 +5,7 @@
 
 import asyncio
 import secrets
-from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from itertools import count
 from random import Random
 
@@ -18,44 +16,16 @@
 from ..rpc import molespur_pb2 as pb
 from ..rpc.channel import Dialer
 from ..storage.store import Store, bootstrap_identity, new_identity
-from .lag import LagLog
+from .group import HostedGroup
 from .leaving import Leaving
+from .membership import Membership
 from .membership_changes import MembershipPlanner
 
 TICK_S = 0.05
-JOIN_S = 0.5
-HISTORY = 256  # changes kept for followers of the feed, for each group
-COMPACT_ENTRIES = 64
-COMPACT_BYTES = 1 << 20
-STATE_BYTES_PER_ENTRY = 1 << 10  # a large state is written again only after as many more entries
 LIFE_BITS = 63
 PROPOSAL_S = 0.85  # callers move on after a second
 
 
-@dataclass
-class Waiter:
-    """A proposal whose outcome somebody waits for."""
-
-    term: int
-    outcome: asyncio.Future
-
-
-@dataclass
-class HostedGroup:
-    """A replica with its state machine and the recent changes of it."""
-
-    name: str
-    replica: raft.Replica
-    machine: object  # provides IStateMachine
-    planner: MembershipPlanner
-    history_from: int = 0  # every change after this index is in `history`
-    history: deque = field(default_factory=lambda: deque(maxlen=HISTORY))
-    waiters: dict[int, Waiter] = field(default_factory=dict)
-    reads: dict[int, asyncio.Future] = field(default_factory=dict)
-    log_bytes: int = 0
-    lag: LagLog = field(default_factory=LagLog)
-
-
 class ReplicaHost:
     """All groups of this process, their disk, and the channels to other control-plane processes."""
 
@@ -78,7 +48,7 @@
         )
         self._life = secrets.randbits(LIFE_BITS) | 1
         self.groups = {name: self._open(name, machine, random) for name, machine in machines.items()}
-        self.joined_at = float("-inf")
+        self.membership = Membership(self, clock)
         self.leaving = Leaving(self, clock, settings.bounds.grace_period_s)
         self._read_numbers = count(1)
 
@@ -126,7 +96,7 @@
     async def run(self) -> None:
         """Tick until cancelled."""
         for address in self.settings.seed_rpc_addresses():
-            self._dial(address)
+            self.dial(address)
         while True:
             self.step()
             await asyncio.sleep(TICK_S)
@@ -139,16 +109,18 @@
         """What is due now, in every group."""
         now = self.clock()
         for group in self.groups.values():
-            self._handle(group, raft.Tick())
-            self._plan(group, now)
-            self._maybe_compact(group)
-            self._maybe_log_lag(group, now)
-        self._maybe_join(now)
+            self.handle(group, raft.Tick())
+            self.membership.plan(group, now)
+            compaction = group.compaction()
+            if compaction is not None:
+                self.handle(group, compaction)
+            group.log_lag(now)
+        self.membership.maybe_join(now)
 
     def reseed(self, settings) -> None:
         """Other seeds are known from now on."""
         for address in settings.seed_rpc_addresses():
-            self._dial(address)
+            self.dial(address)
 
     async def stop(self) -> None:
         """Pass leads and votes on, then write no more."""
@@ -158,23 +130,13 @@
 
     def transfer_lead(self, group: HostedGroup) -> None:
         """Hand the lead of a group over."""
-        self._handle(group, raft.TransferLeadership())
+        self.handle(group, raft.TransferLeadership())
 
     def tell_all(self, frame: pb.Frame) -> None:
         """Send a frame to every other control-plane process that is known."""
         for dialer in self.dialers.values():
             dialer.send(frame)
 
-    @staticmethod
-    def _maybe_log_lag(group: HostedGroup, now: float) -> None:
-        replica = group.replica
-        applied, named = replica.log.applied_index, replica.named_commit_index
-        if group.lag.due(now, applied, named):
-            logging.warning(
-                "%s: lags: applied %d, log ends at %d, its leader names %d, heard %d ms ago",
-                group.name, applied, replica.log.last_index, named, replica.leader_silence(now),
-            )  # fmt: skip
-
     # -- What others ask ---------------------------------------------------------------------------
 
     def leads(self, group: str) -> bool:
@@ -224,8 +186,7 @@
         actions = group.replica.handle(self.clock(), raft.Propose(data))
         for action in actions:
             if isinstance(action, raft.Proposed):
-                group.waiters[action.index] = Waiter(action.term, outcome)
-                group.log_bytes += len(data)
+                group.proposed(action, len(data), outcome)
             elif isinstance(action, raft.NotLeader):
                 outcome.set_exception(FleetError(ErrorKind.NO_LEADER, name))
         self._carry_out(group, actions)
@@ -242,7 +203,7 @@
         group = self.groups[name]
         number = next(self._read_numbers)
         outcome = group.reads[number] = asyncio.get_running_loop().create_future()
-        self._handle(group, raft.Read(number))
+        self.handle(group, raft.Read(number))
         try:
             confirmed = await asyncio.wait_for(outcome, PROPOSAL_S)
         except TimeoutError:
@@ -262,146 +223,52 @@
         if group is None:
             return
         if message.receiver == self.replica_id:
-            self._handle(group, raft.Received(message))
+            self.handle(group, raft.Received(message))
         elif group.replica.role is raft.Role.OUTSIDER:
             # meant for a disk that was here before: its sender can take this replica in
-            self._dial(message.sender.partition("#")[0])
-
-    def join_requested(self, request: pb.JoinRequest) -> None:
-        """A replica that is in no membership asks to be taken in; it may not know who leads."""
-        self._dial(request.member.rpc_address)
-        for name in request.groups:
-            group = self.groups.get(name)
-            if group is None:
-                continue
-            if not self.leads(name):
-                self._forward_join(name, request)
-                continue
-            membership = group.planner.admit(group.replica, request.member)
-            if membership is not None:
-                self._handle(group, raft.ChangeMembership(membership))
-
-    def _forward_join(self, name: str, request: pb.JoinRequest) -> None:
-        leader = self.leader(name)
-        dialer = self.dialers.get(leader.rpc_address) if leader is not None else None
-        if dialer is not None and not request.forwarded:
-            forwarded = pb.JoinRequest(member=request.member, groups=[name], forwarded=True)
-            dialer.send(pb.Frame(join=forwarded))
-
-    def leave_requested(self, request: pb.LeaveRequest) -> pb.LeaveReply:
-        """A replica's process was told to stop: the groups led here that need it no longer."""
-        released = []
-        for name in request.groups:
-            group = self.groups.get(name)
-            if group is None or not self.in_touch(name):
-                continue
-            group.planner.leaves(request.replica_id, self.clock())
-            if group.planner.may_leave(group.replica, request.replica_id, self.clock()):
-                released.append(name)
-        return pb.LeaveReply(groups=released)
+            self.dial(message.sender.partition("#")[0])
 
     # -- Actions -----------------------------------------------------------------------------------
 
-    def _handle(self, group: HostedGroup, event: raft.Event) -> None:
+    def handle(self, group: HostedGroup, event: raft.Event) -> None:
+        """Give one event to a group's replica, and carry out what it calls for."""
         self._carry_out(group, group.replica.handle(self.clock(), event))
 
     def _carry_out(self, group: HostedGroup, actions: list[raft.Action]) -> None:
         for action in actions:
             match action:
                 case raft.Send(member, message):
-                    self._dial(member.rpc_address)
+                    self.dial(member.rpc_address)
                     dialer = self.dialers.get(member.rpc_address)
                     if dialer is not None:
                         dialer.send(pb.Frame(consensus=message))
                 case raft.Persist():
                     self.writer.write(group.name, action)
                 case raft.Apply(entry):
-                    self._apply(group, entry)
+                    group.apply(entry, self.on_change)
                 case raft.Restore(snapshot):
-                    group.machine.restore(snapshot.state)
-                    group.history.clear()
-                    group.history_from = snapshot.index
+                    group.restore(snapshot)
                     self.on_restore(group.name)
                 case raft.ReadConfirmed(number):
-                    self._read_ended(group, number, True)
+                    group.read_ended(number, True)
                 case raft.ReadRefused(number):
-                    self._read_ended(group, number, False)
+                    group.read_ended(number, False)
                 case raft.RoleChanged(role, leader):
                     logging.info(
                         "%s: %s, leader %s", group.name, role.value, leader.replica_id if leader else "?"
                     )
                     if role is not raft.Role.LEADER:
-                        self._fail_waiters(group)
+                        group.fail_waiters()
                     self.on_role(group.name)
 
-    @staticmethod
-    def _fail_waiters(group: HostedGroup) -> None:
-        """The lead is lost: who waits is told at once that the outcome is unknown."""
-        waiters, group.waiters = group.waiters, {}
-        for waiter in waiters.values():
-            if not waiter.outcome.done():
-                waiter.outcome.set_exception(FleetError(ErrorKind.OUTCOME_UNKNOWN, group.name))
-
-    @staticmethod
-    def _read_ended(group: HostedGroup, number: int, confirmed: bool) -> None:
-        outcome = group.reads.get(number)
-        if outcome is not None and not outcome.done():
-            outcome.set_result(confirmed)
-
-    def _apply(self, group: HostedGroup, entry: pb.LogEntry) -> None:
-        waiter = group.waiters.pop(entry.index, None)
-        result = None
-        if entry.kind == pb.COMMAND:
-            result, payload = group.machine.apply(entry.data)
-            if payload is not None:
-                if len(group.history) == HISTORY:
-                    group.history_from = group.history[0][0]
-                group.history.append((entry.index, payload))
-                self.on_change(group.name, entry.index, payload)
-        if waiter is None or waiter.outcome.done():
-            return
-        if waiter.term == entry.term:
-            waiter.outcome.set_result(result)
-        else:
-            waiter.outcome.set_exception(FleetError(ErrorKind.NO_LEADER, group.name))
-
     def written(self, name: str, record: raft.Persist) -> None:
         """A record is on the disk."""
         group = self.groups[name]
         self._carry_out(group, record.release)
-        self._handle(group, raft.Persisted(record.sequence))
-
-    def _maybe_compact(self, group: HostedGroup) -> None:
-        replica = group.replica
-        behind = replica.log.applied_index - replica.log.snapshot.index
-        heavy = group.log_bytes > max(COMPACT_BYTES, 2 * group.machine.size)
-        many = max(COMPACT_ENTRIES, group.machine.size // STATE_BYTES_PER_ENTRY)
-        if behind >= many or (heavy and behind > 1):
-            group.log_bytes = 0
-            self._handle(group, raft.Compact(replica.log.applied_index, group.machine.snapshot()))
-
-    # -- Membership of the groups --------------------------------------------------------------------
-
-    def _plan(self, group: HostedGroup, now: float) -> None:
-        if group.replica.role is raft.Role.LEADER:
-            membership = group.planner.plan(group.replica, now)
-            if membership is not None:
-                self._handle(group, raft.ChangeMembership(membership))
-
-    def _maybe_join(self, now: float) -> None:
-        if now - self.joined_at < JOIN_S * 1000:
-            return
-        self.joined_at = now
-        outside = [g.name for g in self.groups.values() if g.replica.member(self.replica_id) is None]
-        lost = [
-            g.name
-            for g in self.groups.values()
-            if g.replica.leader_silence(now) > 2 * raft.ELECTION_MS[1] and g.name not in outside
-        ]
-        if outside or lost:
-            self.tell_all(pb.Frame(join=pb.JoinRequest(member=self.self_member, groups=outside + lost)))
-
-    def _dial(self, address: str) -> None:
+        self.handle(group, raft.Persisted(record.sequence))
+
+    def dial(self, address: str) -> None:
+        """Keep a channel to another control-plane process from now on."""
         if address and address != self.settings.rpc_address and address not in self.dialers:
             self.dialers[address] = Dialer(
                 address, self.on_frame, self._opened, bind_ip=self.settings.bind_ip
@@ -409,4 +276,4 @@
 
     def _opened(self, _channel) -> None:
         """A channel to another process has opened: who is outside asks at once to be taken in."""
-        self.joined_at = float("-inf")
+        self.membership.join_soon()
--- a/tests/system/mutations/breaks.py
+++ b/tests/system/mutations/breaks.py
@@ -81,7 +81,7 @@
     Break("a proposal without contact", SHARDS + "host.py",
           "if not group.replica.in_touch(self.clock()):", "if False:", CUT_TESTS),
     Break("a caller who waits although the lead is lost", SHARDS + "host.py",
-          "self._fail_waiters(group)", "pass", CUT_TESTS + (TESTS + "test_liveness_contact.py",)),
+          "group.fail_waiters()", "pass", CUT_TESTS + (TESTS + "test_liveness_contact.py",)),
     Break("a heartbeat acknowledged without contact", "molespur/system/control_plane/calls.py",
           "if not self.host.has_lease(name):\n            raise", "if False:\n            raise",
           CUT_TESTS + (TESTS + "test_liveness_contact.py",)),
--- a/tests/system/virtual_fleet.py
+++ b/tests/system/virtual_fleet.py
@@ -197,7 +197,7 @@
             fault_tolerance=FaultTolerance(nodes=fleet.tolerance),
         )
         self.plane = role.ControlPlane(settings)
-        self.plane.host._dial = self._dial
+        self.plane.host.dial = self._dial
         self.writer = Writer(fleet, self)
         self.plane.host.start(self.writer)
         self.client = create_app(self.plane.calls, self.plane.metrics).test_client()
