--- a/molespur/system/soak/fleet.py
+++ b/molespur/system/soak/fleet.py
@@ -90,7 +90,9 @@
         path = self.folder / f"{machine.name}.yaml"
         text = settings(machine, self.seeds(), self.folder, bootstrap)
         text.update({"BindIp": self._back(machine), "Bounds": BOUNDS})
-        path.write_text(yaml.safe_dump(text))
+        written = path.with_suffix(".new")
+        written.write_text(yaml.safe_dump(text))
+        written.replace(path)  # a process that starts reads all of it, or the one before
         return path
 
     def signal(self, name: str, number: int, deed: Deed) -> None:
