--- a/benchmarks/propagation.py
+++ b/benchmarks/propagation.py
@@ -1,7 +1,7 @@
 """How long acknowledged changes take to be in force everywhere while control-plane processes are in trouble.
 
 Usage:
-  python -m benchmarks.propagation [--seeds=N] [--schedulers=N] [--voters=N] [--course=NAME] [--jobs=N]
+  propagation [--seeds=N] [--schedulers=N] [--voters=N] [--course=NAME] [--jobs=N]
 
 Options:
   --seeds=N       how many histories of each trouble [default: 16]
@@ -10,9 +10,9 @@
   --course=NAME   one, "two in a row" or "again and again" [default: one]
   --jobs=N        processes at once [default: 4]
 
-Plays the virtual fleet of the tests (virtual clock, links of 1 to 4 ms, disks of 20 ms a sync); prints
-p50, p99 and the worst time from an acknowledgement until a scheduler has that version or a newer one, in
-ms of virtual time.
+Run as `python -m benchmarks.propagation`.  Plays the virtual fleet of the tests (virtual clock, links of
+1 to 4 ms, disks of 20 ms a sync); prints p50, p99 and the worst time from an acknowledgement until a
+scheduler has that version or a newer one, in ms of virtual time.
 """
 
 import sys
