--- a/tests/system/test_cut_off_control.py
+++ b/tests/system/test_cut_off_control.py
@@ -7,6 +7,7 @@
 import asyncio
 
 import pytest
+from propagation import cut_from_control, cut_off, fill_disk, freeze, heal, not_heard, not_hearing
 from virtual_fleet import ADDRESSES, Link, VirtualFleet, configuration
 
 from molespur.system.errors import FleetError
@@ -21,53 +22,21 @@
 LONGEST_S = 1.0  # for any answer
 
 
-def cut_all(fleet, address):
-    fleet.isolate(address)
-
-
-def cut_from_core(fleet, address):
-    fleet.isolate(address, core_only=True)
-
-
-def cut_outgoing(fleet, address):
-    fleet.one_way |= {(address, other) for other in fleet.processes if other != address}
-
-
-def cut_incoming(fleet, address):
-    fleet.one_way |= {(other, address) for other in fleet.processes if other != address}
-
-
-def freeze(fleet, address):
-    fleet.processes[address].freeze()
-
-
 def hang_disk(fleet, address):
     fleet.processes[address].disk_slowness = CUT_S / 0.02
 
 
-def fill_disk(fleet, address):
-    fleet.processes[address].disk_full = True
-
-
 WAYS = {
-    "all": cut_all,
-    "core": cut_from_core,
-    "outgoing": cut_outgoing,
-    "incoming": cut_incoming,
+    "all": cut_off,
+    "core": cut_from_control,
+    "outgoing": not_heard,
+    "incoming": not_hearing,
     "frozen": freeze,
     "disk hangs": hang_disk,
     "disk full": fill_disk,
 }
 
 
-def heal(fleet, address):
-    fleet.heal()
-    process = fleet.processes[address]
-    process.disk_slowness, process.disk_full = 1.0, False
-    if process.frozen:
-        process.thaw()
-
-
 class Newest:
     """The newest change that was acknowledged, and the base that it was built on."""
 
--- a/tests/system/test_state_age_of_replicas.py
+++ b/tests/system/test_state_age_of_replicas.py
@@ -15,6 +15,17 @@
     return group
 
 
+def led_anew():
+    """A group whose leader has just been elected, after a loss, and whose disks are slow."""
+    group = settled()
+    first = group.leader()
+    group.kill(first.address)
+    group.sync_ms = 400.0
+    while group.leader() is first or group.leader() is None:
+        group.run(5)
+    return group
+
+
 def followers(group):
     leader = group.leader()
     return [process for process in group.processes.values() if process is not leader]
@@ -101,12 +112,7 @@
 
 def test_a_leader_claims_nothing_before_an_entry_of_its_own_term_is_committed():
     """It may not know yet of all that the leaders before it have committed."""
-    group = settled()
-    first = group.leader()
-    group.kill(first.address)
-    group.sync_ms = 400.0
-    while group.leader() is first or group.leader() is None:
-        group.run(5)
+    group = led_anew()
     leader = group.leader()
     other = next(p for p in followers(group) if p.address not in group.down)
     before = other.replica.age.confirmed_at
@@ -119,12 +125,7 @@
 
 def test_an_answer_from_a_log_that_does_not_join_makes_a_new_leader_certain_of_nothing():
     """It proves that nobody else leads, not that this leader knows what those before it have committed."""
-    group = settled()
-    first = group.leader()
-    group.kill(first.address)
-    group.sync_ms = 400.0
-    while group.leader() is first or group.leader() is None:
-        group.run(5)
+    group = led_anew()
     leader, other = group.leader(), next(p for p in followers(group) if p.address not in group.down)
     confirmed = leader.replica.age.confirmed_at
     reply = pb.ConsensusMessage(
