--- a/tests/system/test_closing_connections.py
+++ b/tests/system/test_closing_connections.py
@@ -10,11 +10,13 @@
 """
 
 import asyncio
+import socket
 
 from test_data_plane_wire import configuration
 from wire import Client, ScriptedWorker, answer, data_plane, request, run
 
 from molespur.system.data_plane import client_server
+from molespur.system.settings.configuration import Limits
 
 PIECES = 20
 MOST_PIECES = 100_000
@@ -78,3 +80,69 @@
         assert await client.reader.read() == b""
 
     served(scenario)
+
+
+def test_a_request_that_comes_as_its_connection_is_closed_is_not_passed_on():
+    """Its bytes had been read in the turn of the loop in which the time to rest was over.
+
+    A worker would run it, and its client would get no answer.
+    """
+
+    async def scenario():
+        served = []
+
+        async def app(scope, _receive, _send):
+            served.append(scope)
+
+        server = client_server.ClientServer(app, Limits)
+        reader = asyncio.StreamReader()
+        writer = ClosingWriter()
+        connection = client_server.ClientConnection(server, reader, writer)
+        running = asyncio.ensure_future(connection.run())
+        await asyncio.sleep(0)
+        reader.feed_data(request())
+        connection.close_if_resting()
+        reader.feed_eof()
+        await running
+        assert writer.closing and served == []
+
+    run(scenario())
+
+
+class ClosingWriter:
+    """A client's connection as its server writes it."""
+
+    closing = False
+
+    def get_extra_info(self, name):
+        return FakeSocket() if name == "socket" else None
+
+    def is_closing(self):
+        return self.closing
+
+    def write(self, _data):
+        """Nobody reads it."""
+
+    async def drain(self):
+        """Nothing is kept back."""
+
+    def write_eof(self):
+        """Nothing more comes."""
+
+    def close(self):
+        self.closing = True
+
+    async def wait_closed(self):
+        """It is closed at once."""
+
+
+class FakeSocket:
+    """The addresses of a connection."""
+
+    family = socket.AF_INET
+
+    def getpeername(self):
+        return ("127.0.0.1", 5)
+
+    def getsockname(self):
+        return ("127.0.0.1", 6)
