--- a/molespur/system/data_plane/client_server.py
+++ b/molespur/system/data_plane/client_server.py
@@ -113,8 +113,8 @@
                 if head_due.expired():
                     await self.protocol_send(RawData(closing_answer(ErrorKind.HEADERS_TOO_SLOW)))
                 break
-            if self._lingering is not None:
-                continue
+            if self._lingering is not None or self.writer.is_closing():
+                continue  # a request that crosses the close of its connection is not passed on
             self.idle_task.received()
             await self.protocol.handle(RawData(data))
         await self.protocol.handle(Closed())
