--- a/molespur/system/control_plane/orders.py
+++ b/molespur/system/control_plane/orders.py
@@ -19,7 +19,7 @@
 from ..settings.process import ProcessSettings
 from ..shards.host import ReplicaHost
 from ..shards.placement import CONFIGURATION, WORKER_GROUPS
-from ..workers.phases import PhaseOrder, PhasePlanner
+from ..workers.phases import HYSTERESIS, PREFILL, PhaseOrder, PhasePlanner
 from .calls import ControlCalls
 
 ORDER_TIMEOUT_S = 0.8
@@ -28,6 +28,7 @@
 FENCED_OFF = 412  # the worker has seen a higher fencing token
 DEFAULT_SWITCH_S = 2.0
 REPORTS, REPORT_PAUSE_S = 4, 0.25  # asked of a worker under orders, before its heartbeat is waited for
+SPLIT_LOG_MS = 1000.0  # between two lines of the log on a split that is off
 
 
 class PhaseOrders:
@@ -47,6 +48,7 @@
         self.planners: dict[tuple[str, str], PhasePlanner] = {}  # by group and service
         self.given: Counter[tuple[str, str]] = Counter()  # (part, status or "no answer")
         self.fenced_off: dict[str, int] = {}  # worker -> the token that it has refused
+        self._split_logged_at = float("-inf")
         self._client = None  # made with the first order: most processes never give one
         self._tasks: set[asyncio.Task] = set()
 
@@ -69,12 +71,33 @@
                     services.setdefault(worker.service, []).append(worker)
             for service, workers in services.items():
                 planner = self.planners.setdefault((group, service), PhasePlanner())
-                order = planner.plan(now, workers, self.schedulers.load(now, service))
+                load = self.schedulers.load(now, service)
+                order = planner.plan(now, workers, load)
+                self._log_split(now, service, workers, load, planner)
                 if order is not None and self.fenced_off.get(order.worker.id, -1) < fence:
                     task = asyncio.get_running_loop().create_task(self._give(group, order, fence))
                     self._tasks.add(task)
                     task.add_done_callback(self._tasks.discard)
 
+    def _log_split(
+        self, now: float, service: str, workers: list[pb.Worker], load: pb.ServiceLoad, planner: PhasePlanner
+    ) -> None:
+        """Say now and then that a service has another split of its workers than it should have."""
+        if abs(planner.lacking) <= HYSTERESIS or now - self._split_logged_at < SPLIT_LOG_MS:
+            return
+        self._split_logged_at = now
+        ready = [worker for worker in workers if worker.state == pb.READY]
+        readers = sum(worker.phase == PREFILL for worker in ready)
+        logging.info(
+            "%s: %d of %d workers read prompts, %+.1f wanted; %.0f tokens/s to read, %.0f running",
+            service,
+            readers,
+            len(ready),
+            planner.lacking,
+            load.read_tokens_per_s,
+            load.running,
+        )
+
     async def _give(self, group: str, order: PhaseOrder, fence: int) -> None:
         worker = order.worker
         body = {
--- a/molespur/system/data_plane/client_call.py
+++ b/molespur/system/data_plane/client_call.py
@@ -62,6 +62,7 @@
         )
         self.head_sent = False
         self.first_at = float("nan")  # when the call that is out gave its first answer
+        self.begun_at = self.heard_at = self.clock()  # ms: this call, and the last byte of an answer to it
         self.events = EventFilter(last_id=request.last_event_id)
         self.held: tuple[str, str] | None = None  # address and handle that were not taken up yet
 
@@ -87,6 +88,7 @@
                 await self.context.answer(self.send, kind)
                 return machine.Finish()
             case machine.Cut():
+                self._log_cut("the worker's answer has ended, and no other goes on")
                 raise AnswerCut
         return self.exchange.handle(self.clock(), event)
 
@@ -239,6 +241,7 @@
         first = True
         try:
             async for chunk in response.chunks():
+                self.heard_at = self.clock()
                 if first:
                     first = False
                     self._first_answer(step, key, begun)
@@ -279,9 +282,21 @@
             headers.append((b"connection", b"close"))
         await self.send({"type": "http.response.start", "status": head.status, "headers": headers})
 
+    def _log_cut(self, why: str) -> None:
+        now = self.clock()
+        logging.info(
+            "answer cut after %.0f ms on route %s: %s; %d attempts, silent for %.0f ms",
+            now - self.begun_at,
+            self.route.name,
+            why,
+            self.exchange.runs,
+            now - self.heard_at,
+        )
+
     async def out_of_time(self) -> None:
         """The time that the client or the route allows is over."""
         if self.head_sent:
+            self._log_cut("the time is over")
             raise AnswerCut
         ran = self.exchange.runs or self.exchange.state is machine.State.RUNNING
         kind = ErrorKind.OUT_OF_TIME if ran else ErrorKind.OUT_OF_TIME_UNSENT
--- a/molespur/system/workers/phases.py
+++ b/molespur/system/workers/phases.py
@@ -38,6 +38,7 @@
         self.turned_at = float("-inf")
         self.ordered_at: dict[str, float] = {}
         self.loaded = False  # some traffic has been seen
+        self.lacking = 0.0  # readers that are wanted beyond those there are, when last looked at
 
     def target(self, workers: list[pb.Worker], load: pb.ServiceLoad) -> float:
         """How many workers should read prompts, before rounding."""
@@ -62,8 +63,8 @@
             self.wanted_since = None
             return None
         readers = sum(worker.phase == PREFILL for worker in alive)
-        lacking = self.target(alive, load) - readers
-        direction = (lacking > HYSTERESIS) - (lacking < -HYSTERESIS)
+        self.lacking = self.target(alive, load) - readers
+        direction = (self.lacking > HYSTERESIS) - (self.lacking < -HYSTERESIS)
         if direction == 0:
             self.wanted_since = None
             return None
