--- a/molespur/policy/pair.py
+++ b/molespur/policy/pair.py
@@ -272,6 +272,8 @@
     def begin(self, now: float, step: Step, demand: Demand, key) -> None:
         """A call has been sent to a worker."""
         worker = step.worker
+        if not worker.unfinished:
+            worker.busy_since = now
         worker.unfinished += 1
         worker.awaited[key] = now + DUE_FORECASTS * step.forecast + DUE_SLACK_MS
         worker.reads[step.rank] += step.read
@@ -293,6 +295,18 @@
             self.refit_at = now + REFIT_MS
             self.model.refit(FIRST_TOKEN_MS, Part)
 
+    def overtaken(self, now: float, step: Step, begun: float, last_heard: float, answered: bool) -> None:
+        """A call is about to be ended because another was faster.  This is no failure of its worker.
+
+        `last_heard`: when something of the call came last, or it began; `answered`: whether an answer has
+        begun.  A worker silent on all calls since then is spared until its next word; of another one it is
+        known that the call would have taken at least this long.
+        """
+        if step.worker.heard_at <= last_heard:
+            step.worker.suspect(now)
+        elif not answered and now - begun > step.forecast:
+            step.worker.took(step.part, step.forecast, now - begun)
+
     def ended(self, now: float, step: Step, key, failed: bool = False, elapsed: float = 0.0) -> None:
         """A call is over, one way or another."""
         worker = step.worker
--- a/molespur/policy/tracking.py
+++ b/molespur/policy/tracking.py
@@ -50,6 +50,7 @@
     faults: float = 0.0
     until: float = float("-inf")
     length_ms: float = FIRST_REST_MS
+    suspected: bool = False  # spared for its silence alone: its next word ends that
 
 
 @dataclass(eq=False, slots=True)
@@ -77,7 +78,8 @@
     prefix_tokens: float = 0.0
     rest: Rest = field(default_factory=Rest)
     pace: dict = field(default_factory=dict)  # part -> log of observed over forecast time
-    heard_at: float = float("-inf")
+    heard_at: float = float("-inf")  # when it answered anything, or went on to
+    busy_since: float = float("-inf")  # since when own calls have been open there without a break
 
     def matched(self, parts):
         """Tokens of the leading parts that were lately sent there."""
@@ -132,22 +134,42 @@
         return max(now - next(iter(self.awaited.values())), 0.0)
 
     def resting(self, now):
-        """Whether it is spared now for its failures."""
+        """Whether it is spared now, for its failures or its silence."""
         return self.rest.until > now
 
+    def rests(self, now, quiet_ms):
+        """Whether it has own calls and has said nothing on any of them for so long."""
+        return self.unfinished > 0 and now - max(self.heard_at, self.busy_since) >= quiet_ms
+
+    def heard(self, now):
+        """Bytes of an answer have come from it."""
+        self.heard_at = now
+        if self.rest.suspected:
+            self.rest.suspected, self.rest.until = False, now
+
+    def suspect(self, now):
+        """It has been silent on all calls while another went on; no failure, and its next word refutes it."""
+        if not self.resting(now):
+            self.rest.suspected, self.rest.until = True, now + FIRST_REST_MS
+
     def failed(self, now, weight=1.0):
         """A call there has failed; several in a row let it rest, twice as long each time."""
         self.rest.faults += weight
-        if self.rest.faults >= FAULTS and not self.resting(now):
+        if self.rest.faults >= FAULTS and (self.rest.suspected or not self.resting(now)):
+            self.rest.suspected = False
             self.rest.until = now + self.rest.length_ms
             self.rest.length_ms = min(2 * self.rest.length_ms, LONGEST_REST_MS)
             self.rest.faults = FAULTS / 2  # the next failure after its rest counts at once
 
     def served(self, now, part, forecast, elapsed):
         """A call there has gone well."""
-        self.heard_at = now
+        self.heard(now)
         self.rest.faults /= 2
         self.rest.length_ms = max(self.rest.length_ms / 2, FIRST_REST_MS)
+        self.took(part, forecast, elapsed)
+
+    def took(self, part, forecast, elapsed):
+        """A call there took so long, or at least so long, where it was forecast otherwise."""
         ratio = log(max(elapsed, 1.0) / max(forecast, 1.0))
         pace = self.pace.get(part, 0.0) + PACE_GAIN * min(max(ratio, -1.5), 1.5)
         self.pace[part] = min(max(pace, PACE_LEAST), PACE_MOST)
--- a/molespur/system/data_plane/client_server.py
+++ b/molespur/system/data_plane/client_server.py
@@ -9,6 +9,7 @@
 from contextlib import suppress
 from enum import Enum
 
+from absl import logging
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.asyncio.tcp_server import MAX_RECV, TCPServer
 from hypercorn.asyncio.worker_context import WorkerContext
@@ -144,6 +145,8 @@
         self._connections[connection] = asyncio.current_task()
         try:
             await connection.run()
+        except asyncio.CancelledError:  # an ordinary end; asyncio would print a traceback
+            logging.info("connection closed in mid-request: the grace period is over")
         finally:
             del self._connections[connection]
 
--- a/molespur/system/data_plane/events.py
+++ b/molespur/system/data_plane/events.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 
 SEPARATOR = b"\n\n"
+ID = b"id:"
+VERSIONS = b"versions:"
 
 
 @dataclass(slots=True)
@@ -10,6 +12,7 @@
     """Holds back the bytes of an event that has not arrived whole."""
 
     last_id: bytes = b""
+    versions: bytes | None = None  # of the weights that the last event came from
     _tail: bytearray = field(default_factory=bytearray)
 
     def feed(self, data: bytes) -> bytes:
@@ -20,7 +23,8 @@
             return b""
         whole = bytes(self._tail[: end + len(SEPARATOR)])
         del self._tail[: end + len(SEPARATOR)]
-        self._note_id(whole)
+        self.last_id = _last_value(whole, ID) or self.last_id
+        self.versions = _last_value(whole, VERSIONS) or self.versions
         return whole
 
     def rest(self) -> bytes:
@@ -29,13 +33,25 @@
         self._tail.clear()
         return rest
 
-    def drop_rest(self) -> None:
-        """Forget a part of an event: its worker broke off."""
-        self._tail.clear()
 
-    def _note_id(self, whole: bytes) -> None:
-        start = whole.rfind(b"id:")
-        while start > 0 and whole[start - 1 : start] != b"\n":
-            start = whole.rfind(b"id:", 0, start)
-        if start >= 0:
-            self.last_id = whole[start + 3 : whole.find(b"\n", start)].strip()
+def _last_value(events: bytes, name: bytes) -> bytes | None:
+    """The value of the last line that begins with this name; None without one."""
+    start = events.rfind(name)
+    while start > 0 and events[start - 1 : start] != b"\n":
+        start = events.rfind(name, 0, start)
+    if start < 0:
+        return None
+    return events[start + len(name) : events.find(b"\n", start)].strip()
+
+
+def follows(events: bytes, last_id: bytes) -> bool:
+    """Whether the first of these events comes after the one of this id; only ids that are numbers tell."""
+    if not events.startswith(ID):
+        start = events.find(b"\n" + ID)
+        if start < 0:
+            return True
+        events = events[start + 1 :]
+    first = events[len(ID) : events.find(b"\n")].strip()
+    if not (first.isdigit() and last_id.isdigit()):
+        return True
+    return int(first) > int(last_id)
--- a/molespur/system/data_plane/exchange.py
+++ b/molespur/system/data_plane/exchange.py
@@ -1,122 +1,57 @@
 """One client request from its arrival to its answer, as a pure state machine.
 
 The one place that decides whether something may be sent again, and what a client may be told: from how far
-each attempt came.  Events go in through `handle(now, event)`, the action to take comes out.  Times are ms.
+each attempt came.  Events go in through `handle(now, event)`, the actions to take come out.  Times are ms.
+
+Only facts end an attempt: its worker has answered, rejected or broken off, or another attempt was faster.
+Silence is no fact.  It may begin a second attempt, a hedge, beside the silent one, if worker, time, attempts
+and budget allow one; the first of the two that brings what can go to the client next goes on, and the other
+is ended then.  The silent one is never given up for the mere hope of a better one.
 """
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from enum import Enum
 
 from ...policy.pair import Choice, Demand, PairPolicy, Step
 from ...policy.tracking import WorkerTrack
 from ..errors import ErrorKind
 from ..settings.configuration import Route
+from .exchange_messages import (
+    Abandon,
+    Action,
+    Answer,
+    AnswerEnded,
+    AttemptFailed,
+    AttemptProgress,
+    AttemptSilent,
+    Begin,
+    Cut,
+    Event,
+    Failure,
+    Finish,
+    HedgeRefusal,
+    PromptRead,
+    Read,
+    Run,
+    State,
+)
+from .hedging import HedgeGate
 
 LEAST_TIME_MS = 30.0  # with less time left nothing is begun
 LOWEST_PRIORITY_AIMS = (
     4.0  # requests of the lowest priority are refused when forecast later than so many aims
 )
-
-
-class State(Enum):
-    """Where a request is."""
-
-    NEW = "new"
-    READING = "reading"  # the prompt is being read apart
-    RUNNING = "running"  # a call whose answer is the client's is out
-    ANSWERING = "answering"  # the client has got the head of its answer
-    DONE = "done"
-
-
-class Failure(Enum):
-    """How far an attempt came before it failed."""
-
-    NOT_SENT = "not-sent"  # no connection came up
-    REJECTED = "rejected"  # the worker says that it did not run it
-    MAY_HAVE_RUN = "may-have-run"  # bytes went out, and no answer that can be used came
-
-
-# -- Events ----------------------------------------------------------------------------------------
-
-
-@dataclass(slots=True)
-class Begin:
-    """The request has come in whole."""
-
-
-@dataclass(slots=True)
-class PromptRead:
-    """The prefill call has given a handle."""
-
-    handle: str
-
-
-@dataclass(slots=True)
-class AttemptFailed:
-    """The call that is out has failed, without anything of it having gone to the client."""
-
-    failure: Failure
-
-
-@dataclass(slots=True)
-class AnswerBegun:
-    """The head of a worker's answer has gone to the client."""
-
-
-@dataclass(slots=True)
-class AnswerBroken:
-    """The worker's answer has ended before its end."""
-
-
-@dataclass(slots=True)
-class AnswerEnded:
-    """The whole answer has gone to the client."""
-
-
-Event = Begin | PromptRead | AttemptFailed | AnswerBegun | AnswerBroken | AnswerEnded
-
-# -- Actions ---------------------------------------------------------------------------------------
+MOST_OPEN_ATTEMPTS = 2
 
 
 @dataclass(slots=True)
-class Read:
-    """Call a worker to read the prompt apart."""
+class Attempt:
+    """One attempt that is open."""
 
+    number: int
     step: Step
-
-
-@dataclass(slots=True)
-class Run:
-    """Call a worker for the answer; with the address and handle of the memory that was read apart.
-
-    `resume`: the client has got a part of the answer; go on after it.
-    """
-
-    step: Step
-    source: WorkerTrack | None = None
-    handle: str = ""
-    resume: bool = False
-
-
-@dataclass(slots=True)
-class Answer:
-    """End the request with an answer of our own."""
-
-    kind: ErrorKind
-
-
-@dataclass(slots=True)
-class Cut:
-    """Close the client's connection: its answer can't be ended."""
-
-
-@dataclass(slots=True)
-class Finish:
-    """Nothing is left to do."""
-
-
-Action = Read | Run | Answer | Cut | Finish
+    reading: bool  # its prompt is read apart; else a call whose answer is the client's is out
+    hedge: bool
 
 
 class Exchange:
@@ -129,69 +64,93 @@
         policy: PairPolicy,
         workers: Callable[[], Iterable[WorkerTrack]],
         spend: Callable[[float], bool],
+        hedges: HedgeGate,
     ):
         self.route, self.demand, self.policy = route, demand, policy
-        self.workers, self.spend = workers, spend
+        self.workers, self.spend, self.hedges = workers, spend, hedges
         self.state = State.NEW
+        self.open: dict[int, Attempt] = {}
         self.avoid: list[str] = []
+        self.begun = 0  # attempts so far
         self.counted = 0  # arrivals at workers that count
         self.spent = 0  # repeats that the budget has granted
-        self.runs = 0  # calls for the answer that may have run
+        self.runs = 0  # calls for the answer that have ended and may have run
         self.read_free = True  # the first prompt that a worker reads apart does not count
-        self.way: Choice | None = None
-        self.step: Step | None = None
-        self.source: WorkerTrack | None = None
+        self.hedge_refusal: HedgeRefusal | None = None  # the last one
 
-    def handle(self, now: float, event: Event) -> Action:
-        """Take one event at time now (ms) and return what to do next."""
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Take one event at time now (ms) and return what to do next, in order."""
         match event:
             case Begin():
-                return self._choose(now)
-            case PromptRead(handle):
-                return self._hand_over(now, handle)
-            case AttemptFailed(failure):
-                return self._failed(now, failure)
-            case AnswerBegun():
-                return self._to(State.ANSWERING, Finish())
-            case AnswerBroken():
-                return self._broken(now)
-            case AnswerEnded():
-                return self._to(State.DONE, Finish())
-
-    def _to(self, state: State, action: Action) -> Action:
-        """The one place where the state changes."""
-        self.state = state
-        return action
-
-    def _end(self, kind: ErrorKind) -> Action:
-        return self._to(State.DONE, Answer(kind))
-
-    def _refuse(self, unsent: ErrorKind) -> Action:
+                return self._begin(now)
+            case PromptRead(number, handle) if number in self.open:
+                return self._hand_over(now, self.open[number], handle)
+            case AttemptSilent(number) if number in self.open:
+                return self._hedge(now, self.open[number])
+            case AttemptProgress(number) if number in self.open:
+                return self._progress(self.open[number])
+            case AttemptFailed(number, failure) if number in self.open:
+                return self._failed(now, self.open[number], failure)
+            case AnswerEnded(number) if number in self.open:
+                self.open.pop(number)
+                return self._done(Finish())
+        return []  # of an attempt that was ended meanwhile
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a worker may have run the request, or may be running it."""
+        return self.runs > 0 or any(not attempt.reading for attempt in self.open.values())
+
+    @property
+    def contested(self) -> bool:
+        """Whether more than one attempt is open."""
+        return len(self.open) > 1
+
+    def _done(self, action: Action) -> list[Action]:
+        """The one place where a request ends."""
+        self.state = State.DONE
+        return [*map(self._abandon, list(self.open.values())), action]
+
+    # -- Attempts that begin ---------------------------------------------------------------------
+
+    def _begin(self, now: float) -> list[Action]:
+        self.state = State.OPEN
+        return self._try_again(now)
+
+    def _try_again(self, now: float) -> list[Action]:
+        """Begin an attempt where none is open; without one the request ends."""
+        resume = self.state is State.ANSWERING
+        started = self._next(now, resume)
+        if not isinstance(started, ErrorKind):
+            return [started]
+        return self._done(Cut() if resume else Answer(self._refusal(started)))
+
+    def _refusal(self, unsent: ErrorKind) -> ErrorKind:
         """A final answer: it promises that nothing has run only if nothing can have."""
         if self.runs:
-            return self._end(ErrorKind.MAY_HAVE_RUN)
-        return self._end(ErrorKind.REJECTED if self.counted else unsent)
-
-    def _may_send(self, now: float) -> bool:
-        """Whether one more arrival is within the shared budget; the right is taken."""
-        while self.spent < self.counted:
-            if not self.spend(now):
-                return False
-            self.spent += 1
-        return True
+            return ErrorKind.MAY_HAVE_RUN
+        return ErrorKind.REJECTED if self.counted else unsent
 
-    def _choose(self, now: float, resume: bool = False) -> Action:
+    def _next(self, now: float, resume: bool) -> Action | ErrorKind:
         if self.demand.deadline_at - now < LEAST_TIME_MS:
-            return self._refuse(ErrorKind.OUT_OF_TIME_UNSENT)
+            return ErrorKind.OUT_OF_TIME_UNSENT
         choice = self.policy.choose(now, self.workers(), self.demand, self.avoid)
         if choice is None:
-            return self._refuse(ErrorKind.NO_WORKER)
+            return ErrorKind.NO_WORKER
         if self._hopeless(now, choice) or not self._may_send(now):
-            return self._refuse(ErrorKind.OVERLOADED)
-        if choice.way.prefill is not None and not resume:
-            self.step = choice.way.prefill
-            return self._to(State.READING, Read(self.step))
-        return self._run(choice.way.run, resume=resume)
+            return ErrorKind.OVERLOADED
+        return self._start(choice, resume)
+
+    def _may_send(self, now: float, read: bool = False) -> bool:
+        """Whether one more arrival is within the shared budget; the right is taken.
+
+        `read`: one for a prompt that is read a second time, which counts, goes before it.
+        """
+        while self.spent < self.counted + read:
+            if not self.spend(now):
+                return False
+            self.spent += 1
+        return True
 
     def _hopeless(self, now: float, choice: Choice) -> bool:
         """Whether the best forecast leaves a new request no chance, or the lowest priority no good one."""
@@ -203,53 +162,125 @@
         late = forecast > LOWEST_PRIORITY_AIMS * (demand.aim_at - now)
         return demand.lowest_priority and not choice.meets and late
 
-    def _run(
-        self, step: Step, source: WorkerTrack | None = None, handle: str = "", resume: bool = False
-    ) -> Action:
-        self.step = step
+    def _start(self, choice: Choice, resume: bool, hedge: bool = False) -> Action:
+        self.begun += 1
+        prefill = None if resume else choice.way.prefill
+        attempt = Attempt(self.begun, prefill or choice.way.run, prefill is not None, hedge)
+        self.open[attempt.number] = attempt
+        if attempt.reading:
+            return Read(attempt.number, attempt.step, hedge)
         self.counted += 1
-        return self._to(State.RUNNING, Run(step, source, handle, resume))
-
-    def _hand_over(self, now: float, handle: str) -> Action:
-        source = self.step.worker
+        return Run(attempt.number, attempt.step, resume=resume, hedge=hedge)
+
+    # -- A second attempt beside a silent one ----------------------------------------------------
+
+    def _hedge(self, now: float, silent: Attempt) -> list[Action]:
+        if len(self.open) >= MOST_OPEN_ATTEMPTS:
+            return []
+        started = self._begin_hedge(now, silent)
+        if isinstance(started, HedgeRefusal):
+            self.hedge_refusal = started
+            self.hedges.refused(started)
+            return []
+        return [started]
+
+    def _begin_hedge(self, now: float, silent: Attempt) -> Action | HedgeRefusal:
+        answering = self.state is State.ANSWERING
+        runs_left = self._runs_left()
+        if not silent.reading and runs_left < 1:
+            return HedgeRefusal.NO_ATTEMPT if self._repeatable() else HedgeRefusal.NOT_REPEATABLE
+        avoid = [*self.avoid, silent.step.worker.id]
+        choice = self.policy.choose(now, self.workers(), self.demand, avoid)
+        if choice is None:
+            return HedgeRefusal.NO_WORKER
+        if silent.reading and choice.way.prefill is None and runs_left < 2:
+            return HedgeRefusal.NO_ATTEMPT  # the silent one needs the last run for itself
+        if now + max(choice.way.forecast, LEAST_TIME_MS) > self.demand.deadline_at:
+            return HedgeRefusal.NO_TIME
+        refusal = self.hedges.refusal(now, silent.step.worker)
+        if refusal is not None:
+            return refusal
+        if not self._may_send(now, read=choice.way.prefill is not None and not answering):
+            return HedgeRefusal.NO_BUDGET
+        self.hedges.began(now, silent.step.worker)
+        return self._start(choice, answering, hedge=True)
+
+    def _repeatable(self) -> bool:
+        """Whether it may run again as far as its answer has come."""
+        return self.route.resumable if self.state is State.ANSWERING else self.route.repeatable
+
+    def _runs_left(self) -> int:
+        """How many more calls for the answer may begin; prompts may be read more often."""
+        running = sum(not attempt.reading for attempt in self.open.values())
+        most = self.route.max_attempts if self._repeatable() else 1
+        return most - self.runs - running
+
+    # -- Attempts that go on or end --------------------------------------------------------------
+
+    def _hand_over(self, now: float, attempt: Attempt, handle: str) -> list[Action]:
+        """The prompt has been read: call a worker for the answer."""
+        abandoned = [self._abandon(other) for other in self._others(attempt) if other.reading]
         if not self.read_free:
             self.counted += 1
         self.read_free = False
-        if self.demand.deadline_at - now < LEAST_TIME_MS or not self._may_send(now):
-            return self._refuse(ErrorKind.OUT_OF_TIME_UNSENT)
-        step = self.policy.choose_decode(now, self.workers(), self.demand, source, self.avoid)
+        source, step = attempt.step.worker, None
+        refusal = ErrorKind.OUT_OF_TIME_UNSENT
+        if self.demand.deadline_at - now >= LEAST_TIME_MS and self._may_send(now):
+            avoid = [*self.avoid, *(other.step.worker.id for other in self._others(attempt))]
+            step = self.policy.choose_decode(now, self.workers(), self.demand, source, avoid)
+            refusal = ErrorKind.NO_WORKER
         if step is None:
-            return self._refuse(ErrorKind.NO_WORKER)
-        return self._run(step, source, handle)
-
-    def _failed(self, now: float, failure: Failure) -> Action:
-        reading = self.state is State.READING
-        if self.step.worker.id not in self.avoid:
-            self.avoid.append(self.step.worker.id)
-        if reading:
-            if failure is Failure.REJECTED:
-                self.counted += 1
-            elif failure is Failure.MAY_HAVE_RUN:
-                self.counted += not self.read_free
-                self.read_free = False
-            return self._choose(now)
-        if failure is Failure.NOT_SENT:
-            self.counted -= 1
-            return self._choose(now)
-        if failure is Failure.REJECTED:
-            return self._choose(now)
-        self.runs += 1
-        if self.route.repeatable and self.runs < self.route.max_attempts:
-            return self._choose(now)
-        return self._end(ErrorKind.MAY_HAVE_RUN)
-
-    def _broken(self, now: float) -> Action:
-        """The client has a part of its answer."""
-        self.runs += 1
-        if self.step.worker.id not in self.avoid:
-            self.avoid.append(self.step.worker.id)
-        if self.route.resumable and self.runs < self.route.max_attempts:
-            action = self._choose(now, resume=True)
-            if isinstance(action, Run):
-                return action
-        return self._to(State.DONE, Cut())
+            self.open.pop(attempt.number)
+            abandoned.append(Abandon(attempt.number))
+            return abandoned if self.open else [*abandoned, *self._done(Answer(self._refusal(refusal)))]
+        attempt.step, attempt.reading = step, False
+        self.counted += 1
+        return [*abandoned, Run(attempt.number, step, source, handle, hedge=attempt.hedge)]
+
+    def _progress(self, attempt: Attempt) -> list[Action]:
+        """This one goes on; what it was raced by is ended before its next byte goes out."""
+        self.state = State.ANSWERING
+        if attempt.hedge:
+            attempt.hedge = False
+            self.hedges.won()
+        return [self._abandon(other) for other in self._others(attempt)]
+
+    def _others(self, attempt: Attempt) -> list[Attempt]:
+        return [other for other in self.open.values() if other is not attempt]
+
+    def _abandon(self, attempt: Attempt) -> Abandon:
+        """End an attempt that another one has overtaken; it may have run all the same."""
+        self.open.pop(attempt.number)
+        self._count_ended(attempt)
+        return Abandon(attempt.number)
+
+    def _count_ended(self, attempt: Attempt) -> None:
+        """An attempt has ended after bytes of it went out."""
+        if attempt.reading:
+            self.counted += not self.read_free
+            self.read_free = False
+        else:
+            self.runs += 1
+
+    def _failed(self, now: float, attempt: Attempt, failure: Failure) -> list[Action]:
+        self.open.pop(attempt.number)
+        if attempt.step.worker.id not in self.avoid:
+            self.avoid.append(attempt.step.worker.id)
+        match failure:
+            case Failure.MAY_HAVE_RUN:
+                self._count_ended(attempt)
+            case Failure.REJECTED:
+                self.counted += attempt.reading  # a run was counted as it began
+            case Failure.NOT_SENT:
+                self.counted -= not attempt.reading
+        if self.open:
+            return []  # the other one goes on
+        if attempt.reading or failure is not Failure.MAY_HAVE_RUN:
+            return self._try_again(now)
+        return self._after_run(now)
+
+    def _after_run(self, now: float) -> list[Action]:
+        """The last call for the answer has broken off."""
+        if self._runs_left() > 0:
+            return self._try_again(now)
+        return self._done(Cut() if self.state is State.ANSWERING else Answer(ErrorKind.MAY_HAVE_RUN))
--- a/molespur/system/data_plane/figures.py
+++ b/molespur/system/data_plane/figures.py
@@ -44,6 +44,24 @@
             ("part", "outcome"),
             dict(counts.calls),
         ),
+        Metric(
+            "answers_ended",
+            MetricKind.COUNTER,
+            "Requests whose answers have ended, by what has ended them.",
+            ("reason",),
+            {(reason.value,): float(count) for reason, count in counts.ended.items()},
+        ),
+        Metric(
+            "hedges",
+            MetricKind.COUNTER,
+            "Second attempts beside silent ones: begun, won, or not begun and why.",
+            ("service", "outcome"),
+            {
+                (service, outcome): float(count)
+                for service, gate in state.hedge_gates.items()
+                for outcome, count in gate.outcomes.items()
+            },
+        ),
         counter("worker_connections_opened", "Connections opened to workers.", upstreams.opened),
         gauge("open_requests", "Requests of clients under way.", open_requests()),
         gauge("configuration_version", "Version in force; 0 before the first.", _version(state)),
--- a/molespur/system/data_plane/http.py
+++ b/molespur/system/data_plane/http.py
@@ -7,8 +7,8 @@
 
 from ..metrics import CONTENT_TYPE, Metric, exposition
 from ..serving import serve
-from .client_call import AnswerCut
 from .client_server import ClientServer
+from .endings import AnswerCut
 from .ingress import Ingress
 
 __all__ = ["ClientServer", "IngressApp", "readiness_app", "serve"]
--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -9,6 +9,7 @@
 from ..settings.configuration import Route, Service
 from .client_call import ClientCall
 from .client_request import ClientRequest, demand_of, read_head
+from .endings import AnswerCut, EndReason
 from .serving_context import ServingContext
 from .state import DataPlaneState
 from .upstream import Upstreams
@@ -50,30 +51,45 @@
             self.open_requests -= 1
 
     async def _serve(self, scope, receive, send) -> None:
+        """One request to its end, whose reason is counted."""
+        reason = EndReason.INTERNAL_ERROR
         came_at = self.clock()
         try:
             request = read_head(scope, self.state.limits)
             request.body = await self._read_body(receive, request.deadline_ms)
             await self._wait_for_state(request)
             route, service = await self._route(request)
+            demand = demand_of(request, route, service, came_at, route.priority == self.state.lowest_priority)
+            call = ClientCall(self, request, route, service, demand, send)
+            reason = await self._until_ended(call, receive)
         except FleetError as error:
+            reason = EndReason.OWN_ANSWER
             await self.answer(send, self._refusal(error.kind))
-            return
         except ClientGone:
-            return
+            reason = EndReason.CLIENT_GONE
+        except AnswerCut as cut:
+            reason = cut.reason
+            raise
+        except asyncio.CancelledError:
+            reason = EndReason.GRACE_OVER
+            raise
+        finally:
+            self.counts.ended[reason] += 1
+
+    async def _until_ended(self, call: ClientCall, receive) -> EndReason:
+        """Carry a request out until it is answered, its time is over or its client has gone."""
         work = asyncio.current_task()
         watch = asyncio.get_running_loop().create_task(receive())
         watch.add_done_callback(lambda task: None if task.cancelled() else work.cancel())
-        demand = demand_of(request, route, service, came_at, route.priority == self.state.lowest_priority)
-        call = ClientCall(self, request, route, service, demand, send)
         try:
-            async with asyncio.timeout(max(demand.deadline_at - self.clock(), 0.0) / 1000.0):
-                await call.run()
+            async with asyncio.timeout(max(call.demand.deadline_at - self.clock(), 0.0) / 1000.0):
+                return await call.run()
         except TimeoutError:
-            await call.out_of_time()
+            return await call.out_of_time()
         except asyncio.CancelledError:
             if not watch.done():
                 raise
+            return call.reason or EndReason.CLIENT_GONE
         finally:
             watch.cancel()
 
@@ -115,6 +131,7 @@
             raise FleetError(ErrorKind.NO_ROUTE)
         service = self.state.services[self.state.pick_service(route)]
         self.state.budget(service.name).request(self.clock())
+        self.state.hedges(service.name).request()
         return route, service
 
     def _find(self, request: ClientRequest) -> Route | None:
--- a/molespur/system/data_plane/state.py
+++ b/molespur/system/data_plane/state.py
@@ -15,6 +15,7 @@
 from ..settings.process import ProcessSettings
 from ..shards.placement import CONFIGURATION, GROUPS
 from .budget import RetryBudget
+from .hedging import HedgeGate
 from .load import LoadMeter
 from .peer_work import PeerWorkTable, worker_hash
 from .routes import RouteTable
@@ -41,6 +42,7 @@
         self.service_of: dict[str, str] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.meters: dict[str, LoadMeter] = {}
+        self.hedge_gates: dict[str, HedgeGate] = {}
         self.schedulers = 0
         self.complete = asyncio.Event()  # a configuration and a first snapshot of every shard have come
         self.by_hash: dict[int, WorkerTrack] = {}
@@ -143,6 +145,13 @@
             )
         return budget
 
+    def hedges(self, service: str) -> HedgeGate:
+        """What this scheduler may begin beside silent attempts at a service."""
+        gate = self.hedge_gates.get(service)
+        if gate is None:
+            gate = self.hedge_gates[service] = HedgeGate(lambda: self.usable_workers(service))
+        return gate
+
     def meter(self, service: str) -> LoadMeter:
         """What this scheduler sends to a service."""
         return self.meters.setdefault(service, LoadMeter())
--- a/molespur/system/data_plane/upstream.py
+++ b/molespur/system/data_plane/upstream.py
@@ -10,7 +10,7 @@
 import httpx
 
 from ..faults import FaultPoint, strike
-from .exchange import Failure
+from .exchange_messages import Failure
 from .pool import ConnectionPool
 
 WRITE_TIMEOUT_S = 2.0
--- a/tests/system/mutations/breaks.py
+++ b/tests/system/mutations/breaks.py
@@ -25,6 +25,8 @@
 LOSS_TESTS = (TESTS + "test_second_loss.py",)
 CHANGE_TESTS = (TESTS + "test_many_changes.py",)
 CALLER_TESTS = (TESTS + "test_answers_and_callers.py",)
+EXCHANGE_TESTS = (TESTS + "test_exchange.py",)
+REST_TESTS = (TESTS + "test_resting_workers.py",)
 PART_TESTS = (TESTS + "test_workers.py", TESTS + "test_liveness_contact.py", TESTS + "test_orders.py")
 AGE_TESTS = tuple(
     TESTS + f"test_{name}.py"
@@ -126,16 +128,48 @@
     Break("a leader that is silent while a snapshot is on its way", CONSENSUS + "leading.py",
           "self._send_heartbeat(member)\n            return", "return", CHANGE_TESTS),
     # -- Point 5: callers and answers ----------------------------------------------------------------------
-    Break("a rejection of another request that counts", DATA_PLANE + "client_call.py",
+    Break("a rejection of another request that counts", DATA_PLANE + "answer_checks.py",
           "if rejected and answered in (attempt_id, None):", "if rejected:", CALLER_TESTS),
-    Break("an answer of any id", DATA_PLANE + "client_call.py",
+    Break("an answer of any id", DATA_PLANE + "answer_checks.py",
           "if answered != attempt_id:", "if False:", CALLER_TESTS),
     Break("a resend of what may have run", DATA_PLANE + "exchange.py",
-          "if self.route.repeatable and self.runs < self.route.max_attempts:",
-          "if self.runs < self.route.max_attempts:", CALLER_TESTS),
-    Break("an answer without a length that counts as whole", DATA_PLANE + "client_call.py",
+          "most = self.route.max_attempts if self._repeatable() else 1",
+          "most = self.route.max_attempts", CALLER_TESTS + EXCHANGE_TESTS),
+    Break("an answer without a length that counts as whole", DATA_PLANE + "worker_call.py",
           'raise UpstreamError(Failure.MAY_HAVE_RUN, "an answer without framing may be cut short")',
           "pass", CALLER_TESTS),
+    # -- Ends of answers: facts end, silence begins a second attempt at most --------------------------------
+    Break("a silent attempt that is ended with its hedge's beginning", DATA_PLANE + "exchange.py",
+          "return self._start(choice, answering, hedge=True)",
+          "self.open.pop(silent.number)\n        return self._start(choice, answering, hedge=True)",
+          EXCHANGE_TESTS + REST_TESTS),
+    Break("a failed attempt that ends the request beside an open one", DATA_PLANE + "exchange.py",
+          "if self.open:\n            return []  # the other one goes on", "", EXCHANGE_TESTS + REST_TESTS),
+    Break("an attempt that was overtaken and goes on", DATA_PLANE + "exchange.py",
+          "return [self._abandon(other) for other in self._others(attempt)]", "return []",
+          EXCHANGE_TESTS + REST_TESTS),
+    Break("a hedge without a right to a repeat", DATA_PLANE + "exchange.py",
+          "if not self._may_send(now, read=choice.way.prefill is not None and not answering):",
+          "if False:", EXCHANGE_TESTS),
+    Break("a hedge that takes a reader's only run", DATA_PLANE + "exchange.py",
+          "if silent.reading and choice.way.prefill is None and runs_left < 2:", "if False:", EXCHANGE_TESTS),
+    Break("an overtaken run that does not count", DATA_PLANE + "exchange.py",
+          "self.open.pop(attempt.number)\n        self._count_ended(attempt)",
+          "self.open.pop(attempt.number)", EXCHANGE_TESTS),
+    Break("hedges while most workers rest", DATA_PLANE + "hedging.py",
+          "if self._most_rest(now):", "if False:", (TESTS + "test_hedging.py",)),
+    Break("hedges beyond their share", DATA_PLANE + "hedging.py",
+          "self._saved -= 1.0", "pass", (TESTS + "test_hedging.py",)),
+    Break("a stream that is joined from two versions", DATA_PLANE + "client_answer.py",
+          "if head.get(VERSIONS) != self._versions:", "if False:", REST_TESTS),
+    Break("events that the client has already", DATA_PLANE + "worker_call.py",
+          "if not follows(whole, last_id):", "if False:", REST_TESTS),
+    Break("a stream that is taken up without an id", DATA_PLANE + "worker_call.py",
+          "if not last_id:", "if False:", REST_TESTS),
+    Break("an error that wins a race", DATA_PLANE + "worker_call.py",
+          "if head.status >= 400 and self.shared.contested:", "if False:", REST_TESTS),
+    Break("a worker that is blamed for being overtaken", "molespur/policy/pair.py",
+          "step.worker.suspect(now)", "step.worker.failed(now, 2.0)", (TESTS + "test_hedging.py",)),
     # -- Orders and records ------------------------------------------------------------------------------
     Break("a fence that was refused and is used again", "molespur/system/control_plane/orders.py",
           "self.fenced_off[worker.id] = fence", "pass", PART_TESTS),
--- a/tests/system/test_answers_and_callers.py
+++ b/tests/system/test_answers_and_callers.py
@@ -27,8 +27,8 @@
     stream_head,
 )
 
-from molespur.system.data_plane.client_call import check_head
-from molespur.system.data_plane.exchange import Failure
+from molespur.system.data_plane.answer_checks import check_head
+from molespur.system.data_plane.exchange_messages import Failure
 from molespur.system.data_plane.upstream import Head, UpstreamError
 
 HISTORIES = int(os.environ.get("ANSWER_HISTORIES", "240"))  # 10,000 by night
--- a/tests/system/test_data_plane_parts.py
+++ b/tests/system/test_data_plane_parts.py
@@ -9,10 +9,10 @@
 from hypothesis import strategies as st
 from wire import settings
 
+from molespur.system.data_plane.answer_checks import check_head, read_handle
 from molespur.system.data_plane.budget import RetryBudget
-from molespur.system.data_plane.client_call import check_head, read_handle
 from molespur.system.data_plane.client_request import demand_of, read_head
-from molespur.system.data_plane.events import EventFilter
+from molespur.system.data_plane.events import EventFilter, follows
 from molespur.system.data_plane.load import LoadMeter
 from molespur.system.data_plane.routes import RouteTable
 from molespur.system.data_plane.state import DataPlaneState
@@ -38,8 +38,32 @@
     events = EventFilter()
     events.feed(b"id: 3\ndata: x\n\nid: 4\nda")
     assert events.last_id == b"3"
-    events.drop_rest()
-    assert events.feed(b"id: 4\ndata: y\n\n") == b"id: 4\ndata: y\n\n"
+    resumed = EventFilter(events.last_id)
+    assert resumed.feed(b"id: 4\ndata: y\n\n") == b"id: 4\ndata: y\n\n"
+    assert resumed.last_id == b"4" and events.rest() == b"id: 4\nda"
+
+
+@pytest.mark.parametrize(
+    ("events", "last_id", "expected"),
+    [
+        (b"id: 4\ndata: x\n\n", b"3", True),
+        (b"id: 3\ndata: x\n\n", b"3", False),
+        (b"versions: 7\nid: 3\ndata: x\n\n", b"3", False),
+        (b"data: id: 2\nid: 10\n\n", b"9", True),
+        (b"data: no id\n\n", b"3", True),
+        (b"id: a\n\n", b"3", True),
+    ],
+)
+def test_events_that_the_client_has_already_do_not_follow(events, last_id, expected):
+    assert follows(events, last_id) is expected
+
+
+def test_the_weights_that_events_come_from_are_known():
+    events = EventFilter(versions=b"1")
+    events.feed(b"id: 1\ndata: versions: 9\n\n")
+    assert events.versions == b"1"
+    events.feed(b"versions: 2\nid: 2\ndata: x\n\n")
+    assert events.versions == b"2"
 
 
 def table(*prefixes):
--- a/tests/system/test_data_plane_wire.py
+++ b/tests/system/test_data_plane_wire.py
@@ -388,7 +388,7 @@
 
 
 def test_a_stalled_stream_that_may_be_resumed_goes_on_elsewhere(monkeypatch):
-    monkeypatch.setattr("molespur.system.data_plane.client_call.LEAST_PAUSE_MS", 30.0)
+    monkeypatch.setattr("molespur.system.data_plane.worker_call.LEAST_PAUSE_MS", 30.0)
 
     async def scenario():
         def stall(request):
@@ -411,7 +411,7 @@
 
 
 def test_a_worker_that_says_nothing_is_given_up_only_where_that_is_harmless(monkeypatch):
-    monkeypatch.setattr("molespur.system.data_plane.client_call.RUN_PATIENCE", (0.0, 30.0))
+    monkeypatch.setattr("molespur.system.data_plane.worker_call.RUN_SILENCE", (0.0, 30.0))
 
     async def scenario(kind, expected):
         first = []
--- a/tests/system/test_pair_policy.py
+++ b/tests/system/test_pair_policy.py
@@ -6,7 +6,7 @@
 
 from molespur.policy.pair import HOME_MATCH, Demand, EngineShape, PairPolicy, Step
 from molespur.policy.tracking import IN_PROGRESS_CHANCE, IN_PROGRESS_LEFT, RANKS, Part, Report, WorkerTrack
-from molespur.system.data_plane.client_call import seconds_of_patience
+from molespur.system.data_plane.worker_call import silence_age_s
 
 ENGINE = EngineShape(18_432.0, 550_000.0, 400_000.0)
 LONG = (("a" * 8, 2_500.0), ("b" * 8, 3_800.0), ("own1", 2_800.0))
@@ -199,4 +199,4 @@
     known = worker("p", "prefill")
     known.peer_scale = peer_scale
     step = Step(known, Part.PREFILL, run=50.0, wait=0.0, use=0.0, match=1.0, forecast=60.0)
-    assert seconds_of_patience(step, 4.0, 400.0) == pytest.approx(seconds)
+    assert silence_age_s(step, 4.0, 400.0) == pytest.approx(seconds)
