A loss of workers that decode is made up for at once, and the split bears a few

Ruled out: an order that was lost (none was given), workers counted that had left (the planner counts only ready ones). Change: fewer decode workers than the least, or nearly all their places taken, waits only as long as a first change; the least is a sixth of the workers, one a zone and two.

--- a/molespur/system/workers/phases.py
+++ b/molespur/system/workers/phases.py
@@ -1,11 +1,13 @@
 """How many of a service's model workers read prompts, and which one changes its part next.  Pure.
 
 The split follows the demand that the schedulers report.  It does not swing: a change must be called for over
-some time, and one direction is kept for a while.
+some time, and one direction is kept for a while.  A shortage of workers that decode is no swing: workers have
+left, or all answers are late, so it is made up for at once, whatever direction the last change had.
 """
 
 from collections import Counter
 from dataclasses import dataclass
+from math import ceil
 
 from ..rpc import molespur_pb2 as pb
 
@@ -13,6 +15,8 @@
 READ_TOKENS_PER_S = 28_000.0  # what one prefill worker is given at most: half of what it can read
 RUNNING_SHARE = 0.5  # part of a decode worker's slots that are given out
 LEAST_TOKENS_PER_S = 2_000.0  # with less to read nothing is changed
+LEAST_RUNNERS = 1 / 6  # part of the workers that decodes at least: a few of them may leave at once
+SHORT_SHARE = 0.8  # part of the decode workers' slots that, once taken, calls for more of them at once
 COLD_READERS = 0.6  # part that should read prompts when traffic begins: no prefix is cached anywhere yet
 HYSTERESIS = 0.6  # workers by which the split must be off
 SETTLE_MS = 600.0  # a change must be called for this long
@@ -42,16 +46,13 @@
 
     def target(self, workers: list[pb.Worker], load: pb.ServiceLoad) -> float:
         """How many workers should read prompts, before rounding."""
-        zones = len({worker.zone for worker in workers})
         if self.loaded:
             readers = load.read_tokens_per_s / READ_TOKENS_PER_S
-            slots = sum(worker.capacity for worker in workers) / len(workers)
-            runners = max(load.running / (RUNNING_SHARE * max(slots, 1.0)), 0.1)
+            runners = max(load.running / (RUNNING_SHARE * _slots(workers)), 0.1)
             share = readers / (readers + runners)
         else:
             share = COLD_READERS
-        least_runners = min(max(zones, 2), len(workers) // 2)
-        return max(min(share * len(workers), len(workers) - least_runners), 1.0)
+        return max(min(share * len(workers), len(workers) - least_runners(workers)), 1.0)
 
     def plan(self, now: float, workers: list[pb.Worker], load: pb.ServiceLoad) -> PhaseOrder | None:
         """The next order, if one is called for."""
@@ -68,15 +69,23 @@
         if direction == 0:
             self.wanted_since = None
             return None
+        short = direction < 0 and self._short(alive, load)
         if self.wanted_since is None or direction != self.direction:
-            if self.direction and direction != self.direction and now - self.turned_at < REVERSE_MS:
+            turns = self.direction and direction != self.direction
+            if turns and not short and now - self.turned_at < REVERSE_MS:
                 return None
             self.wanted_since, self.direction = now, direction
-        settle = SETTLE_MS if self.ordered_at else FIRST_SETTLE_MS
+        settle = SETTLE_MS if self.ordered_at and not short else FIRST_SETTLE_MS
         if now - self.wanted_since < settle:
             return None
         return self._order(now, alive, PREFILL if direction > 0 else DECODE)
 
+    @staticmethod
+    def _short(workers: list[pb.Worker], load: pb.ServiceLoad) -> bool:
+        """Whether too few workers decode: fewer than the least, or nearly all their places are taken."""
+        runners = sum(worker.phase == DECODE for worker in workers)
+        return runners < least_runners(workers) or load.running > SHORT_SHARE * runners * _slots(workers)
+
     def _order(self, now: float, alive: list[pb.Worker], phase: str) -> PhaseOrder | None:
         free = [
             worker
@@ -91,3 +100,14 @@
         worker = max(free, key=lambda w: (same[w.zone], w.id))
         self.ordered_at[worker.id] = self.turned_at = now
         return PhaseOrder(worker, phase)
+
+
+def least_runners(workers: list[pb.Worker]) -> int:
+    """How many of these workers decode at least: one a zone, and enough to bear the loss of a few."""
+    zones = len({worker.zone for worker in workers})
+    return min(max(zones, 2, ceil(LEAST_RUNNERS * len(workers))), len(workers) // 2)
+
+
+def _slots(workers: list[pb.Worker]) -> float:
+    """Requests that one of these workers runs at once, on the mean."""
+    return max(sum(worker.capacity for worker in workers) / len(workers), 1.0)
--- a/tests/system/mutations/breaks.py
+++ b/tests/system/mutations/breaks.py
@@ -170,6 +170,11 @@
           "if head.status >= 400 and self.shared.contested:", "if False:", REST_TESTS),
     Break("a worker that is blamed for being overtaken", "molespur/policy/pair.py",
           "step.worker.suspect(now)", "step.worker.failed(now, 2.0)", (TESTS + "test_hedging.py",)),
+    Break("a loss of decode workers that waits like a swing", "molespur/system/workers/phases.py",
+          "if turns and not short and now - self.turned_at < REVERSE_MS:",
+          "if turns and now - self.turned_at < REVERSE_MS:", (TESTS + "test_phases.py",)),
+    Break("a split that bears no loss", "molespur/system/workers/phases.py",
+          "LEAST_RUNNERS = 1 / 6", "LEAST_RUNNERS = 1 / 60", (TESTS + "test_phases.py",)),
     # -- Orders and records ------------------------------------------------------------------------------
     Break("a fence that was refused and is used again", "molespur/system/control_plane/orders.py",
           "self.fenced_off[worker.id] = fence", "pass", PART_TESTS),
