Soak: workers that rest, slow, refuse and break off, long streams, cuts without a fact

The rule LOST counts requests without any answer, the new rule CUT all answers that were cut, those sent ahead included: together they hold more than before.

--- a/molespur/system/soak/checker.py
+++ b/molespur/system/soak/checker.py
@@ -15,6 +15,8 @@
 DRAIN_S = 2.0  # DrainTimeoutMs
 GRACE_S = 8.0  # GracePeriodS
 IN_TOUCH_S = 3.0
+DEADLINE_S = 4.0  # of a client's request, and the route's time-out
+BODY_S = 0.25  # longest time that the slow bodies of these clients take
 SLACK_S = 0.25  # clocks of two tasks of the soak, and sockets' queues
 PROMISES = (408, 421, 429, 503)  # the request has not run and never will
 NOT_REPEATED = (RequestKind.NON_IDEMPOTENT, RequestKind.STREAM)
@@ -43,6 +45,7 @@
             self.deeds[deed.process].append(deed)
         self.taken = [change for change in log.changes if change.status == 200]
         self.ended_at = {end.worker: end.at for end in log.ends}
+        self.broken_off = {broken.attempt: broken.at for broken in log.broken_off}
 
     def runs(self, exchange: Exchange) -> list[Arrival]:
         """The workers' runs of a request."""
@@ -106,14 +109,14 @@
 def _planned_work_loses_nothing(index: _Index) -> Iterator[Finding]:
     """A whole request was read, its scheduler lived on or was told to end in order, and no answer came."""
     for exchange in index.log.exchanges:
-        if exchange.ending not in (Ending.NO_ANSWER, Ending.CUT) or exchange.pipelined:
+        if exchange.ending is not Ending.NO_ANSWER or exchange.pipelined:
             continue
         since, until = exchange.sent_at - SLACK_S, exchange.ended_at + SLACK_S
         hard = (Deed.KILL, Deed.FREEZE, Deed.THAW, Deed.START)
         if index.troubled(exchange.scheduler, since - IN_TOUCH_S, until, hard):
             continue
         arrivals = index.arrivals[exchange.attempt]
-        if _worker_went(index, arrivals, until) or _grace_over(index, exchange):
+        if _worker_went(index, exchange, until) or _grace_over(index, exchange):
             continue
         passed_on = any(arrival.runs for arrival in arrivals)
         stopping = index.troubled(exchange.scheduler, since - GRACE_S, until, (Deed.TERMINATE,))
@@ -122,7 +125,30 @@
             yield Finding("LOST", exchange.ended_at, what)
 
 
-def _worker_went(index: _Index, arrivals: list[Arrival], until: float) -> bool:
+def _cuts_have_facts(index: _Index) -> Iterator[Finding]:
+    """An answer that has begun ends early for a fact only: silence, changes and goodbyes are none."""
+    for exchange in index.log.exchanges:
+        if exchange.ending is not Ending.CUT:
+            continue
+        since, until = exchange.sent_at - SLACK_S, exchange.ended_at + SLACK_S
+        hard = (Deed.KILL, Deed.FREEZE, Deed.THAW, Deed.START, Deed.EXIT)
+        facts = (
+            index.troubled(exchange.scheduler, since, until, hard),
+            _worker_went(index, exchange, until),
+            _grace_over(index, exchange),
+            exchange.ended_at - exchange.sent_at >= DEADLINE_S - BODY_S - SLACK_S,
+        )
+        if not any(facts):
+            age = exchange.ended_at - exchange.sent_at
+            what = f"{exchange.kind.value} {exchange.attempt} at {exchange.scheduler}, {age:.2f} s old"
+            yield Finding("CUT", exchange.ended_at, what)
+
+
+def _worker_went(index: _Index, exchange: Exchange, until: float) -> bool:
+    """Whether a worker that the request came to has ended, or has broken the answer off."""
+    if index.broken_off.get(exchange.attempt, until + 1.0) <= until:
+        return True
+    arrivals = index.arrivals[exchange.attempt]
     return any(index.ended_at.get(arrival.worker, until + 1.0) <= until for arrival in arrivals)
 
 
@@ -212,6 +238,7 @@
     "streams have every event once, in order": _streams_in_order,
     "workers run only what was asked for": _nothing_unasked,
     "planned work loses no request": _planned_work_loses_nothing,
+    "an answer is cut for a fact only": _cuts_have_facts,
     "acknowledged changes are in force in time": _changes_in_force,
     "of two changes on one version one is taken": _one_of_two_wins,
     "a read tells the newest": _reads_are_new,
--- a/molespur/system/soak/clients.py
+++ b/molespur/system/soak/clients.py
@@ -16,6 +16,7 @@
 
 HOST = "soak.example"
 PATHS = {kind: f"/{kind.value}/" for kind in RequestKind}
+KIND_WEIGHTS = [1.0 if kind is not RequestKind.LONG else 0.2 for kind in RequestKind]
 DEADLINE_MS = 4000
 PATIENCE_S = 5.0
 CONNECT_S = 1.0
@@ -85,11 +86,11 @@
     # -- Requests ------------------------------------------------------------------------------
 
     async def _send(self, target: Target, writer, pipelined: bool) -> Exchange:
-        kind = self.random.choice(list(RequestKind))
+        kind = self.random.choices(list(RequestKind), KIND_WEIGHTS)[0]
         exchange = Exchange(f"{next(self._numbers):016x}", kind, target.name, self.clock(), pipelined)
-        if kind in (RequestKind.STREAM, RequestKind.RESUMABLE):
+        if kind.streams:
             exchange.events_wanted = EVENTS
-        if kind is RequestKind.RESUMABLE and self.random.random() < AHEAD_SHARE:
+        if kind.resumable and self.random.random() < AHEAD_SHARE:
             exchange.from_event = self.random.randint(1, EVENTS - 1)
         self.log.exchanges.append(exchange)
         body = b"b" * self.random.choice((0, 10, 1000, 20_000))
--- a/molespur/system/soak/operators.py
+++ b/molespur/system/soak/operators.py
@@ -145,9 +145,8 @@
 
 
 def _route(name: str, path: str, kind: RequestKind) -> dict:
-    stream = kind in (RequestKind.STREAM, RequestKind.RESUMABLE)
     return {
         "Name": name, "Host": HOST, "PathPrefix": path, "Service": SERVICE, "MaxAttempts": 2,
-        "Type": "streaming" if stream else kind.value, "Resumable": kind is RequestKind.RESUMABLE,
+        "Type": "streaming" if kind.streams else kind.value, "Resumable": kind.resumable,
         "TimeoutMs": 4000, "TargetLatencyMs": 400, "Priority": 0, "gap_aim_ms": 250,
     }  # fmt: skip
--- a/molespur/system/soak/plain_worker.py
+++ b/molespur/system/soak/plain_worker.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 from contextlib import suppress
+from enum import Enum
 
 import httpx
 
@@ -18,10 +19,25 @@
 GOODBYE_TRIES = 15
 WORK_S = 0.01
 EVENT_S = 0.01
+LONG_EVENT_S = 0.2
 EVENTS = 12
+SLOW_TIMES = 8.0
 SLOTS = 64
 
 
+class Mood(Enum):
+    """What a worker may do for a while."""
+
+    REST = "rest"  # no byte of any answer goes out
+    SLOW = "slow"
+    REFUSE = "refuse"  # requests are not run
+    BREAK = "break"  # answers are broken off in the middle
+
+
+class BrokeOff(OSError):
+    """This worker has broken its answer off."""
+
+
 class PlainWorker:
     """One worker, for one life."""
 
@@ -33,9 +49,11 @@
         zone: str,
         on_arrival: Callable[[str, str, bool], None],
         on_goodbye: Callable[[str], None],
+        on_break: Callable[[str, str], None] = lambda _worker, _attempt: None,
     ):
         self.name, self.service, self.address, self.zone = name, service, address, zone
-        self.on_arrival, self.on_goodbye = on_arrival, on_goodbye
+        self.on_arrival, self.on_goodbye, self.on_break = on_arrival, on_goodbye, on_break
+        self._mood_until: dict[Mood, float] = {}  # on the loop's clock
         self.leaving = asyncio.Event()
         self.down = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -55,6 +73,25 @@
             for writer in self._writers:
                 writer.transport.abort()
 
+    def change_mood(self, mood: Mood, for_s: float) -> None:
+        """Do this for so long."""
+        self._mood_until[mood] = asyncio.get_running_loop().time() + for_s
+
+    def _left_of(self, mood: Mood) -> float:
+        return self._mood_until.get(mood, 0.0) - asyncio.get_running_loop().time()
+
+    async def _work(self, seconds: float) -> None:
+        """Take this long for the next step of an answer, longer when slow; rest first if told to."""
+        while (left := self._left_of(Mood.REST)) > 0:
+            await asyncio.sleep(left)
+        await asyncio.sleep(seconds * (SLOW_TIMES if self._left_of(Mood.SLOW) > 0 else 1.0))
+
+    def _perhaps_break(self, writer, attempt: str) -> None:
+        if self._left_of(Mood.BREAK) > 0:
+            self.on_break(self.name, attempt)
+            writer.transport.abort()
+            raise BrokeOff
+
     # -- Registration --------------------------------------------------------------------------
 
     async def _register(self, control: Callable[[], Sequence[str]]) -> None:
@@ -112,7 +149,7 @@
         if fields.get("molespur-expected-instance", self.name) != self.name:
             writer.write(f"HTTP/1.1 421 Misdirected\r\n{head}Content-Length: 0\r\n\r\n".encode())
             return
-        runs = self._running < SLOTS
+        runs = self._running < SLOTS and self._left_of(Mood.REFUSE) <= 0
         self.on_arrival(self.name, attempt, runs)
         if not runs:
             writer.write(
@@ -122,10 +159,14 @@
         head += f"Molespur-Server-Stamp: {self.name}.{attempt}\r\n"
         self._running += 1
         try:
-            await asyncio.sleep(WORK_S)
-            if "/stream/" in path or "/resumable/" in path:
-                await self._stream(writer, head, attempt, int(fields.get("last-event-id", "0") or 0))
+            await self._work(WORK_S)
+            after = int(fields.get("last-event-id", "0") or 0)
+            if "/long/" in path:
+                await self._stream(writer, head, attempt, after, LONG_EVENT_S)
+            elif "/stream/" in path or "/resumable/" in path:
+                await self._stream(writer, head, attempt, after, EVENT_S)
             else:
+                self._perhaps_break(writer, attempt)
                 answer = f"{attempt}:{length}".encode()
                 writer.write(
                     f"HTTP/1.1 200 OK\r\n{head}Content-Length: {len(answer)}\r\n\r\n".encode() + answer
@@ -134,14 +175,15 @@
         finally:
             self._running -= 1
 
-    async def _stream(self, writer, head: str, attempt: str, after: int) -> None:
+    async def _stream(self, writer, head: str, attempt: str, after: int, pause_s: float) -> None:
         head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
         writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
         for number in range(after + 1, EVENTS + 1):
             event = f"id: {number}\ndata: {attempt}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
-            await asyncio.sleep(EVENT_S)
+            await self._work(pause_s)
+            self._perhaps_break(writer, attempt)
         writer.write(b"0\r\n\r\n")
 
 
--- a/molespur/system/soak/plan.py
+++ b/molespur/system/soak/plan.py
@@ -39,6 +39,10 @@
     CONTROL_DELAY = "links of the control plane slow"
     WORKER_CRASH = "worker lost"
     WORKER_DRAIN = "worker leaves"
+    WORKER_REST = "worker rests: all its answers stand still"
+    WORKER_SLOW = "worker slow"
+    WORKER_REFUSE = "worker puts requests back"
+    WORKER_BREAK = "worker breaks answers off"
 
 
 SCHEDULER_TROUBLES = (
@@ -47,6 +51,10 @@
 )  # fmt: skip
 CONTROL_TROUBLES = tuple(trouble for trouble in Trouble if trouble.name.startswith("CONTROL"))
 WORKER_TROUBLES = (Trouble.WORKER_CRASH, Trouble.WORKER_DRAIN, Trouble.WORKER_DRAIN)
+WORKER_MOODS = (
+    Trouble.WORKER_REST, Trouble.WORKER_REST, Trouble.WORKER_SLOW, Trouble.WORKER_REFUSE,
+    Trouble.WORKER_BREAK,
+)  # fmt: skip
 HARMLESS = (Trouble.CONTROL_RELOAD, Trouble.CONTROL_RESET)  # the machine is not lost by it
 
 
@@ -67,6 +75,7 @@
         *_series(random, length_s, SCHEDULER_TROUBLES, SCHEDULER_GAP_S),
         *_one_at_a_time(random, length_s),
         *_series(random, length_s, WORKER_TROUBLES, WORKER_GAP_S),
+        *_series(random, length_s, WORKER_MOODS, WORKER_GAP_S),
     ]
     return sorted(events, key=lambda event: event.at)
 
--- a/molespur/system/soak/records.py
+++ b/molespur/system/soak/records.py
@@ -14,6 +14,17 @@
     NON_IDEMPOTENT = "non_idempotent"
     STREAM = "stream"  # may not be taken up again
     RESUMABLE = "resumable"
+    LONG = "long"  # a resumable stream of seconds: open through signals and changes
+
+    @property
+    def streams(self) -> bool:
+        """Whether its answer is a stream of events."""
+        return self in (RequestKind.STREAM, RequestKind.RESUMABLE, RequestKind.LONG)
+
+    @property
+    def resumable(self) -> bool:
+        """Whether its stream may be taken up again."""
+        return self in (RequestKind.RESUMABLE, RequestKind.LONG)
 
 
 class Ending(Enum):
@@ -132,6 +143,15 @@
     worker: str
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenOff:
+    """A worker has broken its answer off on purpose."""
+
+    at: float
+    worker: str
+    attempt: str
+
+
 @dataclass(frozen=True, slots=True)
 class Sample:
     """What a process uses, and the configuration that it says is in force."""
@@ -156,5 +176,6 @@
     deeds: list[ProcessDeed] = field(default_factory=list)
     goodbyes: list[Goodbye] = field(default_factory=list)
     ends: list[WorkerEnded] = field(default_factory=list)
+    broken_off: list[BrokenOff] = field(default_factory=list)
     samples: list[Sample] = field(default_factory=list)
     last_read: int | None = None  # the version that was read back at the end
--- a/molespur/system/soak/run.py
+++ b/molespur/system/soak/run.py
@@ -25,9 +25,9 @@
 from .clients import HOST, Clients, Target
 from .fleet import CONTROL, SCHEDULER, WORKER_PART, SoakFleet, control_addresses
 from .operators import SERVICE, Operators
-from .plain_worker import PlainWorker
+from .plain_worker import Mood, PlainWorker
 from .plan import Event, Trouble
-from .records import Arrival, Change, Deed, Goodbye, Log, Probe, WorkerEnded
+from .records import Arrival, BrokenOff, Change, Deed, Goodbye, Log, Probe, WorkerEnded
 
 CONTROL_PROCESSES = 3
 CLIENTS = 12
@@ -38,11 +38,18 @@
 PROBE_AFTER_S = 2.05  # the promise of propagation, and a little
 PROBE_S = 3.0
 DELAY_S = 0.05
-LAST_S = 1.0
+LAST_S = 6.0  # a client waits 5 s for an answer at most
 OPERATORS = ("north", "south")
 DISK_BACK_S = 0.5
 REPLACED_S = 1.0  # the new machine starts so much before the old one is told to end
 NETWORKS = 128
+LONGEST_MOOD_S = 3.0  # a request has 4 s
+MOODS = {
+    Trouble.WORKER_REST: Mood.REST,
+    Trouble.WORKER_SLOW: Mood.SLOW,
+    Trouble.WORKER_REFUSE: Mood.REFUSE,
+    Trouble.WORKER_BREAK: Mood.BREAK,
+}
 HISTORY_FILE = "history.json"  # beside the processes' logs: all that was noted
 
 
@@ -78,10 +85,11 @@
         """Seconds on the steady clock since the run began."""
         return time.monotonic() - self.began
 
-    def _spawn(self, work) -> None:
+    def _spawn(self, work) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._done)
+        return task
 
     def _done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
@@ -95,13 +103,12 @@
         """The whole course.  Raises FleetError where the fleet does not come up."""
         try:
             await self._come_up()
-            for number in range(CLIENTS):
-                self._spawn(self.clients.run(number, self.stop))
+            clients = [self._spawn(self.clients.run(number, self.stop)) for number in range(CLIENTS)]
             for name in OPERATORS:
                 self._spawn(self.operators.run(name, self.stop))
             self._spawn(self._watch())
             await self._trouble()
-            await self._settle()
+            await self._settle(clients)
         finally:
             self.stop.set()
             for task in list(self._tasks):
@@ -141,10 +148,10 @@
             self._spawn(self._strike(event))
         await asyncio.sleep(max(began + self.length_s - self.clock(), 0.0))
 
-    async def _settle(self) -> None:
+    async def _settle(self, clients: list[asyncio.Task]) -> None:
         """All trouble is over: the last answers come in, and the newest configuration is read back."""
         self.stop.set()
-        await asyncio.sleep(LAST_S)
+        await asyncio.wait(clients, timeout=LAST_S)
         self.log.last_read = await self.operators.read_back()
 
     # -- Trouble -------------------------------------------------------------------------------
@@ -157,7 +164,7 @@
         return idle[int(event.choice * len(idle))] if idle else None
 
     async def _strike(self, event: Event) -> None:
-        if event.trouble in (Trouble.WORKER_CRASH, Trouble.WORKER_DRAIN):
+        if event.trouble.name.startswith("WORKER"):
             self._strike_worker(event)
             return
         victim = self._victim(event)
@@ -238,6 +245,7 @@
         worker = PlainWorker(
             f"worker-{number}", SERVICE, f"{host}:{WORKER_PORT}", ZONES[number % len(ZONES)],
             self._arrived, lambda name: self.log.goodbyes.append(Goodbye(self.clock(), name)),
+            lambda name, attempt: self.log.broken_off.append(BrokenOff(self.clock(), name, attempt)),
         )  # fmt: skip
         self.workers[worker.name] = worker
         self._spawn(self._live(worker))
@@ -258,6 +266,9 @@
             return
         self.met[event.trouble.value] += 1
         worker = staying[int(event.choice * len(staying))]
+        if event.trouble in MOODS:
+            worker.change_mood(MOODS[event.trouble], min(event.for_s, LONGEST_MOOD_S))
+            return
         self._start_worker()
         if event.trouble is Trouble.WORKER_DRAIN:
             worker.leaving.set()
--- a/tests/system/test_soak_checker.py
+++ b/tests/system/test_soak_checker.py
@@ -5,6 +5,7 @@
 from molespur.system.soak import checker
 from molespur.system.soak.records import (
     Arrival,
+    BrokenOff,
     Change,
     ConfigurationRead,
     Deed,
@@ -65,6 +66,20 @@
     "a stream that was cut by the end of its worker": log(
         exchanges=[stream([1, 2], Ending.CUT)], arrivals=[ran()], ends=[WorkerEnded(10.09, "w")]
     ),
+    "a stream that its worker broke off": log(
+        exchanges=[stream([1, 2], Ending.CUT)], arrivals=[ran()], broken_off=[BrokenOff(10.09, "w", "a1")]
+    ),
+    "a stream cut at its deadline": log(
+        exchanges=[stream([1, 2], Ending.CUT, ended_at=14.0)], arrivals=[ran()]
+    ),
+    "a stream cut by the end of the grace period": log(
+        exchanges=[stream([1, 2], Ending.CUT, ended_at=12.0)],
+        arrivals=[ran()],
+        deeds=[ProcessDeed(4.0, "edge", Deed.TERMINATE)],
+    ),
+    "a stream cut with its scheduler": log(
+        exchanges=[stream([1, 2], Ending.CUT)], arrivals=[ran()], deeds=[ProcessDeed(10.1, "edge", Deed.KILL)]
+    ),
     "a stream taken up again": log(exchanges=[stream([2, 3], from_event=1)], arrivals=[ran()]),
     "lost with a process that was killed": log(
         exchanges=[exchange(**CUT_OFF)], deeds=[ProcessDeed(10.06, "edge", Deed.KILL)]
@@ -103,6 +118,22 @@
         "LOST",
         log(exchanges=[exchange(**CUT_OFF)], arrivals=[ran()], deeds=[TOLD_TO_END]),
     ),
+    "a stream cut while its worker was at work": (
+        "CUT",
+        log(exchanges=[stream([1, 2], Ending.CUT, ended_at=11.2)], arrivals=[ran()]),
+    ),
+    "one sent ahead and cut": (
+        "CUT",
+        log(exchanges=[stream([1, 2], Ending.CUT, ended_at=11.2, pipelined=True)], arrivals=[ran()]),
+    ),
+    "a stream cut by a stop before the grace period was over": (
+        "CUT",
+        log(exchanges=[stream([1], Ending.CUT, ended_at=12.0)], arrivals=[ran()], deeds=[TOLD_TO_END]),
+    ),
+    "cut although another worker broke another answer off": (
+        "CUT",
+        log(exchanges=[stream([1], Ending.CUT)], arrivals=[ran()], broken_off=[BrokenOff(10.09, "w", "b2")]),
+    ),
     "a new route is refused": ("CONFIG", log(changes=[ADDED], probes=[probe(404)], last_read=3)),
     "a dropped route is served": (
         "CONFIG",
