--- a/molespur/system/data_plane/upstream.py
+++ b/molespur/system/data_plane/upstream.py
@@ -13,7 +13,6 @@
 from .exchange_messages import Failure
 from .pool import ConnectionPool
 
-WRITE_TIMEOUT_S = 2.0
 READ_LIMIT = 8 << 20
 NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 BROKEN_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
@@ -149,7 +148,7 @@
         `repeatable`: whether it may be sent again if its connection turns out to be forgotten.
         """
         transport = self._transport(address, connections)
-        extensions = {"target": target, "timeout": {"write": WRITE_TIMEOUT_S}, "repeatable": repeatable}
+        extensions = {"target": target, "timeout": {}, "repeatable": repeatable}
         request = httpx.Request(method, transport.url, headers=headers, content=body, extensions=extensions)
         strike(FaultPoint.BEFORE_CONNECT)
         try:
