Help with a line for each command; a test of connections that does not count real time

test_a_worker_never_holds_more_connections_than_it_bears: the same 600 jobs have to be served while the bound holds, but a busy machine may take up to 90 s more for them (it failed once beside load, 525 in the fixed 21 s).

--- a/molespur/system/client/cli.py
+++ b/molespur/system/client/cli.py
@@ -12,28 +12,33 @@
   molespur system soak [--seed=N] [--minutes=MINUTES] [--processes=N] [--json]
   molespur system --help
 
-Commands: status       the fleet at a glance: configuration, schedulers, workers by state, shards that
-tell nothing workers      every registered worker with its part and state members      the processes of
-the control plane feed         the offset up to which each shard has been told shards       each shard at
-each process of the control plane: who leads, terms, how far it is config get   print the configuration
-in force config put   check a configuration and put it in force on top of the current version config diff
-compare a file with the configuration in force check        tell whether a settings file or a
-configuration can be used, with the line at fault snapshot save  keep configuration, workers and offsets
-of a running fleet in a file snapshot look  show such a file, or what the DataDirectory of a stopped
-control-plane process holds demo         start a small fleet on this machine with stand-in workers, send
-traffic, lose a control-plane process and a worker, and show second by second what clients met soak
-real processes under long, overlapping trouble, with clients, operators and workers that come and go; all
-that was said is checked, and what is found is printed with the place of the logs
+Commands:
+  status         the fleet at a glance: configuration, schedulers, workers by state, shards that tell nothing
+  workers        every registered worker with its part and state
+  members        the processes of the control plane
+  feed           the offset up to which each shard has been told
+  shards         each shard at each process of the control plane: who leads, terms, how far it is
+  config get     print the configuration in force
+  config put     check a configuration and put it in force on top of the current version
+  config diff    compare a file with the configuration in force
+  check          tell whether a settings file or a configuration can be used, with the line at fault
+  snapshot save  keep configuration, workers and offsets of a running fleet in a file
+  snapshot look  show such a file, or what the DataDirectory of a stopped control-plane process holds
+  demo           start a small fleet on this machine with stand-in workers, send traffic, lose a
+                 control-plane process and a worker, and show second by second what clients met
+  soak           real processes under long, overlapping trouble, with clients, operators and workers that
+                 come and go; all that was said is checked, and what is found is printed
 
 Options:
-  --seed=N             what the trouble of a soak follows from [default: 1]
-  --minutes=MINUTES    length of a soak, at most 120 [default: 1]
-  --processes=N        processes of a soak, 5 to 60, three of them of the control plane [default: 7]
-  --settings=FILE  settings whose SeedNodes and PortRange lead to the fleet; else MOLESPUR_SETTINGS names them
-  --on=VERSION     the version that the change builds on, in place of the current one
+  --settings=FILE     settings whose SeedNodes and PortRange lead to the fleet; else MOLESPUR_SETTINGS names
+                      them
+  --on=VERSION        the version that the change builds on, in place of the current one
   --rate=PER_SECOND   requests of the demo [default: 20]
   --seconds=SECONDS   length of its traffic, at most 600 [default: 16]
-  --json           JSON in place of a table
+  --seed=N            what the trouble of a soak follows from [default: 1]
+  --minutes=MINUTES   length of a soak, at most 120 [default: 1]
+  --processes=N       processes of a soak, 5 to 60, three of them of the control plane [default: 7]
+  --json              JSON in place of a table
 
 Exit codes: 0 done, 1 refused or not reached, 2 wrong usage, settings or file, 3 a difference (`config diff`).
 """
--- a/tests/fleet/test_shared.py
+++ b/tests/fleet/test_shared.py
@@ -207,6 +207,9 @@
         assert not any('"worker": "w1"' in log for log in logs)
 
 
+LONGEST_SERVING_S = 90.0
+
+
 def test_a_worker_never_holds_more_connections_than_it_bears(tmp_path):
     """Six schedulers, twelve connections: the sum over all holds through a burst, a kill and a partition."""
     worker = FleetWorker("w0", 0, slots=50, work_ms=100.0)
@@ -227,6 +230,11 @@
         rig.fleet.start(5)
         rig.fleet.fault("heal")
         time.sleep(6)
+        until = time.monotonic() + LONGEST_SERVING_S
+        while rig.load.ends()["served"] <= 600 and time.monotonic() < until:
+            time.sleep(
+                0.2
+            )  # a busy machine serves fewer jobs a second: the count is what holds, not its time
         assert worker.most_open <= 12
         place = "{}:{}".format(*rig.fleet.ops(0))
         look = [sys.executable, "-m", "molespur", "fleet", "budgets", "--at", place, "--at", place]
--- a/tests/system/test_operator_client.py
+++ b/tests/system/test_operator_client.py
@@ -300,3 +300,16 @@
     settings.write_text("- nothing")
     assert cli.main(["workers", given]) == cli.WRONG_USAGE
     assert all(line.startswith("molespur: ") for line in capsys.readouterr().err.splitlines())
+
+
+def test_the_help_has_a_line_for_each_command(capsys):
+    with pytest.raises(SystemExit):
+        cli.main(["--help"])
+    lines = capsys.readouterr().out.splitlines()
+    told = lines[lines.index("Commands:") + 1 : lines.index("Options:") - 1]
+    commands = [line[2:17].strip() for line in told if line[2] != " "]
+    assert commands == [
+        "status", "workers", "members", "feed", "shards", "config get", "config put", "config diff", "check",
+        "snapshot save", "snapshot look", "demo", "soak",
+    ]  # fmt: skip
+    assert max(map(len, lines)) <= 110
