--- /dev/null
+++ b/benchmarks/hedging.py
@@ -0,0 +1,182 @@
+"""What second attempts are worth while workers rest: a data plane before workers that stand still at random.
+
+    python -m benchmarks.hedging [--seconds N] [--seed N] [--json]
+
+Sockets are real, time is the loop's own, so processor time counts for nothing and equal seeds give equal
+arrivals and rests.  Each worker has `SLOTS` places; a request takes `EVENTS` events, `PAUSE_S` apart, and is
+turned away where all places are taken.  Each worker rests for one to three seconds, on the mean once in
+`BETWEEN_RESTS_S`.  Clients come open-loop at a multiple of what the workers can serve without rests, wait up
+to `DEADLINE_MS` and try once.  Goodput counts whole answers a second.
+"""
+
+import argparse
+import asyncio
+import json
+import sys
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from random import Random
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "tests/system"))
+
+from virtual_time import clock, run_virtual
+from wire import (
+    LAST_CHUNK,
+    Client,
+    ScriptedWorker,
+    chunk,
+    data_plane,
+    event,
+    header,
+    not_executed,
+    request,
+    stream_head,
+)
+
+WORKERS, SLOTS = 8, 4
+EVENTS, PAUSE_S = 20, 0.02
+CAPACITY_PER_S = WORKERS * SLOTS / (EVENTS * PAUSE_S)
+BETWEEN_RESTS_S = 6.0
+REST_S = (1.0, 3.0)
+DEADLINE_MS = 5000
+LOADS = (0.8, 1.0, 1.5, 2.0)
+ATTEMPTS = {"no second attempt": 1, "second attempts": 2}
+
+
+@dataclass(slots=True)
+class Tally:
+    """What became of the requests of one run."""
+
+    attempts: str
+    load: float
+    requests: int = 0
+    whole: int = 0
+    cut: int = 0
+    refused: int = 0
+    failed: int = 0
+    calls_per_request: float = 0.0
+    goodput_per_s: float = 0.0
+    p50_ms: float = 0.0
+    p99_ms: float = 0.0
+
+
+class Worker(ScriptedWorker):
+    """A worker with places that rests now and then."""
+
+    def __init__(self, name: str, random: Random):
+        super().__init__(name, None)
+        self.random, self.running, self.rests_until = random, 0, 0.0
+
+    async def rest(self) -> None:
+        """Stand still at random, for ever."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(self.random.expovariate(1.0 / BETWEEN_RESTS_S))
+            self.rests_until = loop.time() + self.random.uniform(*REST_S)
+            await asyncio.sleep(self.rests_until - loop.time())
+
+    async def _connection(self, reader, writer):
+        try:
+            while True:
+                received = await reader.readuntil(b"\r\n\r\n")
+                self.requests.append(received)
+                if self.running >= SLOTS:
+                    writer.write(not_executed(received))
+                    continue
+                self.running += 1
+                try:
+                    await self._stream(received, writer)
+                finally:
+                    self.running -= 1
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _stream(self, received, writer) -> None:
+        loop = asyncio.get_running_loop()
+        writer.write(stream_head(received))
+        for number in range(int(header(received, b"Last-Event-Id") or 0) + 1, EVENTS + 1):
+            await asyncio.sleep(max(self.rests_until - loop.time(), 0.0) + PAUSE_S)
+            if writer.is_closing():
+                raise ConnectionResetError
+            writer.write(chunk(event(number)))
+            await writer.drain()
+        writer.write(LAST_CHUNK)
+
+
+def configuration(attempts: int) -> bytes:
+    """One resumable route."""
+    route = {
+        "Name": "r", "Host": "shop.example", "PathPrefix": "/p/", "Type": "streaming", "Service": "s",
+        "TimeoutMs": DEADLINE_MS, "TargetLatencyMs": 400, "gap_aim_ms": 250, "Resumable": True,
+        "MaxAttempts": attempts,
+    }  # fmt: skip
+    return json.dumps(
+        {"Version": 1, "Routes": [route], "Services": [{"Name": "s", "MaxConnections": 4000}]}
+    ).encode()
+
+
+async def one_request(port: int, number: int, tally: Tally, times: list[float]) -> None:
+    """One client: a connection, a request, its answer."""
+    began = clock()
+    client = await Client.connect(port)
+    try:
+        await client.send(request(attempt=b"n%d" % number, deadline=DEADLINE_MS))
+        async with asyncio.timeout(DEADLINE_MS / 1000 + 1):
+            status, _head, body, whole = await client.response()
+    except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
+        status, body, whole = 0, b"", False
+    finally:
+        client.writer.transport.abort()
+    if status == 200 and whole:
+        expected = b"".join(event(n) for n in range(1, EVENTS + 1))
+        assert body == expected, "an answer that is not the worker's"
+        tally.whole += 1
+        times.append(clock() - began)
+    elif status == 200:
+        tally.cut += 1
+    elif status == 503:
+        tally.refused += 1
+    else:
+        tally.failed += 1
+
+
+async def play(name: str, load: float, seconds: float, seed: int) -> Tally:
+    """One run at one load."""
+    random = Random(seed)
+    workers = [Worker(f"w{n}", Random(f"{seed} {n}")) for n in range(WORKERS)]
+    tally, times = Tally(name, load), []
+    async with data_plane(configuration(ATTEMPTS[name]), *workers, clock=clock) as (port, _ingress):
+        resting = [asyncio.create_task(worker.rest()) for worker in workers]
+        async with asyncio.TaskGroup() as clients:
+            until = clock() + seconds * 1000.0
+            while clock() < until:
+                tally.requests += 1
+                clients.create_task(one_request(port, tally.requests, tally, times))
+                await asyncio.sleep(random.expovariate(load * CAPACITY_PER_S))
+        for task in resting:
+            task.cancel()
+    times.sort()
+    tally.calls_per_request = round(sum(len(w.requests) for w in workers) / tally.requests, 3)
+    tally.goodput_per_s = round(tally.whole / seconds, 1)
+    tally.p50_ms = round(times[len(times) // 2])
+    tally.p99_ms = round(times[int(0.99 * len(times))])
+    return tally
+
+
+def main() -> None:
+    """Play all loads and print a line each."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true")
+    options = parser.parse_args()
+    for name in ATTEMPTS:
+        for load in LOADS:
+            tally = run_virtual(play(name, load, options.seconds, options.seed), longest_s=600.0)
+            print(json.dumps(asdict(tally)) if options.json else tally, flush=True)
+
+
+if __name__ == "__main__":
+    main()
