Changes kept for followers of the feed are bounded in bytes

Cause: each change of the configuration was kept whole, 256 of them: 256 MB for a configuration of 1 MB on a machine of 296 MB. With 80 changes of 300 KB a process held 24 MB, now under the test's 12 MB. Ruled out: the log (compacted from 1 MB or twice the state on), digests of changes (20 bytes each). exchange.py: one function for every change of state.

--- a/molespur/system/data_plane/exchange.py
+++ b/molespur/system/data_plane/exchange.py
@@ -106,15 +106,19 @@
         """Whether more than one attempt is open."""
         return len(self.open) > 1
 
+    def _enter(self, state: State) -> None:
+        """The one place where the state changes."""
+        self.state = state
+
     def _done(self, action: Action) -> list[Action]:
-        """The one place where a request ends."""
-        self.state = State.DONE
+        """End the request, and all its attempts with it."""
+        self._enter(State.DONE)
         return [*map(self._abandon, list(self.open.values())), action]
 
     # -- Attempts that begin ---------------------------------------------------------------------
 
     def _begin(self, now: float) -> list[Action]:
-        self.state = State.OPEN
+        self._enter(State.OPEN)
         return self._try_again(now)
 
     def _try_again(self, now: float) -> list[Action]:
@@ -239,7 +243,7 @@
 
     def _progress(self, attempt: Attempt) -> list[Action]:
         """This one goes on; what it was raced by is ended before its next byte goes out."""
-        self.state = State.ANSWERING
+        self._enter(State.ANSWERING)
         if attempt.hedge:
             attempt.hedge = False
             self.hedges.won()
--- a/molespur/system/feed/source.py
+++ b/molespur/system/feed/source.py
@@ -101,13 +101,13 @@
                 continue
             follower.started.add(name)
             since = follower.offsets.get(name)
-            if since is None or since < group.history_from:
+            changes = None if since is None else group.history.after(since)
+            if changes is None:
                 index = group.replica.log.applied_index
                 self._send(follower, name, index, group.machine.feed_snapshot(), snapshot=True)
                 continue
-            for index, payload in group.history:
-                if index > since:
-                    self._send(follower, name, index, payload)
+            for index, payload in changes:
+                self._send(follower, name, index, payload)
 
     def _new_enough(self, follower: Follower, name: str) -> bool:
         replica = self.host.groups[name].replica
--- a/molespur/system/shards/group.py
+++ b/molespur/system/shards/group.py
@@ -1,7 +1,6 @@
 """One replica group as a process hosts it: the replica, its state machine, recent changes, and who waits."""
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -10,10 +9,10 @@
 from ..consensus import replica as raft
 from ..errors import ErrorKind, FleetError
 from ..rpc import molespur_pb2 as pb
+from .history import ChangeHistory
 from .lag import LagLog
 from .membership_changes import MembershipPlanner
 
-HISTORY = 256  # changes kept for followers of the feed, for each group
 COMPACT_ENTRIES = 64
 COMPACT_BYTES = 1 << 20
 STATE_BYTES_PER_ENTRY = 1 << 10  # a large state is written again only after as many more entries
@@ -35,8 +34,7 @@
     replica: raft.Replica
     machine: object  # provides IStateMachine
     planner: MembershipPlanner
-    history_from: int = 0  # every change after this index is in `history`
-    history: deque = field(default_factory=lambda: deque(maxlen=HISTORY))
+    history: ChangeHistory
     waiters: dict[int, Waiter] = field(default_factory=dict)
     reads: dict[int, asyncio.Future] = field(default_factory=dict)
     log_bytes: int = 0
@@ -54,9 +52,7 @@
         if entry.kind == pb.COMMAND:
             result, payload = self.machine.apply(entry.data)
             if payload is not None:
-                if len(self.history) == HISTORY:
-                    self.history_from = self.history[0][0]
-                self.history.append((entry.index, payload))
+                self.history.append(entry.index, payload)
                 on_change(self.name, entry.index, payload)
         if waiter is None or waiter.outcome.done():
             return
@@ -68,8 +64,7 @@
     def restore(self, snapshot: raft.Snapshot) -> None:
         """Go by a snapshot in place of the state."""
         self.machine.restore(snapshot.state)
-        self.history.clear()
-        self.history_from = snapshot.index
+        self.history.restart(snapshot.index)
 
     def fail_waiters(self) -> None:
         """The lead is lost: who waits is told at once that the outcome is unknown."""
--- a/molespur/system/shards/host.py
+++ b/molespur/system/shards/host.py
@@ -17,6 +17,7 @@
 from ..rpc.channel import Dialer
 from ..storage.store import Store, bootstrap_identity, new_identity
 from .group import HostedGroup
+from .history import ChangeHistory
 from .leaving import Leaving
 from .membership import Membership
 from .membership_changes import MembershipPlanner
@@ -91,7 +92,8 @@
             self._life,
         )
         voters = 2 * max(self.settings.fault_tolerance.nodes, 1) + 1
-        return HostedGroup(name, replica, machine, MembershipPlanner(voters), loaded.snapshot.index)
+        history = ChangeHistory(loaded.snapshot.index)
+        return HostedGroup(name, replica, machine, MembershipPlanner(voters), history)
 
     async def run(self) -> None:
         """Tick until cancelled."""
--- a/tests/system/test_feed_history.py
+++ b/tests/system/test_feed_history.py
@@ -12,7 +12,7 @@
 import pytest
 from control import OneControlPlane
 
-from molespur.system.shards.placement import CONFIGURATION
+from molespur.system.shards.history import MOST_BYTES, MOST_CHANGES, ChangeHistory
 
 MEMORY_BYTES = 12 << 20  # what a control-plane process may take for its history, log and all
 
@@ -21,8 +21,8 @@
 
 def configuration(version, routes):
     made = [
-        {"Name": f"r{n}", "Host": "h.example", "PathPrefix": f"/{n}/{LONG}/", "Type": "idempotent", "Service": "s",
-         "TimeoutMs": 1000 + version}
+        {"Name": f"r{n}", "Host": "h.example", "PathPrefix": f"/{n}/{LONG}/", "Type": "idempotent",
+         "Service": "s", "TimeoutMs": 1000 + version}
         for n in range(routes)
     ]  # fmt: skip
     return json.dumps({"Version": version, "Routes": made, "Services": [{"Name": "s"}]}).encode()
@@ -47,3 +47,30 @@
     finally:
         tracemalloc.stop()
     assert used < MEMORY_BYTES, f"{used >> 20} MB"
+
+
+def test_a_follower_gets_what_it_lacks_or_is_told_that_it_is_not_kept():
+    history = ChangeHistory()
+    history.restart(10)
+    for index in range(11, 15):
+        history.append(index, b"%d" % index)
+    assert list(history.after(12)) == [(13, b"13"), (14, b"14")]
+    assert list(history.after(14)) == [] and len(list(history.after(10))) == 4
+    assert history.after(9) is None
+
+
+def test_the_oldest_changes_give_way_by_number_and_by_bytes():
+    history = ChangeHistory()
+    for index in range(1, MOST_CHANGES + 3):
+        history.append(index, b"x")
+    assert history.after(1) is None and len(list(history.after(2))) == MOST_CHANGES
+    history.append(1000, b"x" * MOST_BYTES)
+    assert [index for index, _ in history.after(999)] == [1000]
+    assert history.after(MOST_CHANGES + 1) is None, "one that is larger than the bound stands alone"
+
+
+def test_nothing_of_before_a_snapshot_is_kept():
+    history = ChangeHistory()
+    history.append(1, b"x")
+    history.restart(5)
+    assert history.after(4) is None and list(history.after(5)) == []
