--- a/tests/registry/test_client.py
+++ b/tests/registry/test_client.py
@@ -245,7 +245,7 @@
         rig.put(1)
         rig.start()
         await rig.whole()
-        rig.registry.password = "changed"
+        rig.registry.access.password = "changed"
         rig.registry.forget_tokens()
         rig.store.stir()
         await trio.sleep(20)
