--- a/tests/system/test_resting_workers.py
+++ b/tests/system/test_resting_workers.py
@@ -52,30 +52,6 @@
     return json.dumps({"Version": version, "Routes": [made], "Services": [service]}).encode()
 
 
-class RestingWorker(ScriptedWorker):
-    """Runs its scripts with rests: a number among the parts of an answer is a time in seconds."""
-
-    async def _connection(self, reader, writer):
-        self.connections += 1
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                self.requests.append(head)
-                script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
-                for part in script(head):
-                    if part is None:
-                        return
-                    if isinstance(part, float):
-                        await asyncio.sleep(part)
-                        continue
-                    writer.write(part)
-                    await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        finally:
-            writer.close()
-
-
 def streams(*rests, events=5):
     """A script: events from the one that is asked for on; it rests `rests[n - 1]` s before event n."""
 
@@ -138,8 +114,8 @@
 
         return answered
 
-    workers = [RestingWorker("w0", in_turn(first))]
-    workers += [RestingWorker(f"w{n}", in_turn(script)) for n, script in enumerate(others, 1)]
+    workers = [ScriptedWorker("w0", in_turn(first))]
+    workers += [ScriptedWorker(f"w{n}", in_turn(script)) for n, script in enumerate(others, 1)]
     async with data_plane(configuration(**route), *workers, clock=clock, retry_budget_min=budget) as (
         port,
         ingress,
@@ -230,7 +206,7 @@
 
 def test_a_stream_without_ids_is_not_taken_up():
     async def scenario():
-        workers = [RestingWorker(f"w{n}", _rests_after_two(ids=False)) for n in range(2)]
+        workers = [ScriptedWorker(f"w{n}", _rests_after_two(ids=False)) for n in range(2)]
         async with data_plane(configuration(), *workers, clock=clock, retry_budget_min=PLENTY) as (port, _):
             status, body, whole, _ = await asked(port)
         assert (status, whole) == (200, True)
@@ -256,7 +232,7 @@
             met.append(received)
             return [FIRST_EVENT_S if len(met) == 1 else 0.01, answer(received)]
 
-        workers = [RestingWorker(f"w{n}", first_rests) for n in range(2)]
+        workers = [ScriptedWorker(f"w{n}", first_rests) for n in range(2)]
         route = configuration(Type="idempotent", Resumable=False)
         async with data_plane(route, *workers, clock=clock, retry_budget_min=PLENTY) as (port, _):
             status, body, whole, took = await asked(port)
@@ -268,7 +244,7 @@
 
 def test_what_may_not_be_repeated_waits_for_its_worker():
     async def scenario():
-        workers = [RestingWorker(f"w{n}", lambda r: [FIRST_EVENT_S, answer(r)]) for n in range(2)]
+        workers = [ScriptedWorker(f"w{n}", lambda r: [FIRST_EVENT_S, answer(r)]) for n in range(2)]
         route = configuration(Type="non_idempotent", Resumable=False)
         async with data_plane(route, *workers, clock=clock, retry_budget_min=PLENTY) as (port, _):
             assert (await asked(port))[0] == 200
@@ -311,8 +287,8 @@
         return [FIRST_EVENT_S, answer(received, body, stamp=False)]
 
     async def scenario():
-        reader = RestingWorker("p", reads, phase="prefill")
-        runner = RestingWorker("d", streams(), phase="decode")
+        reader = ScriptedWorker("p", reads, phase="prefill")
+        runner = ScriptedWorker("d", streams(), phase="decode")
         shape = {"Capacity": 8, "KvCapacityTokens": 10_000, "KvTokenBytes": 10, "BandwidthMbps": 1000}
         made = json.loads(configuration(Resumable=False, MaxAttempts=1))
         made["Services"][0]["Engine"] = shape
--- a/tests/system/wire.py
+++ b/tests/system/wire.py
@@ -23,6 +23,8 @@
 class ScriptedWorker:
     """Answers each request by the next script: a function of the request that gives bytes, None to close.
 
+    Among the parts of an answer an event is waited for, and a float is a rest in seconds of the loop's time.
+
     The last script stands for all later requests.
     """
 
@@ -54,6 +56,9 @@
                     if isinstance(part, asyncio.Event):
                         await part.wait()
                         continue
+                    if isinstance(part, float):
+                        await asyncio.sleep(part)
+                        continue
                     writer.write(part)
                     await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
