--- a/molespur/system/soak/checker.py
+++ b/molespur/system/soak/checker.py
@@ -145,11 +145,14 @@
 
 
 def _worker_went(index: _Index, exchange: Exchange, until: float) -> bool:
-    """Whether a worker that the request came to has ended, or has broken the answer off."""
+    """Whether a worker that the request came to has ended, lost its connections or broken the answer off."""
     if index.broken_off.get(exchange.attempt, until + 1.0) <= until:
         return True
-    arrivals = index.arrivals[exchange.attempt]
-    return any(index.ended_at.get(arrival.worker, until + 1.0) <= until for arrival in arrivals)
+    workers = {arrival.worker for arrival in index.arrivals[exchange.attempt]}
+    resets = (deed for worker in workers for deed in index.deeds[worker] if deed.deed is Deed.RESET)
+    if any(exchange.sent_at - SLACK_S <= reset.at <= until for reset in resets):
+        return True
+    return any(index.ended_at.get(worker, until + 1.0) <= until for worker in workers)
 
 
 def _grace_over(index: _Index, exchange: Exchange) -> bool:
--- a/molespur/system/soak/fault_line.py
+++ b/molespur/system/soak/fault_line.py
@@ -13,6 +13,7 @@
 
 CHUNK_BYTES = 64 << 10
 LOOK_S = 0.02
+STRANGER = "?"  # whoever dials from a host that is not known
 
 
 @dataclass(eq=False)
@@ -48,7 +49,7 @@
         self.know(name, back)
 
         async def accepted(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            source = self._names.get(writer.get_extra_info("peername")[0], "?")
+            source = self._names.get(writer.get_extra_info("peername")[0], STRANGER)
             await self._relay(_Relay(source, name, [writer]), reader, back, port)
 
         self._servers[name] = await asyncio.start_server(accepted, front, port)
@@ -65,6 +66,10 @@
         for name in list(self._servers):
             self.close(name)
 
+    def cut_from_strangers(self, name: str) -> None:
+        """Nothing passes between a process and all that dial it from a host that is not known."""
+        self.cut(name, [STRANGER])
+
     # -- Faults --------------------------------------------------------------------------------
 
     def cut(self, name: str, others: list[str], outgoing: bool = True, incoming: bool = True) -> None:
--- a/molespur/system/soak/fleet.py
+++ b/molespur/system/soak/fleet.py
@@ -20,6 +20,7 @@
 EXIT_LOOK_S = 0.05
 END_S = 12.0  # a process that was told to end has this long
 FRONT_PART, BACK_PART, WORKER_PART = 1, 2, 3
+WORKER_BACK_PART = 60  # the third part of the hosts that workers listen at, behind the fault line
 BOUNDS = {"GracePeriodS": 8, "ConfigPropagationMs": 2000, "RetryBudgetMin": 200}
 
 
--- a/molespur/system/soak/plain_worker.py
+++ b/molespur/system/soak/plain_worker.py
@@ -50,10 +50,13 @@
         on_arrival: Callable[[str, str, bool], None],
         on_goodbye: Callable[[str], None],
         on_break: Callable[[str, str], None] = lambda _worker, _attempt: None,
+        bind_host: str = "",
     ):
+        """`bind_host`: where it listens, if it is reached at its address over a fault line."""
         self.name, self.service, self.address, self.zone = name, service, address, zone
         self.on_arrival, self.on_goodbye, self.on_break = on_arrival, on_goodbye, on_break
         self._mood_until: dict[Mood, float] = {}  # on the loop's clock
+        self.bind_host = bind_host
         self.leaving = asyncio.Event()
         self.down = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -63,7 +66,7 @@
     async def run(self, control: Callable[[], Sequence[str]]) -> None:
         """Serve and register until lost, or until it has left.  `control`: addresses to register at."""
         host, _, port = self.address.rpartition(":")
-        server = await asyncio.start_server(self._serve, host, int(port))
+        server = await asyncio.start_server(self._serve, self.bind_host or host, int(port))
         registering = asyncio.get_running_loop().create_task(self._register(control))
         try:
             await self.down.wait()
--- a/molespur/system/soak/plan.py
+++ b/molespur/system/soak/plan.py
@@ -43,6 +43,8 @@
     WORKER_SLOW = "worker slow"
     WORKER_REFUSE = "worker puts requests back"
     WORKER_BREAK = "worker breaks answers off"
+    WORKER_CUT = "worker cut off from schedulers"
+    WORKER_RESET = "connections of a worker reset"
 
 
 SCHEDULER_TROUBLES = (
@@ -51,6 +53,7 @@
 )  # fmt: skip
 CONTROL_TROUBLES = tuple(trouble for trouble in Trouble if trouble.name.startswith("CONTROL"))
 WORKER_TROUBLES = (Trouble.WORKER_CRASH, Trouble.WORKER_DRAIN, Trouble.WORKER_DRAIN)
+WORKER_LINKS = (Trouble.WORKER_CUT, Trouble.WORKER_RESET)
 WORKER_MOODS = (
     Trouble.WORKER_REST, Trouble.WORKER_REST, Trouble.WORKER_SLOW, Trouble.WORKER_REFUSE,
     Trouble.WORKER_BREAK,
@@ -76,6 +79,7 @@
         *_one_at_a_time(random, length_s),
         *_series(random, length_s, WORKER_TROUBLES, WORKER_GAP_S),
         *_series(random, length_s, WORKER_MOODS, WORKER_GAP_S),
+        *_series(random, length_s, WORKER_LINKS, WORKER_GAP_S),
     ]
     return sorted(events, key=lambda event: event.at)
 
--- a/molespur/system/soak/run.py
+++ b/molespur/system/soak/run.py
@@ -23,7 +23,7 @@
 from . import plan
 from .checker import Finding, check
 from .clients import HOST, Clients, Target
-from .fleet import CONTROL, SCHEDULER, WORKER_PART, SoakFleet, control_addresses
+from .fleet import CONTROL, SCHEDULER, WORKER_BACK_PART, WORKER_PART, SoakFleet, control_addresses
 from .operators import SERVICE, Operators
 from .plain_worker import Mood, PlainWorker
 from .plan import Event, Trouble
@@ -241,19 +241,25 @@
     def _start_worker(self) -> None:
         self._worker_number += 1
         number = self._worker_number
-        host = f"{self.fleet.network}.{WORKER_PART + number // 250}.{number % 250 + 1}"
+        last = number % 250 + 1
+        host = f"{self.fleet.network}.{WORKER_PART + number // 250}.{last}"
+        back = f"{self.fleet.network}.{WORKER_BACK_PART + number // 250}.{last}"
         worker = PlainWorker(
             f"worker-{number}", SERVICE, f"{host}:{WORKER_PORT}", ZONES[number % len(ZONES)],
             self._arrived, lambda name: self.log.goodbyes.append(Goodbye(self.clock(), name)),
             lambda name, attempt: self.log.broken_off.append(BrokenOff(self.clock(), name, attempt)),
+            bind_host=back,
         )  # fmt: skip
         self.workers[worker.name] = worker
         self._spawn(self._live(worker))
 
     async def _live(self, worker: PlainWorker) -> None:
+        host, _, port = worker.address.rpartition(":")
+        await self.fleet.line.serve(worker.name, host, worker.bind_host, int(port))
         try:
             await worker.run(lambda: control_addresses(self.fleet))
         finally:
+            self.fleet.line.close(worker.name)
             self.workers.pop(worker.name, None)
             self.log.ends.append(WorkerEnded(self.clock(), worker.name))
 
@@ -269,12 +275,25 @@
         if event.trouble in MOODS:
             worker.change_mood(MOODS[event.trouble], min(event.for_s, LONGEST_MOOD_S))
             return
+        if event.trouble in plan.WORKER_LINKS:
+            self._spawn(self._strike_links(worker, event))
+            return
         self._start_worker()
         if event.trouble is Trouble.WORKER_DRAIN:
             worker.leaving.set()
             return
         worker.down.set()
 
+    async def _strike_links(self, worker: PlainWorker, event: Event) -> None:
+        """What a worker sends and gets is held up for a moment, or its connections break."""
+        if event.trouble is Trouble.WORKER_RESET:
+            self.fleet.note(worker.name, Deed.RESET)
+            self.fleet.line.reset(worker.name)
+            return
+        self.fleet.line.cut_from_strangers(worker.name)
+        await asyncio.sleep(min(event.for_s, LONGEST_MOOD_S))
+        self.fleet.line.heal(worker.name)
+
     # -- Watching ------------------------------------------------------------------------------
 
     def _targets(self) -> list[Target]:
--- a/tests/system/test_soak_checker.py
+++ b/tests/system/test_soak_checker.py
@@ -69,6 +69,11 @@
     "a stream that its worker broke off": log(
         exchanges=[stream([1, 2], Ending.CUT)], arrivals=[ran()], broken_off=[BrokenOff(10.09, "w", "a1")]
     ),
+    "a stream cut by a reset of its worker's connections": log(
+        exchanges=[stream([1, 2], Ending.CUT)],
+        arrivals=[ran()],
+        deeds=[ProcessDeed(10.08, "w", Deed.RESET)],
+    ),
     "a stream cut at its deadline": log(
         exchanges=[stream([1, 2], Ending.CUT, ended_at=14.0)], arrivals=[ran()]
     ),
@@ -130,6 +135,14 @@
         "CUT",
         log(exchanges=[stream([1], Ending.CUT, ended_at=12.0)], arrivals=[ran()], deeds=[TOLD_TO_END]),
     ),
+    "cut long after a reset of its worker's connections": (
+        "CUT",
+        log(
+            exchanges=[stream([1], Ending.CUT)],
+            arrivals=[ran()],
+            deeds=[ProcessDeed(9.0, "w", Deed.RESET)],
+        ),
+    ),
     "cut although another worker broke another answer off": (
         "CUT",
         log(exchanges=[stream([1], Ending.CUT)], arrivals=[ran()], broken_off=[BrokenOff(10.09, "w", "b2")]),
