--- /dev/null
+++ b/tests/system/test_own_work.py
@@ -0,0 +1,72 @@
+"""Own work at a worker counts from the moment of the decision until the call has ended, whatever ends it.
+
+Requests that come in one turn of the event loop are decided on one after the other, before any of their calls
+has begun to run: a decision that did not count at once would send them all to the worker that looked idle.
+"""
+
+import asyncio
+from random import Random
+
+import pytest
+from test_data_plane_wire import configuration
+from virtual_time import clock, run_virtual
+from wire import Freshness, ScriptedWorker, answer, settings, tell
+
+from molespur.system.data_plane.client_call import ClientCall
+from molespur.system.data_plane.client_request import ClientRequest, demand_of
+from molespur.system.data_plane.exchange_messages import Begin
+from molespur.system.data_plane.ingress import Ingress
+from molespur.system.data_plane.state import DataPlaneState
+from molespur.system.data_plane.upstream import Upstreams
+
+REQUESTS = 6
+
+
+async def _sent(_message):
+    """Where answers go."""
+
+
+async def _calls(count):
+    """A data plane with one worker, and requests that have just come to it."""
+    worker = ScriptedWorker("w", answer)
+    await worker.start()
+    state = DataPlaneState(settings(), Random(1))
+    tell(state, configuration(), worker)
+    ingress = Ingress(state, Upstreams(), clock, Freshness())
+    route = state.routes.find("shop.example", "/p/x")
+    service = state.services["s"]
+    made = []
+    for number in range(count):
+        attempt = b"a%d" % number
+        headers = [(b"Host", b"shop.example"), (b"Molespur-Attempt-Id", attempt), (b"Content-Length", b"0")]
+        request = ClientRequest("POST", b"/p/x", "/p/x", "shop.example", headers, attempt, 5000.0)
+        demand = demand_of(request, route, service, clock(), False)
+        made.append(ClientCall(ingress, request, route, service, demand, _sent))
+    return state.usable_workers("s")[0], made
+
+
+def test_a_decision_counts_at_once():
+    async def scenario():
+        track, calls = await _calls(REQUESTS)
+        for call in calls:
+            call.report(Begin())
+        assert track.unfinished == REQUESTS and len(track.awaited) == REQUESTS
+        for call in calls:
+            await call._end_calls()
+        assert track.unfinished == 0 and not track.awaited
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize("turns", range(5))
+def test_a_request_that_is_given_up_leaves_no_work_behind(turns):
+    async def scenario():
+        track, calls = await _calls(1)
+        running = asyncio.create_task(calls[0].run())
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        assert track.unfinished == 0 and not track.awaited
+
+    run_virtual(scenario())
