A call counts as own work from the decision on

Cause: since calls are tasks of their own, and counted as own work a turn of the loop after the decision: requests that come together were decided on as if the others were not there. Ruled out: a leak (calls given up in any turn leave nothing behind). Change: it counts as it is made, and one whose task never had a turn is ended by whoever cancels it.

--- a/molespur/system/data_plane/client_call.py
+++ b/molespur/system/data_plane/client_call.py
@@ -114,7 +114,7 @@
         call, task = self._worker_calls.pop(attempt), self._calls.pop(attempt)
         if not call.ended:
             call.overtaken()
-            task.cancel()
+            _cancel(call, task)
         self._note_memory(call)
         self._free(attempt)
 
@@ -128,8 +128,9 @@
     async def _end_calls(self) -> None:
         """End what is still out, and give back the memory that nobody will take."""
         out = [task for task in self._calls.values() if not task.done()]
-        for task in out:
-            task.cancel()
+        for attempt, task in self._calls.items():
+            if not task.done():
+                _cancel(self._worker_calls[attempt], task)
         if out:
             await asyncio.wait(out)
         for attempt in list(self._held):
@@ -166,3 +167,10 @@
             refusal.value if refusal else "not called for",
         )
         raise AnswerCut(reason)
+
+
+def _cancel(call: WorkerCall, task: asyncio.Task) -> None:
+    """End a call.  A task that has not had its first turn runs no line of it, so it is ended here."""
+    task.cancel()
+    if not call.started:
+        call.end("cancelled")
--- a/molespur/system/data_plane/worker_call.py
+++ b/molespur/system/data_plane/worker_call.py
@@ -59,7 +59,11 @@
 
 
 class WorkerCall:
-    """One call; `run` carries it out and returns the event that ends it."""
+    """One call; `run` carries it out and returns the event that ends it.
+
+    It counts as own work at its worker from here on, until `end`: the next decision, which may come before
+    `run` has begun, has to know of it.
+    """
 
     def __init__(self, shared: RequestContext, action: Read | Run):
         self.shared, self.action = shared, action
@@ -71,22 +75,25 @@
         self.first_at: float | None = None  # when its first answer came, ms
         self.silence: SilenceTimer | None = None
         self.goes_on = False  # what it brings is the client's answer
-        self.ended = False
+        self.started = self.ended = False
         self.handle = ""  # of the memory that it has read apart
         self.taken_up = False  # the memory that was read apart has been taken by this call's worker
+        self.key = next(shared.context.keys)
+        self.expected = (self.step.run, self.step.wait, self.step.forecast)
+        self._begin()
 
-    async def run(self) -> Event:
-        """Carry the call out, counted as own work at the worker for as long as it takes."""
+    def _begin(self) -> None:
         state, step = self.shared.context.state, self.step
-        key = next(self.shared.context.keys)
-        self.key = key
-        self.policy.begin(self.begun, step, self.shared.demand, key)
+        self.policy.begin(self.begun, step, self.shared.demand, self.key)
         meter = state.meter(self.shared.service.name)
         meter.read(self.begun, step.read)
         meter.running += step.part is not Part.PREFILL
         state.peer_work.placed(step.worker, self.shared.demand.shared)
         state.peer_work.touch(step.worker)
-        self.expected = (step.run, step.wait, step.forecast)
+
+    async def run(self) -> Event:
+        """Carry the call out to its end."""
+        self.started = True
         outcome, failed = "cancelled", False
         try:
             event = await self._carry_out()
@@ -94,16 +101,18 @@
             return event
         except UpstreamError as error:
             outcome, failed = error.failure.value, error.failure is not Failure.REJECTED
-            logging.vlog(1, "%s at %s: %s", self._name(), step.worker.id, error)
+            logging.vlog(1, "%s at %s: %s", self._name(), self.step.worker.id, error)
             return AttemptFailed(self.attempt, error.failure)
         finally:
-            self.ended = True
-            self._stop_silence()
-            meter.running -= step.part is not Part.PREFILL
-            self._end(outcome, failed)
+            self.end(outcome, failed)
 
-    def _end(self, outcome: str, failed: bool) -> None:
+    def end(self, outcome: str, failed: bool = False) -> None:
+        """The call is over, or is never begun: it counts as own work no more."""
+        self.ended = True
+        if self.silence is not None:
+            self.silence.stop()
         now, step = self.clock(), self.step
+        self.shared.context.state.meter(self.shared.service.name).running -= step.part is not Part.PREFILL
         self.shared.context.counts.calls[step.part.value, outcome] += 1
         self.policy.ended(now, step, self.key, failed, now - self.begun)
         self.shared.context.state.peer_work.touch(step.worker)
@@ -135,10 +144,6 @@
     def _silent(self) -> None:
         self.shared.report(AttemptSilent(self.attempt))
 
-    def _stop_silence(self) -> None:
-        if self.silence is not None:
-            self.silence.stop()
-
     def _heard(self) -> None:
         """Bytes of the answer have come."""
         self.last_heard = self.clock()
