--- a/tests/system/test_histories_of_attempts.py
+++ b/tests/system/test_histories_of_attempts.py
@@ -1,4 +1,4 @@
-"""Random histories of a request before workers that rest, break off, refuse and err: whole, or ended by a fact.
+"""Random histories of a request before workers that rest, break off, refuse and err: whole, or a fact.
 
 Each history is one request through one scheduler on loopback, on the loop's own time; all that is drawn
 follows from the history's seed.  What may end an answer early is that a worker broke it off, or its deadline.
