--- a/tests/system/wire.py
+++ b/tests/system/wire.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 from random import Random
 
+from molespur.system import early_listener
 from molespur.system.data_plane.http import ClientServer, IngressApp
 from molespur.system.data_plane.ingress import Ingress
 from molespur.system.data_plane.state import DataPlaneState
@@ -161,20 +162,13 @@
     if configuration is not None:
         tell(state, configuration, *workers)
     state.count_schedulers(clock(), 1)
-    probe = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-    port = probe.sockets[0].getsockname()[1]
-    probe.close()
-    await probe.wait_closed()
+    # a port that was free a moment ago may be another process's by now: this one is never let go
+    listener = early_listener.listening("127.0.0.1:0")
+    port = listener.getsockname()[1]
+    early_listener._opened[f"127.0.0.1:{port}"] = listener
     stop = asyncio.Event()
     server = ClientServer(IngressApp(ingress), lambda: state.limits)
     serving = asyncio.create_task(server.serve(f"127.0.0.1:{port}", stop, graceful_s=0.2))
-    while True:
-        try:
-            _reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            writer.close()
-            break
-        except OSError:
-            await asyncio.sleep(0)
     try:
         yield port, ingress
     finally:
