All replicas compact at the same indexes; a transfer goes on under each leader

Change: CompactionSchedule looks at each applied entry, points follow from the log alone; a follower names the pieces it holds when it refuses a new leader's first append.

--- a/molespur/system/consensus/following.py
+++ b/molespur/system/consensus/following.py
@@ -33,6 +33,7 @@
         if self.log.term_at(previous) != previous_term:
             reply.append_reply.success = False
             reply.append_reply.match_index = self.log.last_before_conflict(previous)
+            self.receiving.tell(reply.append_reply)
             self._send(self._sender(message), reply)
             return
         last = request.entries[-1].index if request.entries else request.previous_index
--- a/molespur/system/consensus/leading.py
+++ b/molespur/system/consensus/leading.py
@@ -96,7 +96,7 @@
     def _send_snapshot(self, member: pb.Member, progress: Progress) -> None:
         """Send the next piece of the snapshot that is on its way, or begin with the newest one."""
         if progress.snapshot is None:
-            progress.snapshot = SnapshotSending.of(self.log.snapshot)
+            progress.snapshot = SnapshotSending.of(self.log.snapshot, progress.held)
         message = self._message(member.replica_id)
         progress.snapshot.fill(message.install_snapshot)
         message.install_snapshot.sent_at_ms = int(self.now)
--- a/molespur/system/consensus/progress.py
+++ b/molespur/system/consensus/progress.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from ..rpc import molespur_pb2 as pb
-from .snapshot_transfer import SnapshotSending
+from .snapshot_transfer import HeldPieces, SnapshotSending
 
 
 @dataclass(slots=True)
@@ -25,6 +25,7 @@
     waiting_for: int = 0  # the last index that it holds
     commit_told: int = 0  # the commit index that it can have learned from what was sent
     snapshot: SnapshotSending | None = None  # a snapshot is on its way, in pieces
+    held: HeldPieces | None = None  # of a transfer that another leader has begun
 
     def sent(self, now: float, last_index: int) -> None:
         """An append with entries, or a snapshot, has gone out; no further one does until it is answered."""
@@ -50,6 +51,7 @@
         else:
             self.next = max(min(self.next - 1, reply.match_index + 1), self.match + 1, 1)
             self.waiting_since = None
+            self.held = HeldPieces(reply.snapshot_index, reply.snapshot_received)
 
     def _snapshot_answered(self, reply: pb.AppendReply) -> None:
         if self.snapshot is None:
--- a/molespur/system/consensus/snapshot_transfer.py
+++ b/molespur/system/consensus/snapshot_transfer.py
@@ -1,8 +1,9 @@
 """Snapshots that go from a leader to a follower in pieces.  Pure.
 
 A piece is sent once the piece before it has been answered.  The answer tells how many bytes the follower
-holds, so a transfer goes on where it stopped: after a lost piece, and also under another leader whose
-snapshot of the same index has the same bytes.
+holds, so a transfer goes on where it stopped: after a lost piece, and also under another leader, whose
+snapshot of the same index has the same bytes (`compaction.py`).  A follower names what it holds when it
+refuses the new leader's first append, so that not even one piece is sent twice.
 """
 
 from dataclasses import dataclass
@@ -14,6 +15,14 @@
 PIECE_BYTES = 256 << 10
 
 
+@dataclass(frozen=True, slots=True)
+class HeldPieces:
+    """What a follower says that it holds of a snapshot: its index, and bytes from its start."""
+
+    index: int
+    received: int
+
+
 @dataclass(slots=True)
 class SnapshotSending:
     """The leader's side of one transfer; the snapshot stays the same until the transfer has ended."""
@@ -23,9 +32,13 @@
     offset: int = 0
 
     @classmethod
-    def of(cls, snapshot: Snapshot) -> "SnapshotSending":
-        """A transfer that is to begin."""
-        return cls(snapshot, crc32(snapshot.state))
+    def of(cls, snapshot: Snapshot, held: "HeldPieces | None" = None) -> "SnapshotSending":
+        """A transfer that is to begin, or to go on after what the follower holds of the same index.
+
+        Where these are bytes of another snapshot the follower drops them, and its answer says so.
+        """
+        begun = held is not None and held.index == snapshot.index and held.received < len(snapshot.state)
+        return cls(snapshot, crc32(snapshot.state), held.received if begun else 0)
 
     def fill(self, message: pb.InstallSnapshot) -> None:
         """Put the next piece into a message."""
@@ -72,6 +85,11 @@
         """Drop all pieces."""
         self._key, self._state = None, bytearray()
 
+    def tell(self, reply: pb.AppendReply) -> None:
+        """Say in an answer what is here, if anything is."""
+        if self._key is not None and self._state:
+            reply.snapshot_index, reply.snapshot_received = self._key[0], len(self._state)
+
     @property
     def received(self) -> int:
         """Bytes of the present transfer that are here."""
--- a/molespur/system/shards/group.py
+++ b/molespur/system/shards/group.py
@@ -7,16 +7,13 @@
 from absl import logging
 
 from ..consensus import replica as raft
+from ..consensus.compaction import CompactionSchedule
 from ..errors import ErrorKind, FleetError
 from ..rpc import molespur_pb2 as pb
 from .history import ChangeHistory
 from .lag import LagLog
 from .membership_changes import MembershipPlanner
 
-COMPACT_ENTRIES = 64
-COMPACT_BYTES = 1 << 20
-STATE_BYTES_PER_ENTRY = 1 << 10  # a large state is written again only after as many more entries
-
 
 @dataclass
 class Waiter:
@@ -37,13 +34,13 @@
     history: ChangeHistory
     waiters: dict[int, Waiter] = field(default_factory=dict)
     reads: dict[int, asyncio.Future] = field(default_factory=dict)
-    log_bytes: int = 0
+    schedule: CompactionSchedule = field(default_factory=CompactionSchedule)
     lag: LagLog = field(default_factory=LagLog)
+    _compaction: raft.Compact | None = None
 
-    def proposed(self, action: raft.Proposed, size: int, outcome: asyncio.Future) -> None:
-        """A proposal of so many bytes is in the log; somebody waits for its outcome."""
+    def proposed(self, action: raft.Proposed, outcome: asyncio.Future) -> None:
+        """A proposal is in the log; somebody waits for its outcome."""
         self.waiters[action.index] = Waiter(action.term, outcome)
-        self.log_bytes += size
 
     def apply(self, entry: pb.LogEntry, on_change: Callable[[str, int, bytes], None]) -> None:
         """Take a committed entry into the state; tell who waits for it, and who follows."""
@@ -54,6 +51,8 @@
             if payload is not None:
                 self.history.append(entry.index, payload)
                 on_change(self.name, entry.index, payload)
+        if self.schedule.applied(entry.index, len(entry.data), self.machine.size):
+            self._compaction = raft.Compact(entry.index, self.machine.snapshot())
         if waiter is None or waiter.outcome.done():
             return
         if waiter.term == entry.term:
@@ -65,6 +64,8 @@
         """Go by a snapshot in place of the state."""
         self.machine.restore(snapshot.state)
         self.history.restart(snapshot.index)
+        self.schedule.restored()
+        self._compaction = None
 
     def fail_waiters(self) -> None:
         """The lead is lost: who waits is told at once that the outcome is unknown."""
@@ -79,16 +80,10 @@
         if outcome is not None and not outcome.done():
             outcome.set_result(confirmed)
 
-    def compaction(self) -> raft.Compact | None:
-        """The compaction that is due."""
-        replica = self.replica
-        behind = replica.log.applied_index - replica.log.snapshot.index
-        heavy = self.log_bytes > max(COMPACT_BYTES, 2 * self.machine.size)
-        many = max(COMPACT_ENTRIES, self.machine.size // STATE_BYTES_PER_ENTRY)
-        if behind < many and not (heavy and behind > 1):
-            return None
-        self.log_bytes = 0
-        return raft.Compact(replica.log.applied_index, self.machine.snapshot())
+    def take_compaction(self) -> raft.Compact | None:
+        """The compaction that the entries applied since the last call have led to."""
+        due, self._compaction = self._compaction, None
+        return due
 
     def log_lag(self, now: float) -> None:
         """Log that the replica lacks what its leader names as committed, where that lasts."""
--- a/molespur/system/shards/host.py
+++ b/molespur/system/shards/host.py
@@ -113,9 +113,6 @@
         for group in self.groups.values():
             self.handle(group, raft.Tick())
             self.membership.plan(group, now)
-            compaction = group.compaction()
-            if compaction is not None:
-                self.handle(group, compaction)
             group.log_lag(now)
         self.membership.maybe_join(now)
 
@@ -188,7 +185,7 @@
         actions = group.replica.handle(self.clock(), raft.Propose(data))
         for action in actions:
             if isinstance(action, raft.Proposed):
-                group.proposed(action, len(data), outcome)
+                group.proposed(action, outcome)
             elif isinstance(action, raft.NotLeader):
                 outcome.set_exception(FleetError(ErrorKind.NO_LEADER, name))
         self._carry_out(group, actions)
@@ -262,6 +259,9 @@
                     if role is not raft.Role.LEADER:
                         group.fail_waiters()
                     self.on_role(group.name)
+        compaction = group.take_compaction()
+        if compaction is not None:  # after all other actions, whose records come before it
+            self.handle(group, compaction)
 
     def written(self, name: str, record: raft.Persist) -> None:
         """A record is on the disk."""
--- a/tests/system/test_snapshots_across_leaders.py
+++ b/tests/system/test_snapshots_across_leaders.py
@@ -1,13 +1,14 @@
 """A snapshot goes on where it stopped whoever leads: all replicas compact at the same indexes.
 
 The failure behind these tests: a replica compacted when its process looked, each 50 ms, and only the leader
-counted the bytes of its log. Two replicas had snapshots of different indexes, so a follower that had received half of one
-began again from nothing under the next leader.
+counted the bytes of its log. Two replicas had snapshots of different indexes, so a follower that had received
+half of one began again from nothing under the next leader.
 
 Times are milliseconds of virtual time.
 """
 
 import asyncio
+from itertools import pairwise
 from random import Random
 
 import pytest
@@ -15,6 +16,7 @@
 from virtual_group import VirtualGroup
 
 from molespur.system.consensus import replica as raft
+from molespur.system.consensus.compaction import LEAST_ENTRIES, CompactionSchedule
 from molespur.system.consensus.snapshot_transfer import PIECE_BYTES
 from molespur.system.shards.placement import CONFIGURATION
 
@@ -55,7 +57,7 @@
 
 @pytest.mark.parametrize("megabytes", [1, 16])
 def test_a_member_is_caught_up_through_three_changes_of_leader(megabytes):
-    """Each leader loses the lead in the middle of the transfer; no piece but the one under way is sent anew."""
+    """Each leader loses the lead in the middle of the transfer; only the piece that was lost is sent anew."""
     group = VirtualGroup(50 + megabytes)
     group.run(3000)
     away = next(address for address in group.processes if address != group.leader().address)
@@ -65,23 +67,56 @@
         group.propose(b"%d" % number * (state_bytes // 8))
         group.run(400)
     group.run(1000)
-    pieces, arrive, leads = [], group._arrive, []
-    per_leader = state_bytes // PIECE_BYTES // (LEADER_CHANGES + 1)
+    senders, arrive = [], group._arrive
+    most_of_a_leader = state_bytes // PIECE_BYTES // (LEADER_CHANGES + 1)
+    changes = 0
 
     def watched(sender, receiver, message):
+        nonlocal changes
         if message.HasField("install_snapshot"):
-            pieces.append(message.install_snapshot.offset)
-            leads.append(sender)
-            if len(pieces) % max(per_leader, 1) == 0 and len(set(zip(leads, leads[1:], strict=False))) < 9:
-                group.at(0.0, group.leader().handle, raft.TransferLeadership())
+            senders.append(sender)
+            if changes < LEADER_CHANGES and senders.count(sender) > most_of_a_leader * (1 + changes // 2):
+                changes += 1
+                group.at(0.0, group.processes[sender].handle, raft.TransferLeadership())
+                return  # the last piece of this leader is lost with its lead
         arrive(sender, receiver, message)
 
     group._arrive = watched
     group.heal()
     group.run(12_000)
     assert group.processes[away].machine.commands == group.leader().machine.commands
-    changes = sum(one != other for one, other in zip(leads, leads[1:], strict=False))
-    assert changes >= LEADER_CHANGES
+    leaders = sum(one != other for one, other in pairwise(senders))
+    assert leaders >= LEADER_CHANGES
     state = len(group.leader().machine.snapshot())
-    sent = len(pieces) * PIECE_BYTES
-    assert sent <= state + (changes + 2) * PIECE_BYTES, (sent, state, changes)
+    least = -(-state // PIECE_BYTES)
+    assert len(senders) <= least + LEADER_CHANGES, (len(senders), least, leaders)
+
+
+def points(schedule, first, entries):
+    """Indexes at which a schedule compacts a log of (entry bytes, state bytes), from an index on."""
+    return [i for i, sizes in enumerate(entries, start=1) if i >= first and schedule.applied(i, *sizes)]
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_points_of_compaction_follow_from_the_log_alone(seed):
+    """A replica that begins at any point of another one has all its later points, and no others."""
+    random = Random(seed)
+    entries = [
+        (random.choice((200, 40_000, 900_000)), random.choice((0, 5_000, 300_000))) for _ in range(2000)
+    ]
+    whole = points(CompactionSchedule(), 1, entries)
+    assert len(whole) > 10
+    for index in whole:
+        assert points(CompactionSchedule(), index + 1, entries) == [i for i in whole if i > index]
+
+
+def test_replicas_with_snapshots_of_other_indexes_agree_from_a_multiple_of_the_stride_on():
+    """Such disks come from releases that compacted when the process looked."""
+    entries = [(500, 20_000)] * 600
+    one, other = (points(CompactionSchedule(), first, entries) for first in (37, 90))
+    assert one[-4:] == other[-4:] and one[-1] - one[-2] == LEAST_ENTRIES
+
+
+def test_a_large_state_is_compacted_after_more_entries_and_bytes():
+    assert points(CompactionSchedule(), 1, [(10, 1 << 20)] * 3000) == [1024, 2048]
+    assert points(CompactionSchedule(), 1, [(400_000, 1 << 20)] * 8) == [6]
--- a/tests/test_packages.py
+++ b/tests/test_packages.py
@@ -1,4 +1,4 @@
-"""Every command of the deploy files comes from a system package that is listed there, or from the build itself.
+"""Every command of the deploy files comes from a system package that is listed there, or from the build.
 
 The operators' machines have Debian's essential packages and what `packages` names, and nothing else.
 """
