Both ends judge a channel by round trips

Cause: the accepting side had no sign of life to go by; a half-open channel stayed until the kernel gave up. Change: the look belongs to the channel, not to the dialer; a question without a time is answered by the channel itself, so no role has to.

--- a/molespur/system/feed/follower.py
+++ b/molespur/system/feed/follower.py
@@ -184,7 +184,7 @@
     def _frame(self, channel: Channel, frame: pb.Frame) -> None:
         from_source = self.source is not None and channel is self.source.channel
         match frame.WhichOneof("body"):
-            case "pong" if frame.pong.sent_at_ms:
+            case "pong" if frame.pong.sent_at_ms:  # else an answer to the channel's own question
                 self._pong(channel, frame.pong, from_source)
             case "update" if from_source:
                 self._update(frame.update)
--- a/molespur/system/rpc/channel.py
+++ b/molespur/system/rpc/channel.py
@@ -1,6 +1,6 @@
 """Channels between processes of the fleet: length-prefixed protobuf frames over TCP.
 
-A `Channel` is one connection, from either side.  A `Dialer` keeps one open to an address and dials again
+A `Channel` is one connection, from either side, and both sides judge it by round trips.  A `Dialer` keeps one open to an address and dials again
 after it breaks.  Frames may be lost with a connection; whoever needs an answer sends again.
 """
 
@@ -34,19 +34,22 @@
         self._outgoing: list[bytes] = []
         self.label = ""  # who is at the other end, once it has said so
         self.error: Exception | None = None  # why the connection was lost; None: it was closed in order
-        self.liveness: ChannelLiveness | None = None  # kept where this side has dialled
+        self._liveness: ChannelLiveness | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Set the socket's options (asyncio callback)."""
+        """Set the socket's options, and begin to look for signs of life (asyncio callback)."""
         self.transport = transport
+        self._loop = asyncio.get_running_loop()
+        self._liveness = ChannelLiveness(self._loop.time())
+        self._loop.call_later(QUIET_S, self._look)
         sock = transport.get_extra_info("socket")
         if sock is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
         """Cut the bytes into frames (asyncio callback)."""
-        if self.liveness is not None:
-            self.liveness.heard(asyncio.get_running_loop().time())
+        self._liveness.heard(self._loop.time())
         self._received += data
         while len(self._received) >= LENGTH_BYTES:
             length = int.from_bytes(self._received[:LENGTH_BYTES], "big")
@@ -68,8 +71,27 @@
             logging.warning("rpc frame from %s can't be read: connection closed", self.label)
             self.close()
             return
+        if frame.HasField("ping") and not frame.ping.sent_at_ms:
+            self.send(pb.Frame(pong=pb.Pong()))  # asked for a sign of life only
+            return
         self.on_frame(self, frame)
 
+    def _look(self) -> None:
+        """Ask a quiet peer for a sign of life; give the channel up where none comes back.
+
+        The peer may hear all that is sent here, so what it does elsewhere says nothing of this channel.
+        """
+        if not self.open:
+            return
+        match self._liveness.look(self._loop.time()):
+            case Step.ASK:
+                self.send(pb.Frame(ping=pb.Ping()))
+            case Step.GIVE_UP:
+                logging.info("rpc: channel to %s given up: nothing comes back", self.label or "a caller")
+                self.abort()
+                return
+        self._loop.call_later(QUIET_S, self._look)
+
     def connection_lost(self, error: Exception | None) -> None:
         """Tell the owner (asyncio callback)."""
         self.transport, self.error = None, error
@@ -85,7 +107,7 @@
         if not self.open:
             return False
         if not self._outgoing:
-            asyncio.get_running_loop().call_soon(self._flush)
+            self._loop.call_soon(self._flush)
         data = frame.SerializeToString()
         traffic.sent.count(frame.WhichOneof("body"), LENGTH_BYTES + len(data))
         self._outgoing.append(len(data).to_bytes(LENGTH_BYTES, "big") + data)
@@ -172,32 +194,13 @@
             self.channel = channel
             if self.on_open is not None:
                 self.on_open(channel)
-            await self._keep(channel, lost)
+            await lost.wait()
             logging.info("rpc: channel to %s lost: %s", self.address, channel.error or "closed")
             self.channel = None
             if self.on_lost is not None:
                 self.on_lost(channel)
             await self._pause(REDIAL_S[0])
 
-    async def _keep(self, channel: Channel, lost: asyncio.Event) -> None:
-        """Wait until the channel is lost; give it up where nothing comes back on it any more.
-
-        The peer may hear all that is sent here, so what it does elsewhere says nothing of this channel.
-        """
-        loop = asyncio.get_running_loop()
-        channel.liveness = ChannelLiveness(loop.time())
-        while True:
-            with suppress(TimeoutError):
-                async with asyncio.timeout(QUIET_S):
-                    await lost.wait()
-                    return
-            match channel.liveness.look(loop.time()):
-                case Step.ASK:
-                    channel.send(pb.Frame(ping=pb.Ping()))
-                case Step.GIVE_UP:
-                    logging.info("rpc: channel to %s given up: nothing comes back", self.address)
-                    channel.abort()
-
     async def _connect(self, host: str, port: int, lost: asyncio.Event) -> Channel:
         """Open a channel.  Raises OSError; TimeoutError for a silent peer, or after `peer_alive`."""
         loop = asyncio.get_running_loop()
