An operator is led only to a leader that has just said that it leads

Cause: redirects went by words heard, up to 0.7 s old; a frozen leader then held the operator until its own time-out. Ruled out: handing the order on to the leader (a second path for what may be taken twice); a shorter silence (elections begin at 0.7 s, a redirect would still name a dead leader for as long). Change: the call LEADS between processes, 0.25 s at most; one round trip more for a redirect.

--- a/molespur/system/control_plane/calls.py
+++ b/molespur/system/control_plane/calls.py
@@ -8,6 +8,7 @@
   (`ReplicaHost.propose`), which also decides whether it is refused;
 - a heartbeat or goodbye that changes nothing: what it says is committed here, and a majority has answered
   within the lease;
+- a redirect: the process that it names has said since the call came that it leads and is in touch;
 - a refusal of a body that can't be read: none, since no state has a part in it.
 
 Without that contact the answer is 503 at once.
@@ -31,8 +32,9 @@
 from ..workers.liveness import WorkerLiveness
 
 STATES = {"ready": pb.READY, "draining": pb.DRAINING}
-PUT_WORKER, REMOVE_WORKER, READ_INDEX = "put-worker", "remove-worker", "read-index"
+PUT_WORKER, REMOVE_WORKER, READ_INDEX, LEADS = "put-worker", "remove-worker", "read-index", "leads"
 OK = 200
+REDIRECT_S = 0.25  # a leader that has not said by then that it leads is not named to the operator
 
 
 class ControlCalls:
@@ -93,7 +95,9 @@
                 raise FleetError(ErrorKind.MALFORMED, call.subject)
             if not self.host.leads(call.subject):
                 raise FleetError(ErrorKind.NO_LEADER, call.subject)
-            if call.method == READ_INDEX:
+            if call.method == LEADS:
+                self._must_be_in_touch(call.subject)
+            elif call.method == READ_INDEX:
                 index = await self._confirmed_index(call.subject)
                 reply.body = pb.Offset(group=call.subject, index=index).SerializeToString()
             elif call.method in (PUT_WORKER, REMOVE_WORKER) and call.subject in WORKER_GROUPS:
@@ -166,15 +170,27 @@
         machine = await self.host.read(CONFIGURATION)
         return machine.body if machine.version else None
 
-    def configuration_owner(self) -> str | None:
-        """Control address of the owner of the configuration's shard, if it is another process."""
+    async def configuration_owner(self) -> str | None:
+        """Control address of the owner of the configuration's shard, if it is another process.
+
+        It has just said itself that it can commit: an operator that is led to a process that does not answer
+        would wait there until its own time-out.  Raises FleetError where no process says so.
+        """
         if self.host.leads(CONFIGURATION):
             return None
         leader = self.host.leader(CONFIGURATION)
         if leader is None:
             raise FleetError(ErrorKind.NO_LEADER, CONFIGURATION)
+        reply = await self.peers.call(leader.rpc_address, LEADS, CONFIGURATION, answer_s=REDIRECT_S)
+        if reply.status != OK:
+            raise FleetError(ErrorKind.NO_LEADER, CONFIGURATION)
         return leader.control_address
 
+    def _must_be_in_touch(self, name: str) -> None:
+        """Raises FleetError(NO_LEADER) where this process can commit nothing in a group."""
+        if not self.host.in_touch(name):
+            raise FleetError(ErrorKind.NO_LEADER, name)
+
 
 def worker_from_registration(worker_id: str, body: bytes) -> pb.Worker:
     """A worker from the body of its heartbeat.  Raises FleetError(UNREADABLE)."""
--- a/molespur/system/control_plane/http.py
+++ b/molespur/system/control_plane/http.py
@@ -43,7 +43,7 @@
 
     @app.put("/api/config")
     async def put_configuration() -> Response:
-        owner = calls.configuration_owner()
+        owner = await calls.configuration_owner()
         if owner is not None:
             return Response("", 307, {"Location": f"http://{owner}/api/config"})
         try:
@@ -60,7 +60,7 @@
 
     @app.get("/api/config")
     async def get_configuration() -> Response:
-        owner = calls.configuration_owner()
+        owner = await calls.configuration_owner()
         if owner is not None:
             return Response("", 307, {"Location": f"http://{owner}/api/config"})
         body = await calls.configuration()
--- a/molespur/system/rpc/channel.py
+++ b/molespur/system/rpc/channel.py
@@ -1,8 +1,8 @@
 """Channels between processes of the fleet: length-prefixed protobuf frames over TCP.
 
 A `Channel` is one connection, from either side; both sides judge it by round trips.  A `Dialer` keeps one
-open to an address and dials again
-after it breaks.  Frames may be lost with a connection; whoever needs an answer sends again.
+open to an address and dials again after it breaks.  Frames may be lost with a connection; whoever needs an
+answer sends again.
 """
 
 import asyncio
--- a/molespur/system/rpc/peer_calls.py
+++ b/molespur/system/rpc/peer_calls.py
@@ -34,8 +34,10 @@
         self._numbers = count(secrets.randbits(FIRST_NUMBER_BITS))
         self._pending: dict[int, _PendingCall] = {}
 
-    async def call(self, address: str, method: str, subject: str, body: bytes = b"") -> pb.Reply:
-        """The reply of the process at an address.
+    async def call(
+        self, address: str, method: str, subject: str, body: bytes = b"", answer_s: float = ANSWER_S
+    ) -> pb.Reply:
+        """The reply of the process at an address, which has this long for it (s).
 
         Raises FleetError: NO_LEADER when the call has not left, OUTCOME_UNKNOWN when no reply came.
         """
@@ -47,7 +49,7 @@
         try:
             if dialer is None or not dialer.send(frame):
                 raise FleetError(ErrorKind.NO_LEADER, subject)
-            return await asyncio.wait_for(reply, ANSWER_S)
+            return await asyncio.wait_for(reply, answer_s)
         except TimeoutError as error:
             raise FleetError(ErrorKind.OUTCOME_UNKNOWN, subject) from error
         finally:
