Orders name the number that the worker has taken, once it has told it

Cause: IfRevision was never sent, and a 409 had no consequence. Ruled out: counting 202s (the report tells it without a guess); asking before each first order (a probe's price, and the fence guards it).

--- a/molespur/system/control_plane/orders.py
+++ b/molespur/system/control_plane/orders.py
@@ -2,7 +2,9 @@
 
 The fencing token is the term of the shard's group: two owners never share one, and a later owner has a higher
 one.  A new owner waits a lease before its first order, so that holders don't take turns.  A worker that
-refuses a token since it has seen a higher one gets no order with that token again.
+refuses a token since it has seen a higher one gets no order with that token again.  An order names how many the
+worker should have taken before it (`IfRevision`), where that is known; a worker that says otherwise has taken
+somebody else's order, and is asked what it does before it gets another one.
 """
 
 import asyncio
@@ -20,11 +22,13 @@
 from ..shards.host import ReplicaHost
 from ..shards.placement import CONFIGURATION, WORKER_GROUPS
 from ..workers.phases import HYSTERESIS, PREFILL, PhaseOrder, PhasePlanner
+from ..workers.revisions import OrderRevisions
 from .calls import ControlCalls
 
 ORDER_TIMEOUT_S = 0.8
 HANDOVER_MS = 1000.0  # on top of the lease, before a new owner gives orders
 TAKEN = (200, 202)
+CONFLICT = 409  # another order is under way, or the worker has taken others than was expected
 FENCED_OFF = 412  # the worker has seen a higher fencing token
 DEFAULT_SWITCH_S = 2.0
 REPORTS, REPORT_PAUSE_S = 4, 0.25  # asked of a worker under orders, before its heartbeat is waited for
@@ -48,6 +52,7 @@
         self.planners: dict[tuple[str, str], PhasePlanner] = {}  # by group and service
         self.given: Counter[tuple[str, str]] = Counter()  # (part, status or "no answer")
         self.fenced_off: dict[str, int] = {}  # worker -> the token that it has refused
+        self.revisions = OrderRevisions()
         self._split_logged_at = float("-inf")
         self._client = None  # made with the first order: most processes never give one
         self._tasks: set[asyncio.Task] = set()
@@ -55,6 +60,7 @@
     def became_owner(self, group: str) -> None:
         """This process has a group's lead."""
         self.owner_since[group] = self.clock()
+        self.revisions.forget()
         self.planners = {key: planner for key, planner in self.planners.items() if key[0] != group}
 
     def look(self, now: float) -> None:
@@ -99,6 +105,26 @@
         )
 
     async def _give(self, group: str, order: PhaseOrder, fence: int) -> None:
+        worker = order.worker
+        status = await self._post(order, fence)
+        self.revisions.order_sent(worker.id)
+        if status is None:
+            self.given[order.phase, "no answer"] += 1
+            return
+        logging.info("%s ordered to %s: %d", worker.id, order.phase, status)
+        self.given[order.phase, str(status)] += 1
+        if status == FENCED_OFF:
+            logging.warning("%s has seen a higher token than %d: no more orders with it", worker.id, fence)
+            self.fenced_off[worker.id] = fence
+        elif status == CONFLICT:
+            await self._has_phase(worker, order.phase)
+        elif status in TAKEN:
+            await self._follow_up(group, order)
+
+    async def _post(self, order: PhaseOrder, fence: int) -> int | None:
+        """Send an order; return the status of its answer, None where there is none."""
+        import httpx
+
         worker = order.worker
         body = {
             "Operation": "Phase",
@@ -106,8 +132,9 @@
             "Holder": self.settings.node_name,
             "FencingToken": fence,
         }
-        import httpx
-
+        expected = self.revisions.expected(worker.id)
+        if expected is not None:
+            body["IfRevision"] = expected
         if self._client is None:
             self._client = httpx.AsyncClient(timeout=ORDER_TIMEOUT_S, trust_env=False, verify=False)
         try:
@@ -118,21 +145,16 @@
             )
         except httpx.HTTPError as error:
             logging.warning("order to %s: %r", worker.id, error)
-            self.given[order.phase, "no answer"] += 1
-            return
-        logging.info("%s ordered to %s: %d", worker.id, order.phase, response.status_code)
-        self.given[order.phase, str(response.status_code)] += 1
-        if response.status_code == FENCED_OFF:
-            logging.warning("%s has seen a higher token than %d: no more orders with it", worker.id, fence)
-            self.fenced_off[worker.id] = fence
-            return
-        if response.status_code not in TAKEN:
-            return
-        liveness = self.calls.liveness[group]
+            return None
+        return response.status_code
+
+    async def _follow_up(self, group: str, order: PhaseOrder) -> None:
+        """Note that a worker changes its part, and once it says so that it has."""
+        worker, liveness = order.worker, self.calls.liveness[group]
         await self._note(group, liveness.order_given(self.clock(), worker, order.phase))
         await asyncio.sleep(self._switch_s(worker.service))
         for _ in range(REPORTS):
-            if await self._has_switched(worker, order.phase):
+            if await self._has_phase(worker, order.phase):
                 changed = liveness.order_done(worker.id)
                 if changed is not None:
                     await self._note(group, changed)
@@ -156,13 +178,20 @@
         engines = [s.engine for s in services if s.name == service and s.engine is not None]
         return engines[0].role_switch_s if engines else DEFAULT_SWITCH_S
 
-    async def _has_switched(self, worker: pb.Worker, phase: str) -> bool:
-        """Whether a worker says that it has changed its part: its next heartbeat may be a second away."""
+    async def _has_phase(self, worker: pb.Worker, phase: str) -> bool:
+        """Whether a worker says that it has a part and no order under way: its next heartbeat may be late.
+
+        What it says of the orders that it has taken is kept for the next one.
+        """
         import httpx
 
         try:
             response = await self._client.get(f"http://{worker.address}/api/report")
             report = response.json()
-            return report.get("Phase") == phase and not report.get("Utilization")
+            if report.get("Utilization"):
+                return False
+            if isinstance(report.get("Sequence"), int):
+                self.revisions.reported(worker.id, report["Sequence"])
+            return report.get("Phase") == phase
         except (httpx.HTTPError, ValueError, AttributeError):
             return False
--- a/molespur/system/demo/worker.py
+++ b/molespur/system/demo/worker.py
@@ -62,6 +62,9 @@
         @app.post("/api/order")
         async def order() -> Response:
             body = await request.get_json()
+            other_under_way = self.engine.switching(self.clock()) and body["Phase"] != self.engine.phase
+            if other_under_way or body.get("IfRevision", self.engine.orders) != self.engine.orders:
+                return Response("", 409)
             taken = self.engine.order(self.clock(), body["Phase"])
             return Response("", 202 if taken else 200)
 
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -10,6 +10,7 @@
 from molespur.system.control_plane.orders import HANDOVER_MS, PhaseOrders
 from molespur.system.rpc import molespur_pb2 as pb
 from molespur.system.shards.placement import group_of_service
+from molespur.system.workers.phases import PhaseOrder
 
 SERVICE = "s"
 GROUP = group_of_service(SERVICE)
@@ -122,3 +123,108 @@
             assert len(taken) == len(orders.fenced_off), "each worker was asked once with this fence"
 
     plane.loop.run_until_complete(scenario())
+
+
+# -- The number of orders that a worker has taken ---------------------------------------------------------
+
+
+class CountingWorker:
+    """A worker's address that counts the orders it takes and reports them."""
+
+    def __init__(self):
+        self.phase, self.sequence, self.orders, self.statuses = "decode", 4, [], []
+        self.reports, self.under_way = 0, False
+        self.on_report = lambda: None
+
+    @asynccontextmanager
+    async def serving(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if head.startswith(b"GET /api/report"):
+                    answer, body = b"200 OK", self._report()
+                else:
+                    length = int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0])
+                    answer, body = self._order(json.loads(await reader.readexactly(length))), b""
+                writer.write(b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (answer, len(body), body))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    def _report(self):
+        self.reports += 1
+        self.on_report()
+        report = {"Phase": self.phase, "Utilization": self.under_way, "Sequence": self.sequence}
+        return json.dumps(report).encode()
+
+    def _order(self, order):
+        self.orders.append(order)
+        if order.get("IfRevision", self.sequence) != self.sequence:
+            self.statuses.append(409)
+            return b"409 Conflict"
+        self.sequence, self.phase = self.sequence + 1, order["Phase"]
+        self.statuses.append(202)
+        return b"202 Accepted"
+
+
+def give(plane, scenario, monkeypatch):
+    """Run a scenario(worker, give) in which `give(phase)` carries one order out to its end."""
+    monkeypatch.setattr("molespur.system.control_plane.orders.DEFAULT_SWITCH_S", 0.0)
+    monkeypatch.setattr("molespur.system.control_plane.orders.REPORT_PAUSE_S", 0.0)
+
+    async def run():
+        worker = CountingWorker()
+        async with worker.serving() as address:
+            orders = orders_of(plane)
+            record = pb.Worker(id="w-0", service=SERVICE, address=address, phase="decode", capacity=64)
+
+            async def give_order(phase):
+                await orders._give(GROUP, PhaseOrder(record, phase), 7)
+
+            await scenario(worker, orders, give_order)
+
+    plane.loop.run_until_complete(asyncio.wait_for(run(), 20))
+
+
+def test_an_order_names_how_many_the_worker_has_taken_once_it_has_told(plane, monkeypatch):
+    async def scenario(worker, _orders, give_order):
+        for phase in ("prefill", "decode", "prefill"):
+            await give_order(phase)
+        assert [order.get("IfRevision") for order in worker.orders] == [None, 5, 6]
+        assert worker.statuses == [202, 202, 202]
+
+    give(plane, scenario, monkeypatch)
+
+
+def test_an_order_of_somebody_else_in_between_is_noticed_and_nothing_is_overturned(plane, monkeypatch):
+    async def scenario(worker, orders, give_order):
+        await give_order("prefill")
+        worker.sequence, worker.phase = 9, "decode"  # another holder has ordered it since
+        reports = worker.reports
+        await give_order("prefill")
+        assert worker.statuses == [202, 409] and worker.phase == "decode"
+        assert worker.reports == reports + 1, "it is asked what it does"
+        assert orders.given["prefill", "409"] == 1
+        await give_order("prefill")
+        assert worker.orders[-1]["IfRevision"] == 9 and worker.statuses[-1] == 202
+
+    give(plane, scenario, monkeypatch)
+
+
+def test_an_order_under_way_or_a_new_owner_leaves_the_number_unknown(plane, monkeypatch):
+    async def scenario(worker, orders, give_order):
+        worker.under_way = True  # at every report
+        await give_order("prefill")
+        await give_order("decode")
+        assert [order.get("IfRevision") for order in worker.orders] == [None, None]
+        worker.under_way = False
+        await give_order("prefill")
+        orders.became_owner(GROUP)
+        await give_order("decode")
+        assert [order.get("IfRevision") for order in worker.orders[2:]] == [None, None]
+
+    give(plane, scenario, monkeypatch)
