system config where: which scheduler has which version, and how old

Cause: only each process's own figures told it. Change: heartbeats of schedulers bear version and age; any control-plane process answers the call 'schedulers' with what it and the other monitors heard. The calls' names have a module of their own, the answer and its carrying out are apart; the command's channel is opened in one place. Ruled out: asking each scheduler (87 connections, and a cut-off one does not answer).

--- a/molespur/system/client/cli.py
+++ b/molespur/system/client/cli.py
@@ -5,6 +5,7 @@
   molespur system config get [--settings=FILE]
   molespur system config put FILE [--on=VERSION] [--settings=FILE]
   molespur system config diff FILE [--settings=FILE]
+  molespur system config where [--settings=FILE] [--json]
   molespur system check (settings | configuration) FILE
   molespur system snapshot save FILE [--settings=FILE]
   molespur system snapshot look PATH [--json]
@@ -21,6 +22,7 @@
   config get     print the configuration in force
   config put     check a configuration and put it in force on top of the current version
   config diff    compare a file with the configuration in force
+  config where   the version that each scheduler has in force, and how old it may be; those behind come first
   check          tell whether a settings file or a configuration can be used, with the line at fault
   snapshot save  keep configuration, workers and offsets of a running fleet in a file
   snapshot look  show such a file, or what the DataDirectory of a stopped control-plane process holds
@@ -57,6 +59,7 @@
 from ..settings.position import line_of
 from . import report, snapshot
 from .configuration import ConfigurationClient, difference, version_of
+from .schedulers import read_schedulers, scheduler_rows
 from .shards import shard_rows
 from .state import read_state
 
@@ -109,6 +112,10 @@
         state = asyncio.run(read_state(settings.seed_rpc_addresses()))
         print(report.render(REPORTS[name](state), options["--json"]))
         return DONE
+    if options["where"]:
+        known = asyncio.run(read_schedulers(settings.seed_rpc_addresses()))
+        print(report.render(scheduler_rows(known), options["--json"]))
+        return DONE
     client = ConfigurationClient(settings.seed_nodes)
     if options["get"]:
         print(json.dumps(client.get(), indent=1))
--- a/molespur/system/client/state.py
+++ b/molespur/system/client/state.py
@@ -5,12 +5,10 @@
 
 from attrs import define, field
 
-from ..errors import ErrorKind, FleetError
 from ..rpc import molespur_pb2 as pb
-from ..rpc.channel import Channel
 from ..shards.placement import CONFIGURATION, GROUPS
+from .connection import first_answer, open_channel
 
-CONNECT_S = 1.0
 COLLECT_S = 3.0  # longest wait for the first state of every shard
 NODE = (
     "operator"  # the name under which the feed is asked for; it never sends a heartbeat, so it counts nowhere
@@ -58,35 +56,25 @@
     A shard without a leader tells nothing, so the state may lack it.  Raises FleetError(NO_LEADER) when none
     of the addresses can be reached.
     """
-    failures = []
-    for address in addresses:
-        try:
-            return await _read_from(address, collect_s)
-        except (OSError, TimeoutError) as error:
-            failures.append(f"{address}: {error or 'no answer'}")
-    raise FleetError(ErrorKind.NO_LEADER, "; ".join(failures))
+    return await first_answer(addresses, lambda address: _read_from(address, collect_s))
 
 
 async def _read_from(address: str, collect_s: float) -> FleetState:
-    host, _, port = address.rpartition(":")
     state, whole, lost = FleetState(source=address), asyncio.Event(), asyncio.Event()
 
-    def on_frame(_channel: Channel, frame: pb.Frame) -> None:
+    def on_frame(frame: pb.Frame) -> None:
         state.take(frame)
         if not state.missing():
             whole.set()
 
-    loop = asyncio.get_running_loop()
-    made = loop.create_connection(lambda: Channel(on_frame, lambda _channel: lost.set()), host, int(port))
-    _transport, channel = await asyncio.wait_for(made, CONNECT_S)
-    waiting = [loop.create_task(event.wait()) for event in (whole, lost)]
-    try:
+    async with open_channel(address, on_frame, lost) as channel:
         channel.send(pb.Frame(subscribe=pb.Subscribe(node=NODE)))
-        await asyncio.wait(waiting, timeout=collect_s, return_when=asyncio.FIRST_COMPLETED)
-    finally:
-        for task in waiting:
-            task.cancel()
-        channel.close()
+        waiting = [asyncio.ensure_future(event.wait()) for event in (whole, lost)]
+        try:
+            await asyncio.wait(waiting, timeout=collect_s, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in waiting:
+                task.cancel()
     if state.heartbeat is None and not state.offsets:
         raise TimeoutError
     return state
--- a/molespur/system/control_plane/calls.py
+++ b/molespur/system/control_plane/calls.py
@@ -22,6 +22,7 @@
 
 from ..errors import ErrorKind, FleetError
 from ..faults import FaultPoint, strike
+from ..membership.schedulers import SchedulerMonitor
 from ..rpc import molespur_pb2 as pb
 from ..rpc.channel import Channel
 from ..rpc.peer_calls import PeerCalls
@@ -30,9 +31,9 @@
 from ..shards.host import ReplicaHost
 from ..shards.placement import CONFIGURATION, WORKER_GROUPS, group_of_service
 from ..workers.liveness import WorkerLiveness
+from .methods import LEADS, PUT_WORKER, READ_INDEX, REMOVE_WORKER, SCHEDULERS
 
 STATES = {"ready": pb.READY, "draining": pb.DRAINING}
-PUT_WORKER, REMOVE_WORKER, READ_INDEX, LEADS = "put-worker", "remove-worker", "read-index", "leads"
 OK = 200
 REDIRECT_S = 0.25  # a leader that has not said by then that it leads is not named to the operator
 
@@ -40,8 +41,15 @@
 class ControlCalls:
     """The calls, on top of the replicas that this process hosts."""
 
-    def __init__(self, host: ReplicaHost, peers: PeerCalls, clock: Callable[[], float], interval_ms: float):
-        self.host, self.peers, self.clock = host, peers, clock
+    def __init__(
+        self,
+        host: ReplicaHost,
+        peers: PeerCalls,
+        clock: Callable[[], float],
+        interval_ms: float,
+        schedulers: SchedulerMonitor,
+    ):
+        self.host, self.peers, self.clock, self.schedulers = host, peers, clock, schedulers
         self.liveness = {
             name: WorkerLiveness(host.groups[name].machine, interval_ms) for name in WORKER_GROUPS
         }
@@ -88,26 +96,39 @@
             liveness.committed(changed)
 
     async def answer(self, channel: Channel, call: pb.Call) -> None:
-        """Carry out a call that another process handed over."""
+        """Carry out a call that another process, or the operators' command, has handed over."""
         reply = pb.Reply(id=call.id, status=OK)
         try:
-            if call.subject not in self.host.groups:
-                raise FleetError(ErrorKind.MALFORMED, call.subject)
-            if not self.host.leads(call.subject):
-                raise FleetError(ErrorKind.NO_LEADER, call.subject)
-            if call.method == LEADS:
-                self._must_be_in_touch(call.subject)
-            elif call.method == READ_INDEX:
-                index = await self._confirmed_index(call.subject)
-                reply.body = pb.Offset(group=call.subject, index=index).SerializeToString()
-            elif call.method in (PUT_WORKER, REMOVE_WORKER) and call.subject in WORKER_GROUPS:
-                await self._own(call.subject, call.method, pb.Worker.FromString(call.body))
-            else:
-                raise FleetError(ErrorKind.MALFORMED, call.method)
+            reply.body = await self._carry_out(call)
         except FleetError as error:
             reply.status = error.answer.status
         channel.send(pb.Frame(reply=reply))
 
+    async def _carry_out(self, call: pb.Call) -> bytes:
+        """The body of the reply to a call.  Raises FleetError."""
+        if call.method == SCHEDULERS:
+            return self._known_schedulers().SerializeToString()
+        if call.subject not in self.host.groups:
+            raise FleetError(ErrorKind.MALFORMED, call.subject)
+        if not self.host.leads(call.subject):
+            raise FleetError(ErrorKind.NO_LEADER, call.subject)
+        if call.method == LEADS:
+            self._must_be_in_touch(call.subject)
+            return b""
+        if call.method == READ_INDEX:
+            index = await self._confirmed_index(call.subject)
+            return pb.Offset(group=call.subject, index=index).SerializeToString()
+        if call.method in (PUT_WORKER, REMOVE_WORKER) and call.subject in WORKER_GROUPS:
+            await self._own(call.subject, call.method, pb.Worker.FromString(call.body))
+            return b""
+        raise FleetError(ErrorKind.MALFORMED, call.method)
+
+    def _known_schedulers(self) -> pb.SchedulerList:
+        """Which schedulers this process knows of, and what configuration each one has."""
+        known = pb.SchedulerList(schedulers=self.schedulers.heard_lately(self.clock()))
+        known.configuration_version = self.host.groups[CONFIGURATION].machine.version
+        return known
+
     async def read_barrier(self, name: str) -> int:
         """An index of a group's log: whoever has applied it knows all that was acknowledged before this call.
 
--- a/molespur/system/control_plane/orders.py
+++ b/molespur/system/control_plane/orders.py
@@ -2,9 +2,9 @@
 
 The fencing token is the term of the shard's group: two owners never share one, and a later owner has a higher
 one.  A new owner waits a lease before its first order, so that holders don't take turns.  A worker that
-refuses a token since it has seen a higher one gets no order with that token again.  An order names how many the
-worker should have taken before it (`IfRevision`), where that is known; a worker that says otherwise has taken
-somebody else's order, and is asked what it does before it gets another one.
+refuses a token since it has seen a higher one gets no order with that token again.  An order names how many
+the worker should have taken before it (`IfRevision`), where that is known; a worker that says otherwise has
+taken somebody else's order, and is asked what it does before it gets another one.
 """
 
 import asyncio
--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -44,9 +44,11 @@
         machines.update({name: WorkerDirectory() for name in WORKER_GROUPS})
         self.host = ReplicaHost(settings, store, machines, clock, Random())
         self.peer_calls = PeerCalls(self.host.dialers.get)
-        self.calls = ControlCalls(self.host, self.peer_calls, clock, settings.heartbeat_interval_ms)
-        self.feed = FeedSource(self.host, clock, self.calls.read_barrier)
         self.schedulers = SchedulerMonitor(clock())
+        self.calls = ControlCalls(
+            self.host, self.peer_calls, clock, settings.heartbeat_interval_ms, self.schedulers
+        )
+        self.feed = FeedSource(self.host, clock, self.calls.read_barrier)
         self.orders = PhaseOrders(settings, self.host, self.calls, self.schedulers, clock)
         self.channels: set[Channel] = set()
         self.announcements = AnnouncementSchedule()
--- a/molespur/system/data_plane/figures.py
+++ b/molespur/system/data_plane/figures.py
@@ -64,7 +64,9 @@
         ),
         counter("worker_connections_opened", "Connections opened to workers.", upstreams.opened),
         gauge("open_requests", "Requests of clients under way.", open_requests()),
-        gauge("configuration_version", "Version in force; 0 before the first.", _version(state)),
+        gauge(
+            "configuration_version", "Version in force; 0 before the first.", state.configuration_version()
+        ),
         gauge("schedulers", "Schedulers that the control plane has told of.", state.schedulers),
         Metric(
             "workers", MetricKind.GAUGE, "Workers by service and state.", ("service", "state"), dict(workers)
@@ -89,7 +91,3 @@
     if not track.usable:
         return "unusable"
     return "silent" if track.silent else "usable"
-
-
-def _version(state: DataPlaneState) -> int:
-    return state.configuration.version if state.configuration else 0
--- a/molespur/system/data_plane/role.py
+++ b/molespur/system/data_plane/role.py
@@ -41,6 +41,7 @@
         self.peers = PeerSocket(settings.peer_address, self.state.peer_work, clock)
         self.peers.schedulers = lambda: self.follower.schedulers
         self.follower.on_peers = self.peers.name_peers
+        self.follower.configuration_version = self.state.configuration_version
         self.stopping = False
 
     def ready(self) -> bool:
--- a/molespur/system/data_plane/state.py
+++ b/molespur/system/data_plane/state.py
@@ -50,6 +50,10 @@
         self.split_positions: dict[str, float] = {}  # route -> where in the sum of its weights the next falls
         self.gone: list[str] = []  # addresses whose connections can be closed
 
+    def configuration_version(self) -> int:
+        """The version in force; 0 before the first."""
+        return self.configuration.version if self.configuration is not None else 0
+
     # -- The feed ------------------------------------------------------------------------------
 
     def update(self, group: str, snapshot: bool, payload: bytes) -> None:
--- a/molespur/system/feed/follower.py
+++ b/molespur/system/feed/follower.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections.abc import Callable
+from math import ceil
 from random import Random
 
 from absl import logging
@@ -18,6 +19,7 @@
 
 WATCH_S = LOOK_MS / 1000.0
 HEARTBEAT_MS = 600.0
+MOST_AGE_MS = 1e6  # told for any greater age, and where none is known
 MONITOR_LOOKS = 2  # monitors are asked for their age at each so many looks, the source at each
 
 
@@ -36,6 +38,7 @@
         self.on_update, self.loads = on_update, loads
         self.offsets: dict[str, int] = {}
         self.on_peers: Callable[[list[str]], None] = lambda _addresses: None
+        self.configuration_version: Callable[[], int] = lambda: 0  # in force at this scheduler
         self.schedulers = 0  # how many the control plane knows of; 0: unknown
         self.choice = SourceChoice(
             settings.zone, FreshnessBudget(settings.bounds.config_propagation_ms), random
@@ -123,6 +126,8 @@
         )
         beat.peer_address = self.settings.peer_address
         beat.loads.extend(self.loads(self.clock()))
+        beat.configuration_version = self.configuration_version()
+        beat.configuration_age_ms = ceil(min(self.configuration_age_ms(), MOST_AGE_MS))
         return beat
 
     def _ask(self, now: float) -> None:
--- a/molespur/system/membership/schedulers.py
+++ b/molespur/system/membership/schedulers.py
@@ -66,6 +66,17 @@
         everyone.update({beat.node: beat for beat in self.own(now)})
         return everyone
 
+    def heard_lately(self, now: float) -> list[pb.HeardScheduler]:
+        """All schedulers that are alive, with the time since their word came here (ms)."""
+        alive = self.alive(now)
+        return [
+            pb.HeardScheduler(heartbeat=beat, heard_ms_ago=int(now - self._word_of(node).at))
+            for node, beat in sorted(alive.items())
+        ]
+
+    def _word_of(self, node: str) -> Report:
+        return self.heard.get(node) or self.told[node]
+
     def count(self, now: float) -> int:
         """How many schedulers there are; 0 while this process may not have heard of all yet.
 
--- a/molespur/system/workers/revisions.py
+++ b/molespur/system/workers/revisions.py
@@ -1,11 +1,12 @@
 """How many orders each worker has taken, as far as its owner is certain of it.  Pure.
 
-An order that names the number expected (`IfRevision`) is refused where somebody else's order has come in between.
+An order that names the number expected (`IfRevision`) is refused where somebody else's order has come in
+between.
 """
 
 
 class OrderRevisions:
-    """The numbers of the workers of one owner; a number counts until the worker may have taken another order."""
+    """The numbers of one owner's workers; each counts until its worker may have taken another order."""
 
     def __init__(self):
         self._known: dict[str, int] = {}
--- a/tests/system/control.py
+++ b/tests/system/control.py
@@ -58,7 +58,9 @@
         machines.update({name: WorkerDirectory() for name in WORKER_GROUPS})
         self.host = ReplicaHost(settings, Store(self.folder), machines, lambda: self.now, Random(1))
         self.host.start(InlineWriter(self.host))
-        self.calls = ControlCalls(self.host, PeerCalls(self.host.dialers.get), lambda: self.now, 1000.0)
+        self.calls = ControlCalls(
+            self.host, PeerCalls(self.host.dialers.get), lambda: self.now, 1000.0, SchedulerMonitor()
+        )
         self.host.on_role = lambda group: self.host.leads(group) and self.calls.became_owner(group)
         self.client = create_app(self.calls, self.metrics).test_client()
         self.told = []
--- a/tests/system/test_feed.py
+++ b/tests/system/test_feed.py
@@ -345,3 +345,12 @@
     before = pong_to(plane, source, pipe).configuration_age_ms
     plane.now += 500.0
     assert pong_to(plane, source, pipe).configuration_age_ms == before + 500
+
+
+def test_a_heartbeat_tells_the_version_in_force_and_how_old_it_may_be(follower):
+    told = follower._beat()
+    assert (told.configuration_version, told.configuration_age_ms) == (0, 1_000_000)
+    follower.configuration_version = lambda: 12
+    follower.choice.told_everything(-30.0, 10.0, 10.0)
+    told = follower._beat()
+    assert (told.configuration_version, told.configuration_age_ms) == (12, 40)
--- a/tests/system/test_operator_client.py
+++ b/tests/system/test_operator_client.py
@@ -1,5 +1,6 @@
 """`molespur system`: what is printed of a fleet's state, and the configuration changed from a terminal."""
 
+import asyncio
 import json
 import os
 import socket
@@ -14,9 +15,12 @@
 
 from molespur.system.client import cli, report
 from molespur.system.client.configuration import ConfigurationClient, difference
+from molespur.system.client.connection import open_channel
+from molespur.system.client.schedulers import scheduler_rows
 from molespur.system.client.shards import shard_rows
 from molespur.system.client.state import FleetState
 from molespur.system.errors import ErrorKind, FleetError
+from molespur.system.membership.schedulers import SchedulerMonitor
 from molespur.system.rpc import molespur_pb2 as pb
 from molespur.system.shards.placement import CONFIGURATION, WORKER_GROUPS
 
@@ -97,6 +101,42 @@
     assert json.loads(report.render(report.member_rows(state), as_json=True))[0]["control"] == "10.0.0.1:80"
 
 
+# -- Schedulers ------------------------------------------------------------------------------------
+
+
+async def beat(address, heartbeat):
+    """Send one heartbeat as a scheduler does."""
+    async with open_channel(address, lambda _frame: None, asyncio.Event()) as channel:
+        channel.send(pb.Frame(scheduler_heartbeat=heartbeat))
+        await asyncio.sleep(0)
+
+
+def heard(node, version, age=100, ago=50):
+    told = pb.SchedulerHeartbeat(node=node, zone="a", configuration_version=version, configuration_age_ms=age)
+    return pb.HeardScheduler(heartbeat=told, heard_ms_ago=ago)
+
+
+def test_schedulers_that_lack_the_newest_version_come_first():
+    known = pb.SchedulerList(
+        configuration_version=9, schedulers=[heard("e-1", 9), heard("e-2", 7, 900), heard("e-3", 0, 1000)]
+    )
+    rows = scheduler_rows(known)
+    assert [row["scheduler"] for row in rows] == ["e-2", "e-3", "e-1"]
+    assert rows[0] == {
+        "scheduler": "e-2", "zone": "a", "version": 7, "state": "older", "age_ms": 900, "heard_ms": 50,
+    }  # fmt: skip
+    assert (rows[1]["version"], rows[1]["state"], rows[2]["state"]) == ("-", "none yet", "newest")
+
+
+def test_a_monitor_tells_of_schedulers_that_it_hears_and_that_others_hear():
+    monitor = SchedulerMonitor()
+    monitor.heartbeat(1000.0, pb.SchedulerHeartbeat(node="e-1", configuration_version=4))
+    monitor.report(1300.0, pb.MonitorReport(alive=[pb.SchedulerHeartbeat(node="e-2")]))
+    known = monitor.heard_lately(1500.0)
+    assert [(told.heartbeat.node, told.heard_ms_ago) for told in known] == [("e-1", 500), ("e-2", 200)]
+    assert monitor.heard_lately(60_000.0) == []
+
+
 # -- Configuration ---------------------------------------------------------------------------------
 
 
@@ -205,6 +245,15 @@
     rows = json.loads(capsys.readouterr().out)
     assert [row["shard"] for row in rows] == sorted([CONFIGURATION, *WORKER_GROUPS])
     assert {(row["process"], row["leader"], row["voters"]) for row in rows} == {("127.0.14.1:19146", 1, 1)}
+    for node, version in (("e-1", 3), ("e-2", 2)):
+        word = pb.SchedulerHeartbeat(node=node, zone="a", configuration_version=version)
+        asyncio.run(beat("127.0.14.1:19160", word))
+    assert cli.main(["config", "where", "--json", given]) == cli.DONE
+    rows = json.loads(capsys.readouterr().out)
+    assert [(row["scheduler"], row["version"], row["state"]) for row in rows] == [
+        ("e-2", 2, "older"),
+        ("e-1", 3, "newest"),
+    ]
     kept = tmp_path / "kept.json"
     assert cli.main(["snapshot", "save", str(kept), given]) == cli.DONE
     capsys.readouterr()
@@ -309,7 +358,7 @@
     told = lines[lines.index("Commands:") + 1 : lines.index("Options:") - 1]
     commands = [line[2:17].strip() for line in told if line[2] != " "]
     assert commands == [
-        "status", "workers", "members", "feed", "shards", "config get", "config put", "config diff", "check",
-        "snapshot save", "snapshot look", "demo", "soak",
+        "status", "workers", "members", "feed", "shards", "config get", "config put", "config diff",
+        "config where", "check", "snapshot save", "snapshot look", "demo", "soak",
     ]  # fmt: skip
     assert max(map(len, lines)) <= 110
--- a/tests/system/test_redirects.py
+++ b/tests/system/test_redirects.py
@@ -1,7 +1,7 @@
 """An operator is led only to a leader that says itself that it leads; how long a clear answer takes.
 
-The failure behind these tests: a follower named the leader that it had last heard, up to 0.7 s ago. An operator
-that was led to a process that stood still waited there until its own time-out.
+The failure behind these tests: a follower named the leader that it had last heard, up to 0.7 s ago. An
+operator that was led to a process that stood still waited there until its own time-out.
 """
 
 import asyncio
