--- a/tests/system/test_overtaken_attempts.py
+++ b/tests/system/test_overtaken_attempts.py
@@ -33,9 +33,7 @@
 from molespur.system.data_plane.state import DataPlaneState
 from molespur.system.data_plane.upstream import Upstreams
 
-PROMPT = (
-    b"Molespur-Model: m\r\nMolespur-Token-Usage: 9000,9\r\nMolespur-Prompt-Prefix: aa:6000,bb:3000\r\n"
-)
+PROMPT = b"Molespur-Model: m\r\nMolespur-Token-Usage: 9000,9\r\nMolespur-Prompt-Prefix: aa:6000,bb:3000\r\n"
 PATIENCE_S = 20.0
 
 
