A long request may be taken slowly: the kernel's time-out waits for its answer

Cause: TCP_USER_TIMEOUT (1.5 s) counts a full window as unacknowledged, so a sound worker that read nothing for longer was cut off, and the client told 502. Ruled out: no time-out at all (a machine without power says nothing); acting on pause_writing (the kernel's buffer takes 4 MB first); TCP_INFO's last acknowledgement (not on all machines that are described). Change: 30 s while more than 32 KB of a request are out and nothing has come back; 1.5 s otherwise.

--- a/molespur/system/data_plane/network.py
+++ b/molespur/system/data_plane/network.py
@@ -2,6 +2,8 @@
 
 Cheaper than the backend that httpcore brings, and with two things that it lacks: bytes that a worker does
 not acknowledge end the connection soon (TCP_USER_TIMEOUT), and whatever comes on a resting one is noticed.
+The kernel's time-out counts a full window as well, so a long request is given more time: its worker may be at
+work and read on later.
 """
 
 import asyncio
@@ -11,6 +13,8 @@
 import httpcore
 
 UNACKNOWLEDGED_MS = 1500
+LONG_WRITE_BYTES = 32 << 10  # more may fill the window of a worker that does not read
+LONG_UNACKNOWLEDGED_MS = 30_000  # until such a worker answers; the request's own time ends before
 PAUSE_BYTES = 256 << 10  # unread bytes at which a worker is made to wait
 
 
@@ -25,6 +29,7 @@
         self._reader: asyncio.Future | None = None
         self._writable: asyncio.Future | None = None
         self._paused = False
+        self._long_write = False  # more than a window may be out, and no answer has come since
 
     # -- asyncio's side ------------------------------------------------------------------------
 
@@ -33,12 +38,21 @@
         self._transport = transport
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._set_long_write(False)
+
+    def _set_long_write(self, long: bool) -> None:
+        """The one place where the kernel's time-out for unacknowledged bytes changes."""
+        self._long_write = long
         if hasattr(socket, "TCP_USER_TIMEOUT"):
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+            sock = self._transport.get_extra_info("socket")
+            timeout_ms = LONG_UNACKNOWLEDGED_MS if long else UNACKNOWLEDGED_MS
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
     def data_received(self, data: bytes) -> None:
         """Keep what has come until it is read (asyncio callback)."""
         self._buffer += data
+        if self._long_write:
+            self._set_long_write(False)
         if len(self._buffer) > PAUSE_BYTES and not self._paused:
             self._paused = True
             self._transport.pause_reading()
@@ -98,6 +112,8 @@
         """Send bytes.  Raises httpcore.WriteError or WriteTimeout."""
         if self._transport.is_closing():
             raise httpcore.WriteError("the connection is closed")
+        if len(buffer) > LONG_WRITE_BYTES:
+            self._set_long_write(True)
         self._transport.write(buffer)
         if self._writable is None:
             return
