Libraries are imported in one thread, a few at a time between turns of the loop

Cause sought: processes that ended with 132 did so while a second thread imported (all logged ones). Ruled out earlier: mapping native modules before the thread (two of four exits came after it). Change: IMPORT_STEPS, dependencies first; test_start holds that one thread imports, that the loop has a turn after each step and that the steps are complete.

--- a/molespur/system/signals.py
+++ b/molespur/system/signals.py
@@ -18,11 +18,19 @@
 NATIVE_MODULES = ("_decimal", "_multiprocessing", "_queue", "_uuid", "markupsafe._speedups")
 
 
+IMPORT_STEPS = (
+    "http.client", "http.cookiejar", "werkzeug", "werkzeug.routing", "jinja2", "click", "itsdangerous",
+    "blinker", "importlib.metadata", "flask", "logging.config", "multiprocessing.synchronize", "h11", "hpack",
+    "h2.events", "h2.connection", "wsproto", "priority", "hypercorn.protocol.events", "hypercorn.asyncio",
+    "aiofiles", "quart",
+)  # fmt: skip
+"""The libraries of HTTP, dependencies first: each takes some 40 ms of processor time at most."""
+
+
 def load_native_modules() -> None:
     """Load the shared objects of what `imported` will import, while the process has one thread.
 
-    The exits with code 132 (an illegal instruction) that were logged came while a second thread imported; a
-    shared object that is mapped then changes the code of a process that runs.
+    A shared object that is mapped changes the code of a process that runs, and its disk has a thread.
     """
     for name in NATIVE_MODULES:
         with suppress(ImportError):
@@ -30,11 +38,15 @@
 
 
 async def imported(name: str) -> ModuleType:
-    """Import a module of a role in a thread, so that what runs already goes on meanwhile.
+    """Import a module of a role and what it needs, a library at a time, so that the loop goes on meanwhile.
 
-    The libraries of HTTP take half of the time of a start; elections and the feed need not wait for them.
+    The libraries of HTTP take half of the time of a start; elections and the feed need not wait for them.  No
+    second thread imports: processes of the bench that did so ended now and then with an illegal instruction.
     """
-    module = await asyncio.get_running_loop().run_in_executor(None, import_module, name)
+    for library in IMPORT_STEPS:
+        import_module(library)
+        await asyncio.sleep(0)
+    module = import_module(name)
     gc.freeze()  # what the imports made is never garbage
     gc.enable()
     return module
--- a/tests/system/test_start.py
+++ b/tests/system/test_start.py
@@ -1,7 +1,9 @@
-"""The start of a role: no shared object is mapped by the thread that imports the HTTP libraries."""
+"""The start of a role: one thread imports, a library at a time, and maps no shared object late."""
 
 import subprocess
 import sys
+from ast import literal_eval
+from itertools import pairwise
 from pathlib import Path
 
 import pytest
@@ -25,9 +27,59 @@
 
 
 @pytest.mark.parametrize("role", ["control_plane", "data_plane"])
-def test_the_importing_thread_maps_no_shared_object(role):
+def test_no_shared_object_is_mapped_late(role):
     done = subprocess.run(
         [sys.executable, "-c", SCRIPT.replace("ROLE", role)],
         cwd=ROOT, capture_output=True, text=True, timeout=60, check=True,
     )  # fmt: skip
     assert done.stdout.strip() == "[]"
+
+
+STEPS_SCRIPT = """
+import asyncio, sys, threading
+from molespur.system import signals
+
+import molespur.system.ROLE.role, molespur.system.cli
+steps, real, turns = [], signals.import_module, 0
+
+def noted(name):
+    before = set(sys.modules)
+    assert threading.current_thread() is threading.main_thread()
+    module = real(name)
+    steps.append([name, len(set(sys.modules) - before), turns])
+    if name.startswith("molespur."):
+        steps[-1].append(sorted(n for n in set(sys.modules) - before if not n.startswith("molespur.")))
+    return module
+
+async def count():
+    global turns
+    while True:
+        turns += 1
+        await asyncio.sleep(0)
+
+async def main():
+    counting = asyncio.create_task(count())
+    await asyncio.sleep(0)
+    await signals.imported("molespur.system.ROLE.http")
+    counting.cancel()
+
+signals.import_module = noted
+asyncio.run(main())
+print(threading.active_count(), steps)
+"""
+MOST_MODULES = 60  # of one step
+
+
+@pytest.mark.parametrize("role", ["control_plane", "data_plane"])
+def test_libraries_are_imported_in_one_thread_and_the_loop_goes_on_between_them(role):
+    done = subprocess.run(
+        [sys.executable, "-c", STEPS_SCRIPT.replace("ROLE", role)],
+        cwd=ROOT, capture_output=True, text=True, timeout=60, check=True,
+    )  # fmt: skip
+    threads, _, told = done.stdout.strip().partition(" ")
+    steps = literal_eval(told)
+    assert threads == "1"
+    turns = [step[2] for step in steps]
+    assert all(later > earlier for earlier, later in pairwise(turns)), "the loop had a turn after each"
+    assert max(step[1] for step in steps) <= MOST_MODULES
+    assert steps[-1][3] == [], "the steps name all that the role's module needs"
