--- a/molespur/system/soak/operators.py
+++ b/molespur/system/soak/operators.py
@@ -32,6 +32,7 @@
     ):
         self.log, self.clock, self.random, self.control = log, clock, random, control
         self.on_taken: Callable[[Change], None] = lambda _change: None
+        self.pause_s = PAUSE_S
         self.newest = 0  # version that some operator knows to be taken
         self.routes: dict[int, tuple[str, ...]] = {0: ()}  # version -> added routes in it
         self._added = 0
@@ -42,7 +43,7 @@
         async with httpx.AsyncClient(timeout=CALL_S) as client:
             while not stop.is_set():
                 await self._change(client, name, stop)
-                await asyncio.sleep(self.random.uniform(*PAUSE_S))
+                await asyncio.sleep(self.random.uniform(*self.pause_s))
 
     async def first(self) -> None:
         """Put the first configuration in force."""
--- a/molespur/system/soak/run.py
+++ b/molespur/system/soak/run.py
@@ -10,7 +10,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from dataclasses import asdict, dataclass, replace
 from pathlib import Path
@@ -75,6 +75,7 @@
         self.random = Random(seed)
         self.operators = Operators(self.log, self.clock, self.random, lambda: control_addresses(self.fleet))
         self.operators.on_taken = self._probe_later
+        self.operator_names: Sequence[str] = OPERATORS
         self.clients = Clients(self.log, self.clock, self.random, self._targets)
         self.workers: dict[str, PlainWorker] = {}
         self.stop = asyncio.Event()
@@ -104,7 +105,7 @@
         try:
             await self._come_up()
             clients = [self._spawn(self.clients.run(number, self.stop)) for number in range(CLIENTS)]
-            for name in OPERATORS:
+            for name in self.operator_names:
                 self._spawn(self.operators.run(name, self.stop))
             self._spawn(self._watch())
             await self._trouble()
