--- a/molespur/system/soak/checker.py
+++ b/molespur/system/soak/checker.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from .records import Arrival, Change, Deed, Ending, Exchange, Log, RequestKind
+from .records import Arrival, Change, Deed, Ending, Exchange, HandleDeed, Log, RequestKind
 
 PROMISE_S = 2.0  # ConfigPropagationMs
 DRAIN_S = 2.0  # DrainTimeoutMs
@@ -17,9 +17,10 @@
 IN_TOUCH_S = 3.0
 DEADLINE_S = 4.0  # of a client's request, and the route's time-out
 BODY_S = 0.25  # longest time that the slow bodies of these clients take
+LAPSE_S = 5.0  # memory that was read apart is kept this long
 SLACK_S = 0.25  # clocks of two tasks of the soak, and sockets' queues
 PROMISES = (408, 421, 429, 503)  # the request has not run and never will
-NOT_REPEATED = (RequestKind.NON_IDEMPOTENT, RequestKind.STREAM)
+NOT_REPEATED = (RequestKind.NON_IDEMPOTENT, RequestKind.STREAM, RequestKind.MODEL)
 TROUBLES = (Deed.START, Deed.KILL, Deed.FREEZE, Deed.THAW, Deed.EXIT, Deed.TERMINATE)
 
 
@@ -234,6 +235,40 @@
             yield Finding("EXIT", deed.at, f"{deed.process} ended by itself with {deed.code}")
 
 
+def _memory_stays_with_its_request(index: _Index) -> Iterator[Finding]:
+    read_for = {(e.worker, e.handle): e.attempt for e in index.log.handles if e.deed is HandleDeed.READ}
+    for event in index.log.handles:
+        owner = read_for.get((event.worker, event.handle))
+        if event.deed is HandleDeed.TAKEN and event.attempt != owner:
+            what = f"{event.attempt} goes on from the memory of {owner} at {event.worker}"
+            yield Finding("MIXED", event.at, what)
+
+
+def _memory_is_given_back(index: _Index) -> Iterator[Finding]:
+    """Memory that nobody takes is freed: its scheduler was in no trouble, and its worker was reached."""
+    exchanges = {exchange.attempt: exchange for exchange in index.log.exchanges}
+    for event in index.log.handles:
+        exchange = exchanges.get(event.attempt)
+        if event.deed is not HandleDeed.LAPSED or exchange is None:
+            continue
+        since = event.at - LAPSE_S
+        hard = (Deed.RESET, Deed.CUT, Deed.HEAL)
+        disturbed = index.troubled(event.worker, since - IN_TOUCH_S, event.at, hard)
+        if not disturbed and index.in_touch(exchange.scheduler, since, event.at):
+            what = f"memory of {event.attempt} at {event.worker} was neither taken nor given back"
+            yield Finding("MEMORY", event.at, what)
+
+
+def _orders_of_one_holder(index: _Index) -> Iterator[Finding]:
+    """A fencing token belongs to one holder."""
+    holders: dict[tuple[str, int], str] = {}
+    for order in index.log.orders:
+        holder = holders.setdefault((order.worker, order.token), order.holder)
+        if holder != order.holder:
+            what = f"{holder} and {order.holder} order {order.worker} with the token {order.token}"
+            yield Finding("ONE", order.at, what)
+
+
 RULES: dict[str, Callable[[_Index], Iterator[Finding]]] = {
     "what may not be repeated runs once": _ran_once,
     "who was refused has not run": _promises_kept,
@@ -249,6 +284,9 @@
     "the newest is read back": _read_back,
     "workers that have left rest": _left_workers_rest,
     "nobody ends by itself": _nobody_ends_by_itself,
+    "prompt memory stays with its request": _memory_stays_with_its_request,
+    "prompt memory is taken or given back": _memory_is_given_back,
+    "a fencing token has one holder": _orders_of_one_holder,
 }
 
 
--- a/molespur/system/soak/clients.py
+++ b/molespur/system/soak/clients.py
@@ -25,6 +25,9 @@
 SLOW_BODY_SHARE, LEAVE_SHARE, AHEAD_SHARE = 0.1, 0.05, 0.15
 BODY_PIECES, PIECE_S = 4, 0.03
 REQUESTS_A_CONNECTION = 40
+MODEL_HEADERS = (
+    "Molespur-Model: m", "Molespur-Token-Usage: 6000,12", "Molespur-Prompt-Prefix: aa:4000,bb:2000",
+)  # fmt: skip
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,6 +164,8 @@
         f"Molespur-Deadline-Ms: {DEADLINE_MS}",
         "Transfer-Encoding: chunked" if chunked else f"Content-Length: {length}",
     ]
+    if exchange.kind is RequestKind.MODEL:
+        lines += MODEL_HEADERS
     if exchange.from_event:
         lines.append(f"Last-Event-Id: {exchange.from_event}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
--- a/molespur/system/soak/fleet.py
+++ b/molespur/system/soak/fleet.py
@@ -6,12 +6,15 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
+from random import Random
 
 import yaml
 
+from ...standins.loopback import can_listen, reserved_net
 from ..demo.fleet import HTTP_PORT, RPC_PORT, ZONES, Machine, settings
+from . import disk
 from .fault_line import FaultLine
 from .records import Deed, Log, ProcessDeed, Sample
 
@@ -19,21 +22,28 @@
 SETTLED_S = 0.5  # a process whose interpreter starts heeds no signal yet
 EXIT_LOOK_S = 0.05
 END_S = 12.0  # a process that was told to end has this long
+FIRST_NET, NETS = 64, 128  # the second part of all hosts
 FRONT_PART, BACK_PART, WORKER_PART = 1, 2, 3
 WORKER_BACK_PART = 60  # the third part of the hosts that workers listen at, behind the fault line
+PROGRAM = (sys.executable, "-m", "molespur.system.soak.process")
 BOUNDS = {"GracePeriodS": 8, "ConfigPropagationMs": 2000, "RetryBudgetMin": 200}
 
 
 class SoakFleet:
     """All processes of one run, each under a name that no other one had before."""
 
-    def __init__(self, folder: Path, network: str, log: Log, clock: Callable[[], float]):
-        self.folder, self.network, self.log, self.clock = folder, network, log, clock
+    def __init__(self, folder: Path, seed: int, log: Log, clock: Callable[[], float]):
+        """Raises OSError where every net of loopback hosts is taken."""
+        self.folder, self.log, self.clock = folder, log, clock
+        nets = (FIRST_NET + (seed + number) % NETS for number in range(NETS))
+        self._net_lock, net = reserved_net(nets, _is_free)
+        self.network = f"127.{net}"
         self.line = FaultLine()
         self.machines: dict[str, Machine] = {}
         self.busy: set[str] = set()  # something is being done to these: no other trouble strikes them
         self._processes: dict[str, subprocess.Popen] = {}
         self._expected: set[str] = set()  # these were told to end
+        self.command: Callable[[Machine], Sequence[str]] = lambda _machine: PROGRAM
         self._numbers = 0
         self._started_at: dict[str, float] = {}
 
@@ -79,7 +89,7 @@
         path = self.write_settings(machine, bootstrap)
         with (self.folder / f"{machine.name}.log").open("ab") as log:
             self._processes[machine.name] = subprocess.Popen(
-                [sys.executable, "-m", "molespur", machine.role, "--verbosity=1"],
+                [*self.command(machine), machine.role, "--verbosity=1"],
                 env={**os.environ, "MOLESPUR_SETTINGS": str(path)}, stdout=log, stderr=log,
             )  # fmt: skip
         self._expected.discard(machine.name)
@@ -120,6 +130,11 @@
             expected = name in self._expected
             self.note(name, Deed.EXIT, 0 if expected else process.returncode or -1)
 
+    def lose_unsynced(self, machine: Machine, choice: float) -> None:
+        """A machine whose process was killed has lost power: what its disk had not synced goes, in part."""
+        if disk.lose_unsynced(self.folder / machine.name, Random(choice)):
+            self.note(machine.name, Deed.UNSYNCED_LOST)
+
     def lose_disk(self, machine: Machine) -> None:
         """The machine comes back with an empty disk."""
         shutil.rmtree(self.folder / machine.name, ignore_errors=True)
@@ -164,6 +179,12 @@
                 process.wait()
         self._processes.clear()
         self.line.stop()
+        self._net_lock.close()
+
+
+def _is_free(net: int) -> bool:
+    """Whether no process of another soak, or one that was left over, listens there."""
+    return can_listen(f"127.{net}.{FRONT_PART}.1", RPC_PORT)
 
 
 def control_addresses(fleet: SoakFleet) -> list[str]:
--- a/molespur/system/soak/operators.py
+++ b/molespur/system/soak/operators.py
@@ -21,7 +21,11 @@
 REDIRECTS = 2
 KEPT_ROUTES = 12  # routes that were added and not removed yet
 CLEAR = (200, 400, 412)
-SERVICE = "plain"
+SERVICE, MODEL_SERVICE = "plain", "model"
+MODEL_ENGINE = {
+    "Capacity": 64, "KvCapacityTokens": 100_000, "KvTokenBytes": 18_432, "BandwidthMbps": 100_000.0,
+    "HandleTtlS": 5.0, "RoleSwitchS": 1.0, "Models": [{"Name": "m"}],
+}  # fmt: skip
 
 
 class Operators:
@@ -140,14 +144,18 @@
         "HeaderTimeoutMs": 3000,
         "IdleTimeoutMs": 15_000,
     }
-    services = [{"Name": SERVICE, "MaxConnections": 200}]
+    services = [
+        {"Name": SERVICE, "MaxConnections": 200},
+        {"Name": MODEL_SERVICE, "MaxConnections": 200, "Engine": MODEL_ENGINE},
+    ]
     made = {"Version": version, "Routes": routes, "Services": services, "Limits": limits}
     return json.dumps(made).encode()
 
 
 def _route(name: str, path: str, kind: RequestKind) -> dict:
     return {
-        "Name": name, "Host": HOST, "PathPrefix": path, "Service": SERVICE, "MaxAttempts": 2,
+        "Name": name, "Host": HOST, "PathPrefix": path, "MaxAttempts": 2,
+        "Service": MODEL_SERVICE if kind is RequestKind.MODEL else SERVICE,
         "Type": "streaming" if kind.streams else kind.value, "Resumable": kind.resumable,
         "TimeoutMs": 4000, "TargetLatencyMs": 400, "Priority": 0, "gap_aim_ms": 250,
     }  # fmt: skip
--- a/molespur/system/soak/plain_worker.py
+++ b/molespur/system/soak/plain_worker.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 from contextlib import suppress
+from dataclasses import dataclass
 from enum import Enum
 
 import httpx
@@ -23,6 +24,8 @@
 EVENTS = 12
 SLOW_TIMES = 8.0
 SLOTS = 64
+STREAMS = ("/stream/", "/resumable/", "/model/")
+NOT_EXECUTED = "Molespur-Not-Executed: 1\r\n"
 
 
 class Mood(Enum):
@@ -38,6 +41,25 @@
     """This worker has broken its answer off."""
 
 
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A request as it has come to a worker; names of headers are in lower case."""
+
+    method: str
+    path: str
+    fields: dict[str, str]
+    body: bytes
+
+    @property
+    def attempt(self) -> str:
+        """The attempt's id; empty where it has none."""
+        return self.field("molespur-attempt-id")
+
+    def field(self, name: str, default: str = "") -> str:
+        """The value of a header."""
+        return self.fields.get(name, default)
+
+
 class PlainWorker:
     """One worker, for one life."""
 
@@ -117,10 +139,7 @@
         self, client: httpx.AsyncClient, control: Sequence[str], state: str, tries: int = 1
     ) -> bool:
         self._sequence += 1
-        body = {
-            "Service": self.service, "Address": self.address, "Zone": self.zone, "Version": "stand-in",
-            "Capacity": SLOTS, "State": state, "Sequence": self._sequence,
-        }  # fmt: skip
+        body = self._registration(state)
         for _ in range(tries):
             for address in control:
                 with suppress(httpx.HTTPError):
@@ -130,6 +149,13 @@
             await asyncio.sleep(RETRY_S)
         return False
 
+    def _registration(self, state: str) -> dict:
+        """What it tells of itself."""
+        return {
+            "Service": self.service, "Address": self.address, "Zone": self.zone, "Version": "stand-in",
+            "Capacity": SLOTS, "State": state, "Sequence": self._sequence,
+        }  # fmt: skip
+
     # -- Requests ------------------------------------------------------------------------------
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -138,46 +164,51 @@
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 fields = _fields(head)
-                body = await _body(reader, fields)
-                await self._answer(writer, head.split(" ", 2)[1], fields, len(body))
+                method, path, _ = head.split(" ", 2)
+                await self._answer(writer, Request(method, path, fields, await _body(reader, fields)))
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             pass
         finally:
             self._writers.discard(writer)
             writer.close()
 
-    async def _answer(self, writer, path: str, fields: dict[str, str], length: int) -> None:
-        attempt = fields.get("molespur-attempt-id", "")
-        head = f"Molespur-Attempt-Id: {attempt}\r\n"
-        if fields.get("molespur-expected-instance", self.name) != self.name:
-            writer.write(f"HTTP/1.1 421 Misdirected\r\n{head}Content-Length: 0\r\n\r\n".encode())
+    async def _answer(self, writer, request: Request) -> None:
+        attempt = request.attempt
+        if request.field("molespur-expected-instance", self.name) != self.name:
+            self._write_refusal(writer, request, "421 Misdirected")
             return
         runs = self._running < SLOTS and self._left_of(Mood.REFUSE) <= 0
         self.on_arrival(self.name, attempt, runs)
         if not runs:
-            writer.write(
-                f"HTTP/1.1 503 Full\r\n{head}Molespur-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
-            )
+            self._write_refusal(writer, request, "503 Full", executed=False)
             return
-        head += f"Molespur-Server-Stamp: {self.name}.{attempt}\r\n"
+        head = f"Molespur-Attempt-Id: {attempt}\r\nMolespur-Server-Stamp: {self.name}.{attempt}\r\n"
         self._running += 1
         try:
             await self._work(WORK_S)
-            after = int(fields.get("last-event-id", "0") or 0)
-            if "/long/" in path:
-                await self._stream(writer, head, attempt, after, LONG_EVENT_S)
-            elif "/stream/" in path or "/resumable/" in path:
-                await self._stream(writer, head, attempt, after, EVENT_S)
-            else:
-                self._perhaps_break(writer, attempt)
-                answer = f"{attempt}:{length}".encode()
-                writer.write(
-                    f"HTTP/1.1 200 OK\r\n{head}Content-Length: {len(answer)}\r\n\r\n".encode() + answer
-                )
+            await self._run(writer, request, head)
             await writer.drain()
         finally:
             self._running -= 1
 
+    @staticmethod
+    def _write_refusal(writer, request: Request, status: str, executed: bool = True) -> None:
+        """Put a request back; `executed` False: with the word that it did not run."""
+        head = f"HTTP/1.1 {status}\r\nMolespur-Attempt-Id: {request.attempt}\r\nContent-Length: 0\r\n"
+        writer.write(f"{head}{'' if executed else NOT_EXECUTED}\r\n".encode())
+
+    async def _run(self, writer, request: Request, head: str) -> None:
+        """Give the answer that the request's path asks for."""
+        after = int(request.field("last-event-id", "0") or 0)
+        if "/long/" in request.path:
+            await self._stream(writer, head, request.attempt, after, LONG_EVENT_S)
+        elif any(kind in request.path for kind in STREAMS):
+            await self._stream(writer, head, request.attempt, after, EVENT_S)
+        else:
+            self._perhaps_break(writer, request.attempt)
+            answer = f"{request.attempt}:{len(request.body)}".encode()
+            writer.write(f"HTTP/1.1 200 OK\r\n{head}Content-Length: {len(answer)}\r\n\r\n".encode() + answer)
+
     async def _stream(self, writer, head: str, attempt: str, after: int, pause_s: float) -> None:
         head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
         writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
--- a/molespur/system/soak/plan.py
+++ b/molespur/system/soak/plan.py
@@ -28,6 +28,7 @@
     SCHEDULER_RENAME = "scheduler replaced by one of another name and address"
     CONTROL_STOP = "control plane stopped and started"
     CONTROL_KILL = "control plane killed"
+    CONTROL_POWER = "control plane without power, what it had not synced is lost"
     CONTROL_FREEZE = "control plane frozen"
     CONTROL_RELOAD = "control plane told to read its settings again"
     CONTROL_WIPE = "control plane killed, its disk lost"
--- a/molespur/system/soak/records.py
+++ b/molespur/system/soak/records.py
@@ -15,11 +15,12 @@
     STREAM = "stream"  # may not be taken up again
     RESUMABLE = "resumable"
     LONG = "long"  # a resumable stream of seconds: open through signals and changes
+    MODEL = "model"  # a stream of model workers: its prompt may be read apart, and its memory handed over
 
     @property
     def streams(self) -> bool:
         """Whether its answer is a stream of events."""
-        return self in (RequestKind.STREAM, RequestKind.RESUMABLE, RequestKind.LONG)
+        return self in (RequestKind.STREAM, RequestKind.RESUMABLE, RequestKind.LONG, RequestKind.MODEL)
 
     @property
     def resumable(self) -> bool:
@@ -115,6 +116,7 @@
     HEAL = "heal"
     RESET = "reset"  # of its connections to others
     EXIT = "exit"  # it has ended
+    UNSYNCED_LOST = "unsynced lost"  # with its power
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +154,36 @@
     attempt: str
 
 
+class HandleDeed(Enum):
+    """What becomes of prompt memory that was read apart."""
+
+    READ = "read"
+    TAKEN = "taken"  # by the worker that gives the answer
+    FREED = "freed"
+    LAPSED = "lapsed"
+
+
+@dataclass(frozen=True, slots=True)
+class HandleEvent:
+    """Something has happened to the memory behind a handle of a worker."""
+
+    at: float
+    worker: str
+    handle: str
+    deed: HandleDeed
+    attempt: str  # of the request that it was read for; of the one that takes it
+
+
+@dataclass(frozen=True, slots=True)
+class OrderTaken:
+    """A worker has taken an order, or held already what it asked for."""
+
+    at: float
+    worker: str
+    holder: str
+    token: int  # the fencing token
+
+
 @dataclass(frozen=True, slots=True)
 class Sample:
     """What a process uses, and the configuration that it says is in force."""
@@ -177,5 +209,7 @@
     goodbyes: list[Goodbye] = field(default_factory=list)
     ends: list[WorkerEnded] = field(default_factory=list)
     broken_off: list[BrokenOff] = field(default_factory=list)
+    handles: list[HandleEvent] = field(default_factory=list)
+    orders: list[OrderTaken] = field(default_factory=list)
     samples: list[Sample] = field(default_factory=list)
     last_read: int | None = None  # the version that was read back at the end
--- a/molespur/system/soak/report.py
+++ b/molespur/system/soak/report.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from itertools import groupby
 
-from .records import Log, Sample
+from .records import Deed, Log, Sample
 from .run import Result
 
 SLOPE_LEAST_S = 20.0  # a process has to live this long for a slope
@@ -23,6 +23,9 @@
         "changes": dict(sorted(Counter(str(change.status) for change in log.changes).items())),
         "slowest_answer_to_an_operator_s": round(slowest_answer_s(log), 2),
         "probes": dict(sorted(Counter(str(probe.status) for probe in log.probes).items())),
+        "prompt_memory": dict(sorted(Counter(event.deed.value for event in log.handles).items())),
+        "orders": len(log.orders),
+        "power_losses_that_lost_something": sum(d.deed is Deed.UNSYNCED_LOST for d in log.deeds),
         "steepest": steepest(log),
         "logs": str(result.folder),
     }
--- /dev/null
+++ b/molespur/system/soak/service_workers.py
@@ -0,0 +1,122 @@
+"""The stand-in workers of a soak: started, lost, told to leave, put into moods, cut off."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Coroutine
+
+from ..demo.fleet import WORKER_PORT, ZONES
+from . import plan
+from .fleet import WORKER_BACK_PART, WORKER_PART, SoakFleet, control_addresses
+from .model_worker import DECODE, PREFILL, ModelWorker
+from .operators import MODEL_SERVICE, SERVICE
+from .plain_worker import Mood, PlainWorker
+from .plan import Event, Trouble
+from .records import Arrival, BrokenOff, Deed, Goodbye, Log, WorkerEnded
+
+PLAIN_WORKERS, MODEL_WORKERS = 4, 5
+LEAST_STAYING = 3  # of a service: with fewer nothing is done to one
+HOSTS_A_PART = 250
+LONGEST_MOOD_S = 3.0  # a request has 4 s
+MOODS = {
+    Trouble.WORKER_REST: Mood.REST,
+    Trouble.WORKER_SLOW: Mood.SLOW,
+    Trouble.WORKER_REFUSE: Mood.REFUSE,
+    Trouble.WORKER_BREAK: Mood.BREAK,
+}
+
+
+class ServiceWorkers:
+    """All workers of one run; one that goes is followed by another of its service."""
+
+    def __init__(
+        self,
+        fleet: SoakFleet,
+        log: Log,
+        clock: Callable[[], float],
+        met: Counter,
+        spawn: Callable[[Coroutine], asyncio.Task],
+    ):
+        self.fleet, self.log, self.clock, self.met, self.spawn = fleet, log, clock, met, spawn
+        self.workers: dict[str, PlainWorker] = {}
+        self._number = 0
+
+    def come_up(self) -> None:
+        """Start the first ones."""
+        for _ in range(PLAIN_WORKERS):
+            self._start(SERVICE)
+        for _ in range(MODEL_WORKERS):
+            self._start(MODEL_SERVICE)
+
+    def _start(self, service: str) -> None:
+        self._number += 1
+        number = self._number
+        part, last = divmod(number, HOSTS_A_PART)
+        host = f"{self.fleet.network}.{WORKER_PART + part}.{last + 1}"
+        back = f"{self.fleet.network}.{WORKER_BACK_PART + part}.{last + 1}"
+        place = f"{service}-{number}", service, f"{host}:{WORKER_PORT}", ZONES[number % len(ZONES)]
+        heard = self._arrived, self._said_goodbye, self._broke_off
+        if service == SERVICE:
+            worker = PlainWorker(*place, *heard, bind_host=back)
+        else:
+            worker = ModelWorker(
+                *place, *heard, bind_host=back, phase=(DECODE, PREFILL)[number % 2], log=self.log,
+                clock=self.clock, others=self._model_worker_at,
+            )  # fmt: skip
+        self.workers[worker.name] = worker
+        self.spawn(self._live(worker))
+
+    async def _live(self, worker: PlainWorker) -> None:
+        host, _, port = worker.address.rpartition(":")
+        await self.fleet.line.serve(worker.name, host, worker.bind_host, int(port))
+        try:
+            await worker.run(lambda: control_addresses(self.fleet))
+        finally:
+            self.fleet.line.close(worker.name)
+            self.workers.pop(worker.name, None)
+            self.log.ends.append(WorkerEnded(self.clock(), worker.name))
+
+    def _model_worker_at(self, address: str) -> ModelWorker | None:
+        found = (worker for worker in self.workers.values() if worker.address == address)
+        return next((worker for worker in found if isinstance(worker, ModelWorker)), None)
+
+    # -- What they note ------------------------------------------------------------------------
+
+    def _arrived(self, worker: str, attempt: str, runs: bool) -> None:
+        self.log.arrivals.append(Arrival(self.clock(), worker, attempt, runs))
+
+    def _said_goodbye(self, worker: str) -> None:
+        self.log.goodbyes.append(Goodbye(self.clock(), worker))
+
+    def _broke_off(self, worker: str, attempt: str) -> None:
+        self.log.broken_off.append(BrokenOff(self.clock(), worker, attempt))
+
+    # -- Trouble -------------------------------------------------------------------------------
+
+    def strike(self, event: Event) -> None:
+        """Do to one of them what the event says."""
+        staying = [worker for worker in self.workers.values() if not worker.leaving.is_set()]
+        if not staying:
+            return
+        worker = staying[int(event.choice * len(staying))]
+        if sum(other.service == worker.service for other in staying) < LEAST_STAYING:
+            return
+        self.met[event.trouble.value] += 1
+        if event.trouble in MOODS:
+            worker.change_mood(MOODS[event.trouble], min(event.for_s, LONGEST_MOOD_S))
+        elif event.trouble in plan.WORKER_LINKS:
+            self.spawn(self._strike_links(worker, event))
+        else:
+            self._start(worker.service)
+            (worker.leaving if event.trouble is Trouble.WORKER_DRAIN else worker.down).set()
+
+    async def _strike_links(self, worker: PlainWorker, event: Event) -> None:
+        """What a worker sends and gets is held up for a moment, or its connections break."""
+        if event.trouble is Trouble.WORKER_RESET:
+            self.fleet.note(worker.name, Deed.RESET)
+            self.fleet.line.reset(worker.name)
+            return
+        self.fleet.note(worker.name, Deed.CUT)
+        self.fleet.line.cut_from_strangers(worker.name)
+        await asyncio.sleep(min(event.for_s, LONGEST_MOOD_S))
+        self.fleet.line.heal(worker.name)
+        self.fleet.note(worker.name, Deed.HEAL)
--- /dev/null
+++ b/molespur/system/soak/watch.py
@@ -0,0 +1,89 @@
+"""What a soak looks at beside its clients: routes probed after a change, versions and use of each process."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from contextlib import suppress
+from dataclasses import replace
+
+import httpx
+
+from ..demo.fleet import READINESS_PORT
+from .clients import HOST, Target
+from .fleet import CONTROL, SoakFleet
+from .records import Change, Log, Probe
+
+LOOK_S = 0.1
+SAMPLE_S = 1.0
+PROBE_AFTER_S = 2.05  # the promise of propagation, and a little
+PROBE_S = 3.0
+
+
+class RouteProbes:
+    """Asks every scheduler for a route that was added or removed, once the change has to be in force."""
+
+    def __init__(
+        self,
+        log: Log,
+        clock: Callable[[], float],
+        targets: Callable[[], list[Target]],
+        spawn: Callable[[Coroutine], asyncio.Task],
+    ):
+        self.log, self.clock, self.targets, self.spawn = log, clock, targets, spawn
+        self._number = 0
+
+    def later(self, change: Change) -> None:
+        """A change was taken: probe its routes in time."""
+        for route in (*change.added, *change.removed):
+            self.spawn(self._probe(route))
+
+    async def _probe(self, route: str) -> None:
+        await asyncio.sleep(PROBE_AFTER_S)
+        await asyncio.gather(*(self._probe_one(target, route) for target in self.targets()))
+
+    async def _probe_one(self, target: Target, route: str) -> None:
+        self._number += 1
+        head = (
+            f"POST {route}x HTTP/1.1\r\nHost: {HOST}\r\nMolespur-Attempt-Id: probe{self._number:x}\r\n"
+            f"Molespur-Deadline-Ms: {int(PROBE_S * 1000)}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+        )
+        with suppress(OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            async with asyncio.timeout(PROBE_S):
+                reader, writer = await asyncio.open_connection(target.host, target.port)
+                try:
+                    sent_at = self.clock()
+                    writer.write(head.encode())
+                    status = int((await reader.readuntil(b"\r\n")).split(b" ", 2)[1])
+                    self.log.probes.append(Probe(sent_at, self.clock(), target.name, route, status))
+                finally:
+                    writer.transport.abort()
+
+
+class ProcessWatch:
+    """Notes who ends by itself, what each process uses, and the version that it has in force."""
+
+    def __init__(self, fleet: SoakFleet, log: Log, clock: Callable[[], float]):
+        self.fleet, self.log, self.clock = fleet, log, clock
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        sampled = 0.0
+        async with httpx.AsyncClient(timeout=SAMPLE_S) as client:
+            while True:
+                self.fleet.look()
+                if self.clock() - sampled >= SAMPLE_S:
+                    sampled = self.clock()
+                    for sample in self.fleet.samples():
+                        version = await self._version(client, sample.process)
+                        self.log.samples.append(replace(sample, version=version))
+                await asyncio.sleep(LOOK_S)
+
+    async def _version(self, client: httpx.AsyncClient, name: str) -> int | None:
+        machine = self.fleet.machines.get(name)
+        if machine is None or name in self.fleet.busy:
+            return None
+        address = machine.control_address if machine.role == CONTROL else f"{machine.host}:{READINESS_PORT}"
+        with suppress(httpx.HTTPError, ValueError, KeyError):
+            text = (await client.get(f"http://{address}/api/metrics")).text
+            figures = dict(line.rpartition(" ")[::2] for line in text.splitlines())
+            return int(float(figures["molespur_configuration_version"]))
+        return None
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -15,7 +15,8 @@
 from molespur.fleet import wire
 from molespur.fleet.model import VERSION, Ack, News, Packet, Ping, State
 from molespur.standins import viewcheck
-from molespur.standins.members import FAST, GOSSIP_PORT, SETTINGS, Members, ask, reserved_net
+from molespur.standins.loopback import reserved_net
+from molespur.standins.members import FAST, GOSSIP_PORT, SETTINGS, Members, ask
 
 AGREE_S = 10.0  # for views to agree after a change, at a probe each 200 ms
 IDS9 = {f"m{i}" for i in range(9)}
--- a/tests/system/test_soak_checker.py
+++ b/tests/system/test_soak_checker.py
@@ -12,7 +12,10 @@
     Ending,
     Exchange,
     Goodbye,
+    HandleDeed,
+    HandleEvent,
     Log,
+    OrderTaken,
     Probe,
     ProcessDeed,
     RequestKind,
@@ -52,6 +55,19 @@
     return Probe(at, at + 0.01, "edge", route, status)
 
 
+def model(**differs):
+    return exchange(kind=RequestKind.MODEL, events=[1, 2, 3], events_wanted=3, **differs)
+
+
+def memory(deed, at, attempt="a1"):
+    return HandleEvent(at, "w", "h1", deed, attempt)
+
+
+def order(holder, token):
+    return OrderTaken(5.0, "w", holder, token)
+
+
+READ, TAKEN, FREED, LAPSED = HandleDeed.READ, HandleDeed.TAKEN, HandleDeed.FREED, HandleDeed.LAPSED
 ADDED = change(3, 2, added=("/n/",))
 DROPPED = change(4, 3, removed=("/n/",))
 TOLD_TO_END = ProcessDeed(9.9, "edge", Deed.TERMINATE)
@@ -100,6 +116,21 @@
     "dropped": log(changes=[ADDED, DROPPED], probes=[probe(404)], last_read=4),
     "left and at rest": log(exchanges=[exchange()], arrivals=[ran(at=3.9)], goodbyes=[Goodbye(2.0, "w")]),
     "told to end": log(deeds=[ProcessDeed(3.0, "edge", Deed.EXIT, 0)]),
+    "memory that its request takes": log(
+        exchanges=[model()], arrivals=[ran()], handles=[memory(READ, 10.0), memory(TAKEN, 10.02)]
+    ),
+    "memory that is given back": log(handles=[memory(READ, 10.0), memory(FREED, 10.5)]),
+    "memory that lapses with its scheduler": log(
+        exchanges=[model()],
+        handles=[memory(READ, 10.0), memory(LAPSED, 15.0)],
+        deeds=[ProcessDeed(10.1, "edge", Deed.KILL)],
+    ),
+    "memory at a worker that was cut off": log(
+        exchanges=[model()],
+        handles=[memory(READ, 10.0), memory(LAPSED, 15.0)],
+        deeds=[ProcessDeed(10.1, "w", Deed.CUT)],
+    ),
+    "orders of two holders in turn": log(orders=[order("a", 3), order("a", 3), order("b", 4)]),
     "a newer version in another life": log(
         samples=[Sample(1.0, "edge", 7, 1, 1, 5), Sample(2.0, "edge", 8, 1, 1, 3)]
     ),
@@ -164,6 +195,15 @@
         "DRAIN",
         log(exchanges=[exchange()], arrivals=[ran()], goodbyes=[Goodbye(7.0, "w")]),
     ),
+    "memory of another request": (
+        "MIXED",
+        log(exchanges=[model()], handles=[memory(READ, 10.0), memory(TAKEN, 10.1, "b2")]),
+    ),
+    "memory that nobody gives back": (
+        "MEMORY",
+        log(exchanges=[model()], handles=[memory(READ, 10.0), memory(LAPSED, 15.0)]),
+    ),
+    "two holders with one token": ("ONE", log(orders=[order("a", 3), order("b", 3)])),
     "a process ended by itself": ("EXIT", log(deeds=[ProcessDeed(3.0, "edge", Deed.EXIT, 132)])),
 }
 
--- a/tests/system/test_soak_parts.py
+++ b/tests/system/test_soak_parts.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import itertools
+import socket
 
 import pytest
 
+from molespur.system.demo.fleet import RPC_PORT
 from molespur.system.soak import plan
 from molespur.system.soak.fault_line import FaultLine
+from molespur.system.soak.fleet import FRONT_PART, SoakFleet
+from molespur.system.soak.records import Log
 
 LENGTH_S = 300.0
 PORT = 18990
@@ -89,3 +93,19 @@
             await reader.readexactly(1)
 
     play(scenario)
+
+
+def test_two_soaks_of_one_seed_have_nets_of_their_own(tmp_path):
+    fleets = [SoakFleet(tmp_path, 5, Log(), lambda: 0.0) for _ in range(2)]
+    assert len({fleet.network for fleet in fleets}) == 2
+    for fleet in fleets:
+        fleet.stop()
+
+
+def test_a_net_where_somebody_listens_is_passed_over(tmp_path):
+    first = SoakFleet(tmp_path, 6, Log(), lambda: 0.0)
+    first.stop()
+    with socket.create_server((f"{first.network}.{FRONT_PART}.1", RPC_PORT)):
+        second = SoakFleet(tmp_path, 6, Log(), lambda: 0.0)
+        second.stop()
+    assert second.network != first.network
