--- a/tests/system/propagation.py
+++ b/tests/system/propagation.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from virtual_fleet import ADDRESSES, VirtualFleet
+from virtual_fleet import ADDRESSES, Disk, VirtualFleet, configuration
 
 from molespur.system.rpc import molespur_pb2 as pb
 from molespur.system.shards.placement import CONFIGURATION
@@ -19,6 +19,16 @@
 AFTER_S = 4.0
 HEALED_S = 1.0  # between two troubles
 DISK_HANGS = 1e4  # times as slow
+LOST_SHARE = 0.1  # of the packets on lossy links
+SMALL_BYTES = 1400  # largest frame that passes links for small ones only
+LARGE_BODY, SMALL_BODY = 1 << 20, 3000
+LARGE_EVERY_S = 0.5  # changes of a megabyte
+SLOW_S = (
+    0.01  # of processor time for each thing that a process is told, where it has a tenth of its processor
+)
+CALL_S = 1.0  # an operator waits this long for an answer
+RETRY_S = 0.05
+SUCCESSOR = 200  # the last part of its address
 
 
 @dataclass(frozen=True)
@@ -31,9 +41,14 @@
 
 @dataclass
 class Propagation:
-    """What operators were told, and when each scheduler had which version."""
+    """What operators were told, and when each scheduler had which version.
+
+    `answer_times`: for each change the time until a clear answer came (ms), less what the operator waited at a
+    process of its own choice that does not answer at all.
+    """
 
     clock: Callable[[], float]
+    answer_times: list[float] = field(default_factory=list)
     acknowledged: list[Acknowledgement] = field(default_factory=list)
     in_force: dict[str, list[Acknowledgement]] = field(default_factory=dict)  # by scheduler
 
@@ -61,15 +76,37 @@
         return max(self.delays())
 
 
-async def change_again_and_again(fleet: VirtualFleet, seen: Propagation) -> None:
+async def change_again_and_again(fleet: VirtualFleet, seen: Propagation, body_bytes: int) -> None:
     """One operator, whose next change is built on the last one that was taken."""
     version = 0
     while True:
-        answer = await fleet.put(version + 1, version, f"m{version + 1}")
-        if answer is not None and answer[0] == 200:
+        body = configuration(version + 1, f"m{version + 1}", padding=body_bytes)
+        status = await until_clear(fleet, seen, version, body)
+        if status == 200:
             version += 1
             seen.acknowledged.append(Acknowledgement(fleet.clock(), version))
-        await asyncio.sleep(CHANGE_EVERY_S)
+        await asyncio.sleep(LARGE_EVERY_S if body_bytes >= LARGE_BODY else CHANGE_EVERY_S)
+
+
+async def until_clear(fleet: VirtualFleet, seen: Propagation, base: int, body: bytes) -> int:
+    """Send a change until the answer is clear; return its status, and note how long it took."""
+    fleet.checker.sent(base + 1, base, body)
+    began, silent_ms = fleet.clock(), 0.0
+    address, led = fleet.random.choice(list(fleet.processes)), False
+    while True:
+        asked = fleet.clock()
+        answer = await fleet.call("PUT", "/api/config", body, {"If-Match": str(base)}, address)
+        if answer is None and not led:
+            silent_ms += fleet.clock() - asked
+        if answer is not None and answer[0] == 307 and not led:
+            address, led = answer[2].removeprefix("http://").partition(":")[0], True
+            continue
+        if answer is not None and answer[0] in (200, 400, 412):
+            fleet.checker.answered(body, answer[0])
+            seen.answer_times.append(fleet.clock() - began - silent_ms)
+            return answer[0]
+        address, led = fleet.random.choice(list(fleet.processes)), False
+        await asyncio.sleep(RETRY_S)
 
 
 def others(fleet: VirtualFleet, address: str) -> list[str]:
@@ -112,6 +149,21 @@
     fleet.processes[address].disk_full = True
 
 
+def lossy(fleet, address):
+    """Its links lose packets."""
+    fleet.lossy[address] = LOST_SHARE
+
+
+def small_frames(fleet, address):
+    """Its links pass small frames only: whatever is behind a larger one is stuck."""
+    fleet.small[address] = SMALL_BYTES
+
+
+def slow_processor(fleet, address):
+    """It has a tenth of its processor."""
+    fleet.processes[address].slow_s = SLOW_S
+
+
 TROUBLES = {
     "cut off": cut_off,
     "cut from control": cut_from_control,
@@ -120,6 +172,9 @@
     "frozen": freeze,
     "disk hangs": hang_disk,
     "disk full": fill_disk,
+    "lossy": lossy,
+    "small frames only": small_frames,
+    "slow processor": slow_processor,
 }
 
 
@@ -127,7 +182,7 @@
     """The trouble is over."""
     fleet.heal()
     process = fleet.processes[address]
-    process.disk_slowness, process.disk_full = 1.0, False
+    process.disk_slowness, process.disk_full, process.slow_s = 1.0, False, 0.0
     if process.frozen:
         process.thaw()
 
@@ -171,7 +226,25 @@
         await asyncio.sleep(1.0)
 
 
-COURSES = {"one": one_trouble, "two in a row": two_in_a_row, "again and again": again_and_again}
+async def replaced_meanwhile(fleet: VirtualFleet, trouble, role: str, for_s: float) -> None:
+    """One process is in trouble while another one is replaced by a new machine, planned."""
+    address = chosen(fleet, role)
+    trouble(fleet, address)
+    leaving = next(a for a in fleet.processes if a not in (address, fleet.leader()))
+    fleet.start(f"10.0.0.{SUCCESSOR}", Disk())
+    await asyncio.sleep(1.0)
+    await fleet.stop(leaving)
+    fleet.remove(leaving)
+    await asyncio.sleep(for_s)
+    heal(fleet, address)
+
+
+COURSES = {
+    "one": one_trouble,
+    "two in a row": two_in_a_row,
+    "again and again": again_and_again,
+    "replaced meanwhile": replaced_meanwhile,
+}
 
 
 @dataclass(frozen=True)
@@ -185,6 +258,11 @@
     course: str = "one"
     schedulers: int = 9
     voters: int = 3
+    body_bytes: int = 0  # a configuration is so much larger
+
+    def size(self) -> int:
+        """Bytes by which each configuration is larger: over what small frames hold, in that trouble."""
+        return max(self.body_bytes, SMALL_BODY if self.trouble == "small frames only" else 0)
 
 
 def measure(monkeypatch, run: Run) -> Propagation:
@@ -197,7 +275,7 @@
         seen = Propagation(fleet.clock)
         for name, follower in fleet.followers:
             seen.watch(name, follower)
-        operator = asyncio.create_task(change_again_and_again(fleet, seen))
+        operator = asyncio.create_task(change_again_and_again(fleet, seen, run.size()))
         await asyncio.sleep(BEFORE_S)
         await COURSES[run.course](fleet, TROUBLES[run.trouble], run.role, run.for_s)
         await asyncio.sleep(AFTER_S)
@@ -208,5 +286,6 @@
     fleet = VirtualFleet(
         run.seed, monkeypatch, schedulers=run.schedulers, tolerance=run.voters // 2, spares=spares
     )
+    fleet.silence_s = CALL_S
     fleet.run(history)
     return seen
--- a/tests/system/virtual_fleet.py
+++ b/tests/system/virtual_fleet.py
@@ -22,6 +22,8 @@
 
 SYNC_S = 0.02
 DISK_RETRY_S = 0.2
+RESEND_S = 0.2  # a packet that was lost is sent again after this time, the next time after twice that
+STUCK_S = 1.5  # a connection whose bytes are not acknowledged ends after this time
 LONGEST_S = 300.0  # of virtual time: a scenario that waits for what never comes fails
 LOST_ANSWERS = 0.08  # share of the answers that get lost on their way
 ORDER_S = 1e-6  # keeps frames of one connection in order
@@ -150,8 +152,14 @@
         if not self.open or self.fleet.apart(self.here, self.there):
             self.open = False
             return False
-        copy = pb.Frame.FromString(frame.SerializeToString())
+        data = frame.SerializeToString()
+        if self.fleet.too_large(self.here, self.there, len(data)):
+            self.fleet.loop.call_later(STUCK_S, self.close)
+            self.deliver = lambda _frame: None  # nothing behind it arrives either
+            return True
+        copy = pb.Frame.FromString(data)
         delay = 0.001 + 0.003 * self.fleet.random.random() + self.fleet.lateness(self.here, copy)
+        delay += self.fleet.resent(self.here, self.there)
         self.arrives_at = max(self.arrives_at + ORDER_S, self.fleet.loop.time() + delay)
         self.fleet.loop.call_at(self.arrives_at, self._arrive, copy)
         return True
@@ -169,8 +177,13 @@
 class PeerLink(Link):
     """Frames from one control-plane process to another, which dials again by itself."""
 
+    def __init__(self, fleet, here, there, deliver):
+        super().__init__(fleet, here, there, deliver)
+        self._deliver = deliver
+
     def send(self, frame):
-        self.open = True
+        if not self.open:
+            self.open, self.deliver = True, self._deliver
         return super().send(frame)
 
     def peer_alive(self):
@@ -184,6 +197,10 @@
         self.fleet, self.address, self.disk, self.up = fleet, address, disk, True
         self.disk_slowness, self.disk_full = 1.0, False
         self.frozen, self._when_thawed = False, []
+        self.slow_s, self._free_at = (
+            0.0,
+            0.0,
+        )  # processor time of each thing it is told; until when it is busy
         seeds = tuple(f"{a}:{HTTP_PORT}" for a in (ADDRESSES if bootstrap else fleet.seeds()))
         settings = ProcessSettings(
             f"core-{address}",
@@ -224,12 +241,19 @@
             self._run()
 
     def when_awake(self, call, *arguments):
-        """Call now, or once the process runs again."""
-        if self.frozen:
+        """Call now, or once the process runs again; one at a time where it is slow."""
+        if self.slow_s and not self.frozen:
+            self._free_at = max(self._free_at, self.fleet.loop.time()) + self.slow_s
+            self.fleet.loop.call_at(self._free_at, self._when_free, call, arguments)
+        elif self.frozen:
             self._when_thawed.append((call, arguments))
         else:
             call(*arguments)
 
+    def _when_free(self, call, arguments):
+        if self.up and not self.frozen:
+            call(*arguments)
+
     def _dial(self, address):
         dialers = self.plane.host.dialers
         host = address.partition(":")[0]
@@ -292,6 +316,8 @@
             tolerance,
             tuple(spares),
         )  # spares: members from the start, beside the seeds
+        self.lossy, self.small = {}, {}  # machine -> share of packets lost, largest frame that passes (bytes)
+        self.silence_s = 0.0  # how long a caller waits for a process that does not answer
         self._new_disk, self.identities = None, 0
         self.acknowledged = asyncio.Event()  # set with each acknowledgement to the operator
         monkeypatch.setattr(role, "Store", lambda _folder: self._new_disk)
@@ -373,6 +399,8 @@
 
     def heal(self):
         self.cut.clear()
+        self.lossy.clear()
+        self.small.clear()
         self.one_way.clear()
         self.late_from.clear()
 
@@ -381,6 +409,17 @@
         is_snapshot = frame.consensus.HasField("install_snapshot")
         return 1.5 * self.random.random() if is_snapshot and sender in self.late_from else 0.0
 
+    def resent(self, here, there):
+        """How much longer packets take that are lost on their way, s: each loss doubles the wait."""
+        share, late, wait = max(self.lossy.get(here, 0.0), self.lossy.get(there, 0.0)), 0.0, RESEND_S
+        while self.random.random() < share:
+            late, wait = late + wait, 2 * wait
+        return late
+
+    def too_large(self, here, there, size):
+        """Whether a frame is larger than what the links of one of two machines pass."""
+        return size > min(self.small.get(here, size), self.small.get(there, size))
+
     def leader(self, group=CONFIGURATION):
         """Address of the process that leads a group with the newest term; None without one."""
         leading = [
@@ -454,6 +493,7 @@
         """(status, body, location) of one call; None when nothing answers."""
         process = self.processes.get(address)
         if process is None or not process.up or process.frozen:
+            await asyncio.sleep(self.silence_s)
             return None
         try:
             async with asyncio.timeout(1.0):
@@ -512,11 +552,14 @@
         await asyncio.sleep(12.0)
 
 
-def configuration(version, mark):
-    """A configuration that can be told from others of its version by its mark."""
+def configuration(version, mark, padding=0):
+    """A configuration that can be told from others of its version by its mark; `padding` bytes larger."""
     route = {"Name": mark, "Host": "h", "PathPrefix": f"/{mark}/", "Type": "idempotent", "Service": "s"}
     services = [{"Name": "s", "MaxConnections": 10}]
-    return json.dumps({"Version": version, "Routes": [route], "Services": services}).encode()
+    made = {"Version": version, "Routes": [route], "Services": services}
+    if padding:
+        made["Comment"] = "x" * padding
+    return json.dumps(made).encode()
 
 
 class Checker:
