--- a/tests/system/wrong_process.py
+++ b/tests/system/wrong_process.py
@@ -128,15 +128,17 @@
 
 
 def goes_back() -> None:
+    """Each twentieth change brings back an earlier one, which stays in force for the next nine."""
     put, told_before, numbers = state.DataPlaneState._put_configuration, [], count(1)
 
     def wrong(self, told):
         told_before.append(told)
         number = next(numbers) % 20
-        if number < 10:
-            put(self, told)
-        elif number == 10:
+        if number == 10:
+            self.configuration = None
             put(self, told_before[-5])
+        elif number < 10:
+            put(self, told)
 
     state.DataPlaneState._put_configuration = wrong
 
