--- a/benchmarks/hedging.py
+++ b/benchmarks/hedging.py
@@ -1,18 +1,25 @@
 """What second attempts are worth while workers rest: a data plane before workers that stand still at random.
 
-    python -m benchmarks.hedging [--seconds N] [--seed N] [--json]
+    python -m benchmarks.hedging [--seconds N] [--seed N] [--schedulers N] [--age forecast|quantile] [--json]
 
 Sockets are real, time is the loop's own, so processor time counts for nothing and equal seeds give equal
 arrivals and rests.  Each worker has `SLOTS` places; a request takes `EVENTS` events, `PAUSE_S` apart, and is
 turned away where all places are taken.  Each worker rests for one to three seconds, on the mean once in
 `BETWEEN_RESTS_S`.  Clients come open-loop at a multiple of what the workers can serve without rests, wait up
 to `DEADLINE_MS` and try once.  Goodput counts whole answers a second.
+
+`--schedulers`: so many share the traffic at random; each exchanges its work with 16 others at most, as in
+service.  `--age quantile`: in place of a multiple of the forecast, a call counts as silent after the 99th
+percentile of what the calls of all schedulers have shown (first answers by forecast, pauses as they are), told
+to all of them at once: the most that an exchange of such figures could give.
 """
 
 import argparse
 import asyncio
 import json
 import sys
+from bisect import insort
+from contextlib import AsyncExitStack
 from dataclasses import asdict, dataclass
 from pathlib import Path
 from random import Random
@@ -25,20 +32,25 @@
     Client,
     ScriptedWorker,
     chunk,
-    data_plane,
     event,
     header,
     not_executed,
     request,
+    scheduler,
     stream_head,
 )
 
+from molespur.system.data_plane import worker_call
+from molespur.system.data_plane.peers import PeerSocket
+from molespur.system.feed.source import peers_of
+
 WORKERS, SLOTS = 8, 4
 EVENTS, PAUSE_S = 20, 0.02
 CAPACITY_PER_S = WORKERS * SLOTS / (EVENTS * PAUSE_S)
 BETWEEN_RESTS_S = 6.0
 REST_S = (1.0, 3.0)
-DEADLINE_MS = 5000
+DEADLINE_MS, GAP_MS = 5000, 250
+PEER_PORT = 27_000
 LOADS = (0.8, 1.0, 1.5, 2.0)
 ATTEMPTS = {"no second attempt": 1, "second attempts": 2}
 
@@ -60,6 +72,49 @@
     p99_ms: float = 0.0
 
 
+class SharedPauses:
+    """What the calls of all schedulers have shown, and the ages that follow from it."""
+
+    QUANTILE, LEAST, EVERY_S = 0.99, 200, 0.25
+
+    def __init__(self):
+        self.ratios: list[float] = []
+        self.pauses_ms: list[float] = []
+        self._plain = worker_call.silence_age_s
+
+    def install(self) -> None:
+        """Put these ages in place of the multiples of the forecast."""
+        first, heard, shared = worker_call.WorkerCall._first_answer, worker_call.WorkerCall._heard, self
+
+        def first_answer(call):
+            first(call)
+            insort(shared.ratios, (call.first_at - call.begun) / max(call.step.forecast, 1.0))
+
+        def any_answer(call):
+            if call.first_at is not None:
+                insort(shared.pauses_ms, call.clock() - call.last_heard)
+            heard(call)
+
+        worker_call.WorkerCall._first_answer, worker_call.WorkerCall._heard = first_answer, any_answer
+        worker_call.silence_age_s = self._age_s
+
+    def _age_s(self, step, forecasts: float, least_ms: float) -> float:
+        if len(self.ratios) < self.LEAST:
+            return self._plain(step, forecasts, least_ms)
+        return max(self._at(self.ratios) * step.forecast, GAP_MS) / 1000.0
+
+    def _at(self, ordered: list[float]) -> float:
+        return ordered[int(self.QUANTILE * len(ordered))]
+
+    async def run(self) -> None:
+        """Keep the age of streams up to date."""
+        while True:
+            await asyncio.sleep(self.EVERY_S)
+            if len(self.pauses_ms) >= self.LEAST:
+                worker_call.PAUSES = 0.0
+                worker_call.LEAST_PAUSE_MS = max(self._at(self.pauses_ms), GAP_MS)
+
+
 class Worker(ScriptedWorker):
     """A worker with places that rests now and then."""
 
@@ -109,7 +164,7 @@
     """One resumable route."""
     route = {
         "Name": "r", "Host": "shop.example", "PathPrefix": "/p/", "Type": "streaming", "Service": "s",
-        "TimeoutMs": DEADLINE_MS, "TargetLatencyMs": 400, "gap_aim_ms": 250, "Resumable": True,
+        "TimeoutMs": DEADLINE_MS, "TargetLatencyMs": 400, "gap_aim_ms": GAP_MS, "Resumable": True,
         "MaxAttempts": attempts,
     }  # fmt: skip
     return json.dumps(
@@ -142,21 +197,49 @@
         tally.failed += 1
 
 
-async def play(name: str, load: float, seconds: float, seed: int) -> Tally:
+async def exchange_work(stack: AsyncExitStack, ingresses: list) -> None:
+    """Let schedulers tell each other their work, each its neighbours on the ring."""
+    addresses = {}
+    for number, ingress in enumerate(ingresses):
+        addresses[ingress.state.settings.node_name] = f"127.0.0.1:{PEER_PORT + number}"
+    for ingress in ingresses:
+        node = ingress.state.settings.node_name
+        peers = PeerSocket(addresses[node], ingress.state.peer_work, clock)
+        peers.schedulers = lambda: len(ingresses)
+        peers.name_peers(peers_of(node, addresses))
+        stack.callback(asyncio.create_task(peers.run()).cancel)
+
+
+async def play(name: str, load: float, options: argparse.Namespace) -> Tally:
     """One run at one load."""
+    seed, seconds = options.seed, options.seconds
     random = Random(seed)
     workers = [Worker(f"w{n}", Random(f"{seed} {n}")) for n in range(WORKERS)]
     tally, times = Tally(name, load), []
-    async with data_plane(configuration(ATTEMPTS[name]), *workers, clock=clock) as (port, _ingress):
+    async with AsyncExitStack() as stack:
+        for worker in workers:
+            await worker.start()
+        body, shape = configuration(ATTEMPTS[name]), {"clock": clock, "schedulers": options.schedulers}
+        served = [
+            await stack.enter_async_context(scheduler(body, *workers, node=f"edge-{n + 1}", **shape))
+            for n in range(options.schedulers)
+        ]
+        if options.schedulers > 1:
+            await exchange_work(stack, [ingress for _port, ingress in served])
+        if options.shared is not None:
+            stack.callback(asyncio.create_task(options.shared.run()).cancel)
         resting = [asyncio.create_task(worker.rest()) for worker in workers]
         async with asyncio.TaskGroup() as clients:
             until = clock() + seconds * 1000.0
             while clock() < until:
                 tally.requests += 1
+                port, _ingress = random.choice(served)
                 clients.create_task(one_request(port, tally.requests, tally, times))
                 await asyncio.sleep(random.expovariate(load * CAPACITY_PER_S))
         for task in resting:
             task.cancel()
+        for worker in workers:
+            worker.server.close()
     times.sort()
     tally.calls_per_request = round(sum(len(w.requests) for w in workers) / tally.requests, 3)
     tally.goodput_per_s = round(tally.whole / seconds, 1)
@@ -170,11 +253,16 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--schedulers", type=int, default=1)
+    parser.add_argument("--age", choices=("forecast", "quantile"), default="forecast")
     parser.add_argument("--json", action="store_true")
     options = parser.parse_args()
+    options.shared = SharedPauses() if options.age == "quantile" else None
+    if options.shared is not None:
+        options.shared.install()
     for name in ATTEMPTS:
         for load in LOADS:
-            tally = run_virtual(play(name, load, options.seconds, options.seed), longest_s=600.0)
+            tally = run_virtual(play(name, load, options), longest_s=600.0)
             print(json.dumps(asdict(tally)) if options.json else tally, flush=True)
 
 
--- a/tests/system/wire.py
+++ b/tests/system/wire.py
@@ -112,8 +112,8 @@
     return answer(request, b"", b"503 Service Unavailable", b"Molespur-Not-Executed: 1\r\n", stamp=False)
 
 
-def settings(**bounds):
-    return ProcessSettings("edge-1", "127.0.0.1", "a", (1, 2), ("127.0.0.1:3",), bounds=Bounds(**bounds))
+def settings(node="edge-1", **bounds):
+    return ProcessSettings(node, "127.0.0.1", "a", (1, 2), ("127.0.0.1:3",), bounds=Bounds(**bounds))
 
 
 def tell(state, configuration, *workers):
@@ -154,14 +154,25 @@
     Without a configuration nothing is told to it yet.  `clock`: ms; real time where it is left out.
     `bounds`: those that differ from the defaults.
     """
-    state = DataPlaneState(settings(**bounds), Random(1))
-    state.schedulers = 1
-    ingress = Ingress(state, Upstreams(), clock, Freshness())
     for worker in workers:
         await worker.start()
+    try:
+        async with scheduler(configuration, *workers, clock=clock, **bounds) as served:
+            yield served
+    finally:
+        for worker in workers:
+            worker.server.close()
+
+
+@asynccontextmanager
+async def scheduler(configuration, *workers, clock=clock, node="edge-1", schedulers=1, **bounds):
+    """An ingress before workers that have been started; gives the port that clients reach, and itself."""
+    state = DataPlaneState(settings(node, **bounds), Random(node if node != "edge-1" else 1))
+    state.schedulers = schedulers
+    ingress = Ingress(state, Upstreams(), clock, Freshness())
     if configuration is not None:
         tell(state, configuration, *workers)
-    state.count_schedulers(clock(), 1)
+    state.count_schedulers(clock(), schedulers)
     # a port that was free a moment ago may be another process's by now: this one is never let go
     listener = early_listener.listening("127.0.0.1:0")
     port = listener.getsockname()[1]
@@ -174,8 +185,6 @@
     finally:
         stop.set()
         await serving
-        for worker in workers:
-            worker.server.close()
 
 
 class Client:
