--- a/benchmarks/hedging.py
+++ b/benchmarks/hedging.py
@@ -10,8 +10,8 @@
 
 `--schedulers`: so many share the traffic at random; each exchanges its work with 16 others at most, as in
 service.  `--age quantile`: in place of a multiple of the forecast, a call counts as silent after the 99th
-percentile of what the calls of all schedulers have shown (first answers by forecast, pauses as they are), told
-to all of them at once: the most that an exchange of such figures could give.
+percentile of what the calls of all schedulers have shown (first answers by forecast, pauses as they are),
+told to all of them at once: the most that an exchange of such figures could give.
 """
 
 import argparse
