fleet/swim.py (770 lines) by concern: records, members, state, verdicts, probing, exchange

Same methods, moved; a package of seven modules, the longest 146 lines. pyproject names every package (demo, soak and swim were missing, so an installation lacked them), held by a test.

--- /dev/null
+++ b/molespur/fleet/swim/exchange.py
@@ -0,0 +1,91 @@
+"""Whole views by TCP: joining, push-pulls, and what another member's view changes here."""
+
+from .. import wire
+from ..model import Exchange, Gossip, News, State
+from .members import QueuedNews
+from .records import Changed, Push, Start
+from .verdicts import Verdicts
+
+FORGOTTEN_SEED_ROUNDS = 3  # one push-pull in so many goes to a seed that the view knows nothing of
+JOIN_SEEDS = 3  # asked at once
+
+
+class Exchanging(Verdicts):
+    """Begins, joins, leaves, and exchanges views."""
+
+    def _start(self, now: float, event: Start) -> None:
+        if self.started:
+            return
+        self.started = True
+        self.incarnation = max(self.incarnation, int(event.unix_ms))
+        self._seeds = tuple(s for s in event.seeds if s != self.address)
+        period = self.tuning.period_ms
+        self._next_probe = now + self.rng.uniform(0.0, period)
+        self._next_gossip = now + self.rng.uniform(0.0, self.tuning.gossip_ms)
+        self._next_push = now + self.tuning.push_pull_ms * self.rng.uniform(0.5, 1.0)
+        self._out.append(Changed(self.me, self.address, State.ALIVE, self.incarnation, None, self.me))
+        self._join(now)
+
+    def _join(self, now: float) -> None:
+        if not self._seeds:
+            self._join_at = None
+            return
+        for seed in self.rng.sample(self._seeds, min(JOIN_SEEDS, len(self._seeds))):
+            self._out.append(Push(seed, self._state(True), True))
+        self.counts["join_tries"] += 1
+        backoff = self.tuning.join_retry_ms * 2 ** min(self._join_tries, 4)
+        self._join_tries += 1
+        self._join_at = now + backoff * self.rng.uniform(0.5, 1.0)
+
+    def _leave(self, now: float) -> None:
+        if self.leaving or not self.started:
+            return
+        self.leaving = True
+        left = News(self.me, self.address[0], self.address[1], self.incarnation, State.LEFT, self.me)
+        self._queue[self.me] = QueuedNews(left)
+        others = self.alive()
+        for member_id in self.rng.sample(others, min(len(others), 2 * self.tuning.gossip_nodes)):
+            self._send(self.members[member_id].address, Gossip(self.me, [left]))
+        self._probe = None
+
+    def _state(self, join: bool) -> bytes:
+        own = News(
+            self.me, self.address[0], self.address[1], self.incarnation,
+            State.LEFT if self.leaving else State.ALIVE, self.me,
+        )  # fmt: skip
+        members = [own] + [m.news() for m in self.members.values()]
+        return wire.encode_exchange(self.cluster, self.me, join, members, self.whole())
+
+    def _push_pull(self) -> None:
+        """With a member held alive; every other time with one held failed, so that split halves heal.
+
+        Halves that were apart for longer than tombstones are kept have forgotten each other: now and then the
+        target is a seed of which this view knows nothing.
+        """
+        self._push_round += 1
+        alive = self.alive()
+        failed = [m.id for m in self.members.values() if m.state is State.DEAD]
+        known = {member.address for member in self.members.values()}
+        forgotten = [seed for seed in self._seeds if seed not in known]
+        if forgotten and self._push_round % FORGOTTEN_SEED_ROUNDS == 0:
+            target = self.rng.choice(forgotten)
+        elif failed and (not alive or self._push_round % 2 == 0):
+            target = self.members[self.rng.choice(failed)].address
+        elif alive:
+            target = self.members[self.rng.choice(alive)].address
+        elif self._seeds:
+            target = self.rng.choice(self._seeds)
+        else:
+            return
+        self.counts["pushes"] += 1
+        self._out.append(Push(target, self._state(False), False))
+
+    def _merge(self, now: float, exchange: Exchange) -> None:
+        """memberlist's merge: a member that the other side holds dead is only suspect here."""
+        if exchange.join:
+            self.counts["joins"] += 1
+        self.joined = True
+        for news in exchange.members[: self.tuning.most_members + 1]:
+            if news.state is State.DEAD:
+                news = News(news.member, news.host, news.port, news.incarnation, State.SUSPECT, exchange.src)
+            self._apply(now, news)
--- /dev/null
+++ b/molespur/fleet/swim/membership.py
@@ -0,0 +1,121 @@
+"""The entrance of the membership: events in, actions out."""
+
+from ..model import Ack, Exchange, Message, Nack, Ping, PingReq, State
+from .exchange import Exchanging
+from .probing import Probing
+from .records import Leave, Merged, PushFailed, Received, Seeds, Start, Tick
+
+PURGE_EVERY_MS = 1_000.0
+RECONNECT_PERIODS = 2.0  # a member held failed is pinged this often, in probe periods
+
+
+class Membership(Probing, Exchanging):
+    """One member's view of the fleet, and what it sends to keep it.
+
+    `handle(now, event) -> list of actions`; `answer(now, exchange) -> (bytes, actions)` for a push-pull
+    that another member opened; `seen()` the view.  `counts` holds what happened, by name.
+    """
+
+    # -- The two entries -----------------------------------------------------------------------
+
+    def handle(self, now: float, event) -> list:
+        """Take one event; the actions that it leads to, timers' included."""
+        self._out = []
+        self._held(now)
+        if isinstance(event, Received):
+            self._received(now, event.message)
+        elif isinstance(event, Start):
+            self._start(now, event)
+        elif isinstance(event, Merged):
+            self._merge(now, event.exchange)
+        elif isinstance(event, PushFailed):
+            self.counts["push_failed"] += 1
+        elif isinstance(event, Seeds):
+            self._seeds = tuple(s for s in event.seeds if s != self.address)
+        elif isinstance(event, Leave):
+            self._leave(now)
+        if self.started and isinstance(event, (Tick, Start)):
+            # only a tick judges by time: the seam reads all that has come before it ticks
+            self._timers(now)
+        return self._out
+
+    def answer(self, now: float, exchange: Exchange) -> tuple[bytes, list]:
+        """Another member pushed its view: merge it, and answer with ours as it is after that."""
+        self._out = []
+        self._held(now)
+        self.counts["pushes_taken"] += 1
+        self._merge(now, exchange)
+        return self._state(exchange.join), self._out
+
+    # -- Time ----------------------------------------------------------------------------------
+
+    def _held(self, now: float) -> None:
+        """Lifeguard: a long gap since the last call means that we were held, not that others were silent.
+
+        What fell due meanwhile is put off by the gap, so that acks that waited for us are read first.
+        """
+        if self._last is not None and now - self._last > self.tuning.lag_ms:
+            gap = now - self._last
+            self.counts["held"] += 1
+            self._raise_health(1)
+            if self._probe is not None:
+                self._probe.timeout += gap
+                self._probe.ends += gap
+            for member_id in self._suspects:
+                suspicion = self.members[member_id].suspicion
+                if suspicion is not None:
+                    suspicion.start += gap
+            for relay in self._relays.values():
+                relay.until += gap
+        self._last = now if self._last is None else max(self._last, now)
+
+    def _timers(self, now: float) -> None:
+        tuning = self.tuning
+        if self._probe is not None:
+            probe = self._probe
+            if not probe.indirect_sent and now >= probe.timeout:
+                self._indirect(now, probe)
+            if now >= probe.ends:
+                self._probe_failed(now, probe)
+        if self._probe is None and now >= self._next_probe and not self.leaving:
+            self._start_probe(now)
+        if self._relays:
+            self._expire_relays(now)
+        if self._suspects:
+            for member_id in [m for m in self._suspects if self._due(m, now)]:
+                member = self.members[member_id]
+                self._declare(now, member, State.DEAD, member.incarnation, self.me)
+        if now >= self._next_gossip:
+            self._next_gossip = now + tuning.gossip_ms
+            if self._queue:
+                self._gossip()
+        if now >= self._next_push and not self.leaving:
+            every = tuning.push_pull_every(len(self.members) + 1)
+            self._next_push = now + every * self.rng.uniform(0.75, 1.25)
+            self._push_pull()
+        if self._join_at is not None and now >= self._join_at and not self.joined:
+            self._join(now)
+        if now >= self._next_purge:
+            self._next_purge = now + PURGE_EVERY_MS
+            self._purge(now)
+        if now >= self._next_reconnect and not self.leaving:
+            self._next_reconnect = now + RECONNECT_PERIODS * tuning.period_ms * self.rng.uniform(0.75, 1.25)
+            self._reconnect()
+
+    # -- What comes in -------------------------------------------------------------------------
+
+    def _received(self, now: float, message: Message) -> None:
+        if not self.started:
+            return
+        for news in message.news:
+            self._apply(now, news)
+        if isinstance(message, Ping):
+            self._pinged(message)
+        elif isinstance(message, Ack):
+            self._acked(message)
+        elif isinstance(message, PingReq):
+            self._asked(now, message)
+        elif isinstance(message, Nack):
+            if self._probe is not None and message.seq == self._probe.seq:
+                self._probe.nacks += 1
+            self.counts["nacks_taken"] += 1
--- a/tests/test_packages.py
+++ b/tests/test_packages.py
@@ -95,3 +95,11 @@
 def test_a_command_that_no_listed_package_has_is_noticed(line):
     with pytest.raises(KeyError):
         needed_packages(line)
+
+
+def test_an_installation_has_every_package_of_the_source():
+    listed = tomllib.loads((ROOT / "pyproject.toml").read_text())["tool"]["setuptools"]["packages"]
+    found = {
+        ".".join(path.parent.relative_to(ROOT).parts) for path in (ROOT / "molespur").rglob("__init__.py")
+    }
+    assert set(listed) == found
