--- a/tests/system/control.py
+++ b/tests/system/control.py
@@ -18,6 +18,13 @@
 from molespur.system.workers.directory import WorkerDirectory
 
 
+async def end_tasks(tasks):
+    """Cancel tasks and wait until they have ended."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 class PowerLoss(Exception):
     """The process ends here."""
 
@@ -123,5 +130,8 @@
         self.loop.run_until_complete(self.calls.look_for_silence())
 
     def close(self):
+        for dialer in self.host.dialers.values():
+            dialer.stop()
+        self.loop.run_until_complete(end_tasks(asyncio.all_tasks(self.loop)))
         self.host.store.close()
         self.loop.close()
