--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -7,9 +7,10 @@
 import pytest
 from control import OneControlPlane
 
+from molespur.system.control_plane.methods import LEADS
 from molespur.system.control_plane.orders import HANDOVER_MS, PhaseOrders
 from molespur.system.rpc import molespur_pb2 as pb
-from molespur.system.shards.placement import group_of_service
+from molespur.system.shards.placement import CONFIGURATION, group_of_service
 from molespur.system.workers.phases import PhaseOrder
 
 SERVICE = "s"
@@ -228,3 +229,33 @@
         assert [order.get("IfRevision") for order in worker.orders[2:]] == [None, None]
 
     give(plane, scenario, monkeypatch)
+
+
+def test_an_order_without_an_answer_leaves_the_number_unknown(plane, monkeypatch):
+    """The worker may have taken it, or not."""
+
+    async def scenario(worker, orders, give_order):
+        await give_order("prefill")
+        assert orders.revisions.expected("w-0") == 5
+        monkeypatch.setattr(worker, "_order", lambda order: worker.orders.append(order) or (b"", b""))
+        monkeypatch.setattr("molespur.system.control_plane.orders.ORDER_TIMEOUT_S", 0.0)
+        await give_order("decode")
+        assert orders.revisions.expected("w-0") is None
+
+    give(plane, scenario, monkeypatch)
+
+
+def test_a_process_that_leads_without_contact_does_not_say_that_it_leads(plane):
+    """It was held up, and is asked before it has looked at the time."""
+
+    class Pipe:
+        sent = []
+
+        def send(self, frame):
+            self.sent.append(frame.reply.status)
+
+    call = pb.Call(id=1, method=LEADS, subject=CONFIGURATION)
+    plane.loop.run_until_complete(plane.calls.answer(Pipe(), call))
+    plane.host.in_touch = lambda _name: False
+    plane.loop.run_until_complete(plane.calls.answer(Pipe(), call))
+    assert Pipe.sent == [200, 503]
