--- a/review/common/case.py
+++ b/review/common/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -16,6 +17,7 @@
     folder: Path, start: Callable[[Record], Fleet], play: Callable[[Fleet, bool], Awaitable[list[str]]]
 ) -> int:
     """Play a case; `play(fleet, with_trouble)` returns the breaks of the rule that were seen."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # still ends what was started
     record = Record(folder)
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"the case starts {'with' if with_trouble else 'without'} the disruption")
