--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,9 @@
-"""TWICE: after a late surplus rejection without an id, a request that may not be repeated runs twice."""
+"""RECOVER: the last model worker that is left reads prompts for others, and nobody orders it to answer."""
 
 import asyncio
+import signal
 import sys
-from collections import Counter
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
@@ -10,137 +11,129 @@
 from common import http, operator
 from common.case import run
 from common.fleet import FRONTEND, ZONES, Fleet
-from common.worker import NOT_EXECUTED, IdleModelWorker, Worker
-
-MODEL_SERVICE, PLAIN_SERVICE = "dele69a", "xano55b"
-HOST, PREFIX = "ficu95.example", "/rapu33/"
-REQUESTS, PAUSE_S = 40, 0.05
-DEADLINE_MS = 1500
-ADDRESS_REUSE_S = 2.0
-ASKED_WITHIN_S = 20.0
-FIRST_WORKER_HOST = 100
-LAST_ANSWER_S = 2.0
-
-
-class SpoilingWorker(Worker):
-    """A worker in trouble: a copy of one answer that it has given comes late, in the place of the next one.
-
-    The answer is the first one that it gives to a request without an id: 400 with `Molespur-Not-Executed`.
-    """
+from common.model_worker import DECODE, PREFILL, ModelWorker
 
-    def __init__(self, *arguments, in_trouble: bool):
-        super().__init__(*arguments)
-        self.asked = asyncio.Event()  # a scheduler has asked it for a report
-        self._in_trouble = in_trouble
-        self._surplus_on = None  # the connection on which the copy is due
-
-    async def answer(self, request: http.Message, reader, writer) -> None:
-        """Answer one request, after the copy where it is due."""
-        if request.headers.get("molespur-attempt-id") is None:
-            self.record.write(f"worker {self.name} gets, without an id: {request.first_line}")
-            if self._in_trouble and request.first_line.startswith("GET ") and not self.asked.is_set():
-                self._surplus_on = writer
-                self.asked.set()
-        elif self._surplus_on is writer:
-            self._surplus_on = None
-            self.record.write(f"worker {self.name} sends its 400 without an id again, late")
-            writer.write(self.answer_bytes(400, None, [NOT_EXECUTED]))
-        await super().answer(request, reader, writer)
+SERVICE, HOST, PREFIX = "dele69a", "ficu95.example", "/lohu930/"
+PER_S, DEADLINE_MS, EVENTS = 10.0, 3000, 5
+BEFORE_S, LOST_S, DOWN_S, JUDGED_S = 8.0, 10.0, 1.0, 10.0
+LEAST_SHARE = 0.25  # of the rule
+FIRST_WORKER_HOST = 100
 
 
 def start(record) -> Fleet:
-    """Three machines of the core and one scheduler."""
-    fleet = Fleet(record, control=3, schedulers=1)
+    """Three machines of the core and two schedulers."""
+    fleet = Fleet(record, control=3, schedulers=2)
     fleet.start_all()
     return fleet
 
 
-async def request(fleet: Fleet, attempt: str) -> int:
-    """Send one request on a connection of its own; return the status, 0 without a whole answer."""
-    scheduler = fleet.of_role("data-plane")[0]
-    status = 0
-    fleet.record.write(f"client sends {attempt}")
-    try:
-        reader, writer = await http.connect(scheduler.address(FRONTEND))
+class Traffic:
+    """Requests at an even rate, each on a connection of its own, and what became of them."""
+
+    def __init__(self, fleet: Fleet):
+        self.fleet = fleet
+        self.sent_at: dict[str, float] = {}
+        self.served: set[str] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self, until: float) -> None:
+        """Send until this time, then wait for the last answers."""
+        number = 0
+        while time.monotonic() < until:
+            task = asyncio.create_task(self._request(f"{number:016x}", number))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            number += 1
+            await asyncio.sleep(1.0 / PER_S)
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def _request(self, attempt: str, number: int) -> None:
+        schedulers = self.fleet.of_role("data-plane")
+        scheduler = schedulers[number % len(schedulers)]
+        self.sent_at[attempt] = time.monotonic()
+        head = [
+            f"POST {PREFIX}2f HTTP/1.1", f"Host: {HOST}", f"Molespur-Attempt-Id: {attempt}",
+            f"Molespur-Deadline-Ms: {DEADLINE_MS}", "Molespur-Model: m",
+            f"Molespur-Token-Usage: 1460,{EVENTS}",
+            f"Molespur-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,{number:08x}:250",
+            "Content-Length: 4", "", "body",
+        ]  # fmt: skip
+        outcome = "no answer"
         try:
-            head = [f"POST {PREFIX}2f HTTP/1.1", f"Host: {HOST}", f"Molespur-Attempt-Id: {attempt}"]
-            head += [f"Molespur-Deadline-Ms: {DEADLINE_MS}", "Content-Length: 4", "", "body"]
-            writer.write("\r\n".join(head).encode())
-            async with asyncio.timeout(DEADLINE_MS / 1000.0):
-                answer = await http.read_message(reader)
-            status = answer.status if answer.whole else 0
-        finally:
-            writer.close()
-    except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
-        fleet.record.write(f"client gets no answer to {attempt}: {error!r}")
-    fleet.record.write(f"client gets {status} for {attempt}")
-    return status
-
-
-def address(fleet: Fleet, number: int) -> str:
-    """The address of a worker."""
-    return f"{fleet.network}.{FIRST_WORKER_HOST + number}:{fleet.first_port}"
+            reader, writer = await http.connect(scheduler.address(FRONTEND))
+            try:
+                writer.write("\r\n".join(head).encode())
+                async with asyncio.timeout(DEADLINE_MS / 1000.0):
+                    answer = await http.read_message(reader)
+                if answer.whole and 200 <= answer.status < 300:
+                    self.served.add(attempt)
+                outcome = f"{answer.status}{'' if answer.whole else ', cut short'}"
+            finally:
+                writer.close()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            outcome = f"no answer: {type(error).__name__}"
+        self.fleet.record.write(f"{attempt} at {scheduler.name}: {outcome}")
+
+    def share(self, first: float, last: float) -> tuple[int, int]:
+        """How many of the requests that were sent between two times were served, and how many there were."""
+        sent = [attempt for attempt, at in self.sent_at.items() if first <= at < last]
+        return sum(attempt in self.served for attempt in sent), len(sent)
 
 
 async def play(fleet: Fleet, with_trouble: bool) -> list[str]:
-    """Play the case; return the requests that ran more than once, or were refused although they ran."""
-    record, control = fleet.record, fleet.control_addresses
-    models = [
-        IdleModelWorker(
-            f"i-model-{number}", MODEL_SERVICE, address(fleet, number), ZONES[number], control, record,
-            phase=("prefill", "decode", "decode")[number],
+    """Play the case; return what was broken."""
+    record, others = fleet.record, {}
+    workers = [
+        ModelWorker(
+            f"i-model-{n}", SERVICE, f"{fleet.network}.{FIRST_WORKER_HOST + n}:{fleet.first_port}", ZONES[n],
+            fleet.control_addresses, record, phase=(PREFILL, DECODE)[n], others=others,
         )
-        for number in range(3)
+        for n in range(2)
     ]  # fmt: skip
-    sound = Worker("i-plain-1", PLAIN_SERVICE, address(fleet, 3), ZONES[1], control, record)
-    for worker in (*models, sound):
+    for worker in workers:
         await worker.start()
     route = {
-        "Name": "r-rapu33", "Host": HOST, "PathPrefix": PREFIX, "Type": "non_idempotent",
-        "TimeoutMs": DEADLINE_MS, "TargetLatencyMs": 200, "Priority": 2, "Service": PLAIN_SERVICE,
-        "MaxAttempts": 1,
+        "Name": "r-x73d3zj", "Host": HOST, "PathPrefix": PREFIX, "Type": "streaming",
+        "TimeoutMs": DEADLINE_MS, "TargetLatencyMs": 400, "Priority": 1, "Service": SERVICE, "MaxAttempts": 2,
+        "SessionAffinity": True, "Resumable": True, "gap_aim_ms": 250,
     }  # fmt: skip
-    services = [operator.service(MODEL_SERVICE, 360, engine=True), operator.service(PLAIN_SERVICE, 100)]
+    services = [operator.service(SERVICE, 360, engine=True)]
     await operator.put_first(fleet, operator.configuration(1, [route], services))
     await operator.wait_until_ready(fleet)
-    for worker in (*models, sound):
-        async with asyncio.timeout(ASKED_WITHIN_S):
+    async with asyncio.timeout(20):
+        for worker in workers:
             await worker.acknowledged.wait()
 
-    if with_trouble:  # a model worker crashes, and a worker of the plain service gets its address
-        lost = models.pop()
+    traffic = Traffic(fleet)
+    started = time.monotonic()
+    recovery_s = fleet.bounds["RecoveryS"]
+    end = started + BEFORE_S + LOST_S + DOWN_S + recovery_s + JUDGED_S + 3.0
+    sending = asyncio.create_task(traffic.run(end))
+    await asyncio.sleep(BEFORE_S)
+    if with_trouble:
+        lost = next(worker for worker in workers if worker.phase == DECODE)
         await lost.crash()
-        await asyncio.sleep(ADDRESS_REUSE_S + 0.2)
-        place = lost.address
-    else:
-        place = address(fleet, 4)
-    spoiling = SpoilingWorker(
-        "i-plain-2", PLAIN_SERVICE, place, ZONES[2], control, record, in_trouble=with_trouble
-    )
-    await spoiling.start()
-    async with asyncio.timeout(ASKED_WITHIN_S):
-        await spoiling.acknowledged.wait()
-        if with_trouble:  # the scheduler asks the lost model worker for its report
-            await spoiling.asked.wait()
-
-    statuses = {}
-    tasks = []
-    for number in range(REQUESTS):
-        attempt = f"{number:016x}"
-        tasks.append(asyncio.create_task(request(fleet, attempt)))
-        statuses[attempt] = tasks[-1]
-        await asyncio.sleep(PAUSE_S)
-    await asyncio.wait(tasks)
-    await asyncio.sleep(LAST_ANSWER_S)
-
-    runs = Counter(sound.runs + spoiling.runs)
-    breaks = [f"TWICE: {attempt} ran {count} times" for attempt, count in runs.items() if count > 1]
-    for attempt, task in statuses.items():
-        if task.result() in (408, 421, 429, 503) and runs[attempt]:
-            breaks.append(f"REFUSED: {attempt} got {task.result()} and ran")
-    answered = sum(task.result() == 200 for task in tasks)
-    record.write(f"{REQUESTS} requests sent, {answered} answered with 200, {sum(runs.values())} runs")
-    return breaks
+    await asyncio.sleep(LOST_S)
+    record.write("final fault: all processes are killed")
+    faulted = time.monotonic()
+    for machine in fleet.machines.values():
+        fleet.signal(machine, signal.SIGKILL)
+        machine.process.wait()
+    await asyncio.sleep(DOWN_S)
+    for machine in fleet.machines.values():
+        fleet.start(machine)
+    back = time.monotonic()
+    await sending
+
+    before = traffic.share(started, faulted)
+    after = traffic.share(back + recovery_s, end)
+    record.write(f"before the final fault {before[0]} of {before[1]} served")
+    record.write(f"later than {recovery_s} s after the machines were back {after[0]} of {after[1]} served")
+    record.write(f"parts at the end: {[(w.name, w.phase) for w in workers]}")
+    if before[0] >= LEAST_SHARE * before[1] and after[0] < LEAST_SHARE * after[1]:
+        return [f"RECOVER: {after[0]} of {after[1]} served, before the fault {before[0]} of {before[1]}"]
+    return []
 
 
 if __name__ == "__main__":
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))'
-python3 -m compileall -q common 1 2
+python3 -m compileall -q common 1 2 3
