--- a/review/1/case.py
+++ b/review/1/case.py
@@ -60,6 +60,7 @@
             "Content-Length: 4", "", "body",
         ]  # fmt: skip
         outcome = "no answer"
+        self.fleet.record.write(f"{attempt} is sent to {scheduler.name}")
         try:
             reader, writer = await http.connect(scheduler.address(FRONTEND))
             try:
--- a/review/common/case.py
+++ b/review/common/case.py
@@ -27,7 +27,7 @@
             breaks = asyncio.run(_bounded(play, fleet, with_trouble))
         finally:
             fleet.stop()
-    except (OSError, TimeoutError, EOFError, KeyError) as error:
+    except (OSError, TimeoutError, EOFError, LookupError, RuntimeError) as error:
         record.write(f"the case could not run: {error!r}")
         print(f"could not run: {error!r}", file=sys.stderr)
         return COULD_NOT_RUN
