Control plane: the reason for which no order follows, in the log and as figures

Change: PhasePlanner names the reason of each check without an order (OrderHold), counts them (molespur_order_holds_total by service and reason), and the log line on the split gives it; the line now comes also where no live worker decodes, and once a second for each service instead of once for all. molespur_live_workers gives ready and switching workers by service and phase.

Nothing that is decided changes here.

--- a/molespur/system/control_plane/figures.py
+++ b/molespur/system/control_plane/figures.py
@@ -11,6 +11,7 @@
 from ..shards.group import HostedGroup
 from ..shards.host import ReplicaHost
 from ..shards.placement import CONFIGURATION, WORKER_GROUPS
+from ..workers.phases import live_workers
 
 
 def metrics(
@@ -18,6 +19,7 @@
     feed: FeedSource,
     schedulers: SchedulerMonitor,
     order_counts: Counter[tuple[str, str]],
+    hold_counts: Counter[tuple[str, str]],
     failed_writes: int,
     now: float,
 ) -> list[Metric]:
@@ -27,6 +29,11 @@
         for name in WORKER_GROUPS
         for worker in host.groups[name].state_machine.workers.values()
     )
+    phases = Counter(
+        (worker.service, worker.phase)
+        for name in WORKER_GROUPS
+        for worker in live_workers(host.groups[name].state_machine.workers.values())
+    )
     return [
         _by_shard(host, "shard_leader", "1 where this process leads the shard.",
                   lambda group: group.replica.role is Role.LEADER),
@@ -48,10 +55,15 @@
               host.groups[CONFIGURATION].state_machine.version),
         Metric("workers", MetricKind.GAUGE, "Workers by service and state.", ("service", "state"),
                dict(workers)),
+        Metric("live_workers", MetricKind.GAUGE, "Ready or switching workers by service and phase.",
+               ("service", "phase"), dict(phases)),
         gauge("schedulers", "Schedulers heard of lately by any monitor.", len(schedulers.alive(now))),
         gauge("feed_followers", "Schedulers that follow the feed here.", len(feed.followers)),
         Metric("orders", MetricKind.COUNTER, "Orders given to workers, by part and outcome.",
                ("part", "outcome"), dict(order_counts)),
+        Metric("order_holds", MetricKind.COUNTER,
+               "Checks of a service's split, by its owner, that planned no order, by reason.",
+               ("service", "reason"), dict(hold_counts)),
         counter("disk_failed_writes", "Tries to write to the disk that have failed.", failed_writes),
         *traffic.metrics(),
     ]  # fmt: skip
--- a/molespur/system/control_plane/orders.py
+++ b/molespur/system/control_plane/orders.py
@@ -22,7 +22,7 @@
 from ..settings.process import ProcessSettings
 from ..shards.host import ReplicaHost
 from ..shards.placement import CONFIGURATION, WORKER_GROUPS
-from ..workers.phases import HYSTERESIS, PREFILL, PhaseOrder, PhasePlanner
+from ..workers.phases import DECODE, HYSTERESIS, PREFILL, PhaseOrder, PhasePlanner, live_workers
 from ..workers.revisions import OrderRevisions
 from .calls import ControlCalls
 
@@ -34,7 +34,7 @@
 DEFAULT_SWITCH_S = 2.0
 MAX_REPORT_POLLS = 4  # polls of a switching worker; after that its heartbeat completes the order
 REPORT_POLL_S = 0.25
-SPLIT_LOG_MS = 1000.0  # min. interval between log lines on a split that is off its target
+SPLIT_LOG_MS = 1000.0  # min. interval between log lines on a service's split
 
 
 class PhaseOrders:
@@ -55,7 +55,7 @@
         self.outcomes: Counter[tuple[str, str]] = Counter()  # (phase, status or "no answer")
         self.refused_tokens: dict[str, int] = {}  # worker id -> the token that it has refused as stale
         self.revisions = OrderRevisions()
-        self._split_logged_at = float("-inf")
+        self._split_logged_at: dict[str, float] = {}  # by service
         self._client = None  # created for the first order: most processes never send one
         self._tasks: set[asyncio.Task] = set()
 
@@ -87,23 +87,34 @@
                     self._tasks.add(task)
                     task.add_done_callback(self._tasks.discard)
 
+    def hold_counts(self) -> Counter[tuple[str, str]]:
+        """Checks of the split that planned no order, by service and reason."""
+        counts = Counter()
+        for (_, service), planner in self.planners.items():
+            for hold, count in planner.holds.items():
+                counts[service, hold.value] += count
+        return counts
+
     def _log_split(
         self, now: float, service: str, workers: list[pb.Worker], load: pb.ServiceLoad, planner: PhasePlanner
     ) -> None:
         """Log, rate-limited, that the split of a service's workers is off its target."""
-        if abs(planner.prefill_deficit) <= HYSTERESIS or now - self._split_logged_at < SPLIT_LOG_MS:
+        alive = live_workers(workers)
+        lacks_decode = bool(alive) and all(worker.phase != DECODE for worker in alive)
+        is_off = lacks_decode or abs(planner.prefill_deficit) > HYSTERESIS
+        if not is_off or now - self._split_logged_at.get(service, float("-inf")) < SPLIT_LOG_MS:
             return
-        self._split_logged_at = now
-        ready = [worker for worker in workers if worker.state == pb.READY]
-        prefill_count = sum(worker.phase == PREFILL for worker in ready)
+        self._split_logged_at[service] = now
         logging.info(
-            "%s: %d of %d ready workers in prefill, deficit %+.1f; load: %.0f prefill tokens/s, %.0f running",
+            "%s: %d of %d live workers in prefill, deficit %+.1f; "
+            "load: %.0f prefill tokens/s, %.0f running; order: %s",
             service,
-            prefill_count,
-            len(ready),
+            sum(worker.phase == PREFILL for worker in alive),
+            len(alive),
             planner.prefill_deficit,
             load.read_tokens_per_s,
             load.running,
+            "planned" if planner.hold is None else f"held ({planner.hold.value})",
         )
 
     async def _execute(self, group: str, order: PhaseOrder, token: int) -> None:
--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -67,7 +67,15 @@
     def metrics(self) -> list[Metric]:
         """The current metrics."""
         failed_writes = self.host.writer.failures if self.host.writer is not None else 0
-        return metrics(self.host, self.feed, self.schedulers, self.orders.outcomes, failed_writes, clock())
+        return metrics(
+            self.host,
+            self.feed,
+            self.schedulers,
+            self.orders.outcomes,
+            self.orders.hold_counts(),
+            failed_writes,
+            clock(),
+        )
 
     async def run(self) -> None:
         """Serve until a stop is requested."""
--- a/molespur/system/workers/phases.py
+++ b/molespur/system/workers/phases.py
@@ -7,7 +7,9 @@
 """
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum
 from math import ceil
 
 from ..rpc import molespur_pb2 as pb
@@ -36,10 +38,23 @@
     phase: str
 
 
+class OrderHold(Enum):
+    """Why a check of the split has planned no order."""
+
+    ON_TARGET = "on-target"
+    TOO_FEW_WORKERS = "too-few-workers"
+    NO_TRAFFIC = "no-traffic"
+    REVERSAL = "reversal"  # the last change in the opposite direction was too recent
+    SETTLING = "settling"  # the change has not been needed for long enough
+    NO_CANDIDATE = "no-candidate"  # every worker that could switch is switching or was ordered recently
+
+
 class PhasePlanner:
     """Plans the orders for one service, at the owner of its shard."""
 
     def __init__(self):
+        self.hold: OrderHold | None = None  # of the last check; None: it planned an order
+        self.holds: Counter[OrderHold] = Counter()  # checks without an order
         self.wanted_since: float | None = None
         self.direction = 0
         self.last_order_at = float("-inf")
@@ -59,29 +74,40 @@
 
     def plan(self, now: float, workers: list[pb.Worker], load: pb.ServiceLoad) -> PhaseOrder | None:
         """The next order, if one is needed."""
-        alive = [worker for worker in workers if worker.state in (pb.READY, pb.SWITCHING) and worker.phase]
+        outcome = self._check(now, live_workers(workers), load)
+        if isinstance(outcome, PhaseOrder):
+            self.hold = None
+            return outcome
+        self.hold = outcome
+        self.holds[outcome] += 1
+        return None
+
+    def _check(self, now: float, alive: list[pb.Worker], load: pb.ServiceLoad) -> PhaseOrder | OrderHold:
         has_traffic = load.read_tokens_per_s >= MIN_TOKENS_PER_S
         if has_traffic and not self.had_traffic:
             self.had_traffic, self.direction = True, 0
-        if len(alive) < 2 or not (has_traffic or not self.had_traffic):
+        if len(alive) < 2:
             self.wanted_since = None
-            return None
+            return OrderHold.TOO_FEW_WORKERS
+        if self.had_traffic and not has_traffic:
+            self.wanted_since = None
+            return OrderHold.NO_TRAFFIC
         prefill_count = sum(worker.phase == PREFILL for worker in alive)
         self.prefill_deficit = self.target(alive, load) - prefill_count
         direction = (self.prefill_deficit > HYSTERESIS) - (self.prefill_deficit < -HYSTERESIS)
         if direction == 0:
             self.wanted_since = None
-            return None
+            return OrderHold.ON_TARGET
         is_short = direction < 0 and self._is_short_of_decode(alive, load)
         if self.wanted_since is None or direction != self.direction:
             is_reversal = self.direction and direction != self.direction
             if is_reversal and not is_short and now - self.last_order_at < REVERSE_MS:
-                return None
+                return OrderHold.REVERSAL
             self.wanted_since, self.direction = now, direction
         settle = SETTLE_MS if self.ordered_at and not is_short else FIRST_SETTLE_MS
         if now - self.wanted_since < settle:
-            return None
-        return self._order(now, alive, PREFILL if direction > 0 else DECODE)
+            return OrderHold.SETTLING
+        return self._order(now, alive, PREFILL if direction > 0 else DECODE) or OrderHold.NO_CANDIDATE
 
     @staticmethod
     def _is_short_of_decode(workers: list[pb.Worker], load: pb.ServiceLoad) -> bool:
@@ -107,6 +133,11 @@
         return PhaseOrder(worker, phase)
 
 
+def live_workers(workers: Iterable[pb.Worker]) -> list[pb.Worker]:
+    """The workers that count for the split: they serve a phase or are switching to it."""
+    return [worker for worker in workers if worker.state in (pb.READY, pb.SWITCHING) and worker.phase]
+
+
 def min_decode_workers(workers: list[pb.Worker]) -> int:
     """How many of these workers must decode: at least one per zone, and enough to tolerate a few losses."""
     zones = len({worker.zone for worker in workers})
--- a/tests/system/control.py
+++ b/tests/system/control.py
@@ -76,7 +76,8 @@
 
     def metrics(self):
         orders = Counter({("prefill", "202"): 2})
-        return metrics(self.host, self.feed_source(), SchedulerMonitor(), orders, 3, self.now)
+        holds = Counter({("s", "on-target"): 5})
+        return metrics(self.host, self.feed_source(), SchedulerMonitor(), orders, holds, 3, self.now)
 
     def feed_source(self):
         """A feed source on this process."""
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -126,6 +126,17 @@
     plane.loop.run_until_complete(scenario())
 
 
+def test_checks_without_an_order_are_counted_by_service_and_reason(plane):
+    async def scenario():
+        register(plane, "127.0.0.1:1")
+        orders = create_orders(plane)
+        plane.pass_time(plane.host.settings.bounds.lease_ms + HANDOVER_MS + 100.0)
+        orders.send_due_orders(plane.now)
+        assert orders.hold_counts() == {(SERVICE, "settling"): 1}
+
+    plane.loop.run_until_complete(scenario())
+
+
 # -- The number of orders that a worker has accepted ---------------------------------------------------------
 
 
--- a/tests/system/test_phases.py
+++ b/tests/system/test_phases.py
@@ -3,7 +3,7 @@
 from registrations import worker
 
 from molespur.system.rpc import molespur_pb2 as pb
-from molespur.system.workers.phases import PhasePlanner
+from molespur.system.workers.phases import OrderHold, PhasePlanner
 
 
 def fleet(prefill, decode):
@@ -66,6 +66,37 @@
     assert carry_out_orders(planner, workers, pb.ServiceLoad(service="s"), 9000.0, 30_000.0) == []
 
 
+def test_a_check_without_an_order_tells_its_reason():
+    planner, workers = PhasePlanner(), fleet(3, 6)
+    idle = pb.ServiceLoad(service="s")
+    prefill_heavy = pb.ServiceLoad(service="s", read_tokens_per_s=160_000.0, running=20.0)
+    balanced = pb.ServiceLoad(service="s", read_tokens_per_s=28_000.0 * 3, running=32.0 * 6)
+    decode_heavy = pb.ServiceLoad(service="s", read_tokens_per_s=20_000.0, running=130.0)
+
+    def check(now, load):
+        assert (planner.plan(now, workers, load) is None) == (planner.hold is not None)
+        return planner.hold
+
+    assert check(0.0, balanced) is OrderHold.ON_TARGET
+    assert check(300.0, idle) is OrderHold.NO_TRAFFIC
+    assert check(600.0, prefill_heavy) is OrderHold.SETTLING
+    assert check(900.0, prefill_heavy) is None
+    assert check(1200.0, decode_heavy) is OrderHold.REVERSAL
+    for each in workers:
+        each.state = pb.SWITCHING
+    assert check(1500.0, prefill_heavy) is OrderHold.NO_CANDIDATE
+    assert planner.holds == dict.fromkeys(
+        (
+            OrderHold.ON_TARGET,
+            OrderHold.NO_TRAFFIC,
+            OrderHold.SETTLING,
+            OrderHold.REVERSAL,
+            OrderHold.NO_CANDIDATE,
+        ),
+        1,
+    )
+
+
 # -- Workers that leave -----------------------------------------------------------------------------------
 #
 # These tests guard against a shortage of decode workers that is not corrected.  Of thirty workers, thirteen
