Phase planner: a service without a decode worker gets one, whatever its load

Cause: PhasePlanner.plan answered "no order" before it looked at the split. (1) With fewer than two live workers, and the target was at least one prefill worker, so the only worker was never told to decode.

Fix: the split is computed first. Each service's least number of decode workers is now at least one, the least number of prefill workers yields to it, and a shortage of decode workers is exempt from the check of the load, as it was from the wait before a reversal. A worker alone is never ordered to prefill.

Related, looked at: with at least one decode worker but fewer than the least, the low load held the repair back too (the same exemption covers it).

--- a/molespur/system/workers/phases.py
+++ b/molespur/system/workers/phases.py
@@ -3,7 +3,8 @@
 The split follows the load that the schedulers report.  Against oscillation, a change must be needed for some
 time, and changes in opposite directions are spaced out.  A shortage of decode workers is exempt, because it
 means that workers have left or that responses are late: it is corrected at once, whatever the direction of
-the last change.
+the last change and however low the load.  Only decode workers respond to clients, so a service without one
+refuses every request, which in turn keeps its load at zero: the load is no reason to leave it like that.
 """
 
 from collections import Counter
@@ -18,6 +19,7 @@
 PREFILL_TOKENS_PER_S = 28_000.0  # max. planned load of a prefill worker: half of what it can process
 DECODE_SLOT_UTILIZATION = 0.5  # planned share of a decode worker's slots in use
 MIN_TOKENS_PER_S = 2_000.0  # below this prefill load the split is left as it is
+MIN_PREFILL_WORKERS = 1.0  # min. target, as far as the min. number of decode workers leaves any
 MIN_DECODE_SHARE = 1 / 6  # min. share of the workers that decode, so that the loss of a few is tolerated
 SHORTAGE_UTILIZATION = 0.8  # share of the decode slots in use above which decode workers are added at once
 COLD_PREFILL_SHARE = (
@@ -42,7 +44,7 @@
     """Why a check of the split has planned no order."""
 
     ON_TARGET = "on-target"
-    TOO_FEW_WORKERS = "too-few-workers"
+    NO_WORKER = "no-worker"
     NO_TRAFFIC = "no-traffic"
     REVERSAL = "reversal"  # the last change in the opposite direction was too recent
     SETTLING = "settling"  # the change has not been needed for long enough
@@ -70,7 +72,8 @@
             share = prefill_need / (prefill_need + decode_need)
         else:
             share = COLD_PREFILL_SHARE
-        return max(min(share * len(workers), len(workers) - min_decode_workers(workers)), 1.0)
+        max_prefill = len(workers) - min_decode_workers(workers)
+        return max(min(share * len(workers), max_prefill), min(MIN_PREFILL_WORKERS, max_prefill))
 
     def plan(self, now: float, workers: list[pb.Worker], load: pb.ServiceLoad) -> PhaseOrder | None:
         """The next order, if one is needed."""
@@ -86,19 +89,19 @@
         has_traffic = load.read_tokens_per_s >= MIN_TOKENS_PER_S
         if has_traffic and not self.had_traffic:
             self.had_traffic, self.direction = True, 0
-        if len(alive) < 2:
-            self.wanted_since = None
-            return OrderHold.TOO_FEW_WORKERS
-        if self.had_traffic and not has_traffic:
-            self.wanted_since = None
-            return OrderHold.NO_TRAFFIC
+        if not alive:
+            self.wanted_since, self.prefill_deficit = None, 0.0
+            return OrderHold.NO_WORKER
         prefill_count = sum(worker.phase == PREFILL for worker in alive)
         self.prefill_deficit = self.target(alive, load) - prefill_count
         direction = (self.prefill_deficit > HYSTERESIS) - (self.prefill_deficit < -HYSTERESIS)
+        is_short = direction < 0 and self._is_short_of_decode(alive, load)
+        if self.had_traffic and not has_traffic and not is_short:
+            self.wanted_since = None
+            return OrderHold.NO_TRAFFIC
         if direction == 0:
             self.wanted_since = None
             return OrderHold.ON_TARGET
-        is_short = direction < 0 and self._is_short_of_decode(alive, load)
         if self.wanted_since is None or direction != self.direction:
             is_reversal = self.direction and direction != self.direction
             if is_reversal and not is_short and now - self.last_order_at < REVERSE_MS:
@@ -139,9 +142,13 @@
 
 
 def min_decode_workers(workers: list[pb.Worker]) -> int:
-    """How many of these workers must decode: at least one per zone, and enough to tolerate a few losses."""
+    """How many of these workers must decode: one per zone, and enough to tolerate a few losses.
+
+    At most half of them, but always one.
+    """
     zones = len({worker.zone for worker in workers})
-    return min(max(zones, 2, ceil(MIN_DECODE_SHARE * len(workers))), len(workers) // 2)
+    wanted = max(zones, 2, ceil(MIN_DECODE_SHARE * len(workers)))
+    return max(min(wanted, len(workers) // 2), 1)
 
 
 def _mean_slots(workers: list[pb.Worker]) -> float:
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -9,6 +9,7 @@
 
 from molespur.system.control_plane.methods import IS_LEADER
 from molespur.system.control_plane.orders import HANDOVER_MS, PhaseOrders
+from molespur.system.membership.schedulers import SchedulerMonitor
 from molespur.system.rpc import molespur_pb2 as pb
 from molespur.system.shards.placement import CONFIGURATION, group_of_service
 from molespur.system.workers.phases import PhaseOrder
@@ -126,6 +127,33 @@
     plane.loop.run_until_complete(scenario())
 
 
+def test_the_only_worker_of_a_service_without_load_is_ordered_to_decode(plane):
+    """Guards against a service that is refused for good (review/1): no order made its last worker decode."""
+
+    async def scenario():
+        async with order_receiver() as (address, received):
+            directory = plane.host.groups[GROUP].state_machine
+            last = pb.Worker(
+                id="w-0", service=SERVICE, address=address, zone="a", phase="prefill", capacity=64
+            )
+            lost = pb.Worker(
+                id="w-1", service=SERVICE, zone="b", phase="decode", capacity=64, state=pb.SILENT
+            )
+            directory.workers = {worker.id: worker for worker in (last, lost)}
+            orders = create_orders(plane)
+            orders.schedulers = SchedulerMonitor()  # no scheduler reports any load
+            plane.pass_time(plane.host.settings.bounds.lease_ms + HANDOVER_MS + 100.0)
+            run_until_ordered(plane, orders)
+            assert orders._tasks, orders.hold_counts()
+            while not received:
+                await asyncio.sleep(0)
+            assert [order["Phase"] for order in received] == ["decode"]
+            for task in orders._tasks:
+                task.cancel()
+
+    plane.loop.run_until_complete(asyncio.wait_for(scenario(), 20))
+
+
 def test_checks_without_an_order_are_counted_by_service_and_reason(plane):
     async def scenario():
         register(plane, "127.0.0.1:1")
--- a/tests/system/test_phases.py
+++ b/tests/system/test_phases.py
@@ -1,9 +1,18 @@
 """The split of workers between prefill and decode, and when a worker is ordered to switch."""
 
+from itertools import product
+
+import pytest
 from registrations import worker
 
 from molespur.system.rpc import molespur_pb2 as pb
-from molespur.system.workers.phases import OrderHold, PhasePlanner
+from molespur.system.workers.phases import (
+    DECODE,
+    MIN_ORDER_INTERVAL_MS,
+    SETTLE_MS,
+    OrderHold,
+    PhasePlanner,
+)
 
 
 def fleet(prefill, decode):
@@ -144,3 +153,88 @@
     assert set(carry_out_orders(planner, workers, PREFILL_HEAVY, 0.0, 4000.0)) == {"prefill"}
     less_prefill = pb.ServiceLoad(service="s", read_tokens_per_s=150_000.0, running=82.0)
     assert carry_out_orders(planner, workers, less_prefill, 4300.0, 4300.0 + 4 * CHECK_INTERVAL_MS) == []
+
+
+# -- A service that has lost all its decode workers --------------------------------------------------------
+#
+# These tests guard against a service that is refused for good although it has a sound worker (review/1): the
+# last workers were prefill workers, which respond to no client, and the planner ordered none to decode.  It
+# gave up with fewer than two workers, and with a low prefill load, which follows from refusing all requests.
+
+SWITCH_MS = 1700.0
+# max. wait for a decode worker: interval since the last order, settling, switch, two checks
+MAX_WITHOUT_DECODE_MS = MIN_ORDER_INTERVAL_MS + SETTLE_MS + SWITCH_MS + 2 * CHECK_INTERVAL_MS
+IDLE = pb.ServiceLoad(service="s")
+TRICKLE = pb.ServiceLoad(service="s", read_tokens_per_s=900.0, running=1.0)
+
+
+def run_with_switches(planner, workers, load, start, until):
+    """Plan at every check; an ordered worker switches for SWITCH_MS.
+
+    Return the longest time without a decode worker that is ready, and the number of orders.
+    """
+    switching_until, last_served_at, longest_ms, orders, now = {}, start, 0.0, 0, start
+    while now < until:
+        for each in workers:
+            if each.state == pb.SWITCHING and now >= switching_until[each.id]:
+                each.state = pb.READY
+        order = planner.plan(now, workers, load)
+        if order is not None:
+            order.worker.phase, order.worker.state = order.phase, pb.SWITCHING
+            switching_until[order.worker.id] = now + SWITCH_MS
+            orders += 1
+        if any(each.phase == DECODE and each.state == pb.READY for each in workers):
+            last_served_at = now
+        longest_ms = max(longest_ms, now - last_served_at)
+        now += CHECK_INTERVAL_MS
+    return longest_ms, orders
+
+
+@pytest.mark.parametrize("load", [IDLE, TRICKLE], ids=["idle", "trickle"])
+def test_the_last_worker_of_a_service_is_ordered_to_decode(load):
+    planner, workers = PhasePlanner(), large_fleet(1, 1)
+    carry_out_orders(planner, workers, PREFILL_HEAVY, 0.0, 9000.0)
+    workers[1].state = pb.SILENT
+    assert carry_out_orders(planner, workers, load, 9000.0, 19_000.0) == [DECODE]
+    assert carry_out_orders(PhasePlanner(), large_fleet(1, 0), load, 0.0, 10_000.0) == [DECODE], (
+        "a new owner orders it too"
+    )
+
+
+def test_prefill_workers_that_are_left_are_ordered_to_decode_without_any_load():
+    planner, workers = PhasePlanner(), large_fleet(2, 3)
+    near_target = pb.ServiceLoad(service="s", read_tokens_per_s=28_000.0 * 2, running=32.0 * 3)
+    assert carry_out_orders(planner, workers, near_target, 0.0, 9000.0) == []
+    for lost in workers[2:]:
+        lost.state = pb.SILENT
+    assert carry_out_orders(planner, workers, TRICKLE, 9000.0, 19_000.0) == [DECODE]
+
+
+def test_one_worker_alone_is_never_ordered_to_prefill():
+    for load in (IDLE, TRICKLE, PREFILL_HEAVY):
+        assert carry_out_orders(PhasePlanner(), large_fleet(0, 1), load, 0.0, 30_000.0) == []
+
+
+def planners_in_any_state():
+    """Planners as a history before the loss may have left them at time 0."""
+    times = (None, -100.0, -30_000.0)
+    for direction, had_traffic, wanted_since, ordered_at in product((-1, 0, 1), (False, True), times, times):
+        planner = PhasePlanner()
+        planner.direction, planner.had_traffic, planner.wanted_since = direction, had_traffic, wanted_since
+        if ordered_at is not None:
+            planner.last_order_at = ordered_at
+            planner.ordered_at = {f"i-{n}": ordered_at for n in range(8)}
+        yield planner
+
+
+@pytest.mark.parametrize("count", range(1, 6))
+@pytest.mark.parametrize("load", [IDLE, TRICKLE, PREFILL_HEAVY], ids=["idle", "trickle", "prefill-heavy"])
+def test_from_every_state_a_service_with_ready_workers_soon_has_a_decode_worker_and_keeps_it(count, load):
+    for prefill_count in range(count + 1):
+        for planner in planners_in_any_state():
+            workers = large_fleet(prefill_count, count - prefill_count)
+            longest_ms, _ = run_with_switches(planner, workers, load, 0.0, 12_000.0)
+            assert longest_ms <= MAX_WITHOUT_DECODE_MS, (prefill_count, vars(planner))
+            longest_ms, orders = run_with_switches(planner, workers, load, 12_000.0, 60_000.0)
+            assert longest_ms == 0.0, "once it decodes, one worker always does"
+            assert orders <= count, "the split settles"
