Owner of a shard: a lasting silence of most workers at once ends in service, not in nothing

Fix: the silence of most is put down to this process for 2.5 heartbeat intervals from the time on at which it hears any worker of the shard; then they are marked. While it hears none, nothing is known of any, and they stay as they are, as before. Workers that come back one after the other after a silence of all have the same time; before, the rest of them was marked as soon as half were back.

--- a/molespur/system/workers/liveness.py
+++ b/molespur/system/workers/liveness.py
@@ -5,12 +5,16 @@
 """
 
 from dataclasses import dataclass
+from math import inf
 
 from ..errors import ErrorKind, FleetError
 from ..rpc import molespur_pb2 as pb
 from .directory import WorkerDirectory
 
 MAX_MISSED_HEARTBEATS = 3.2  # heartbeat intervals without a heartbeat after which a worker is silent
+# heartbeat intervals for which no worker is marked silent after most were overdue at once, from the time on
+# at which this process hears any of them
+MASS_SILENCE_HEARTBEATS = 2.5
 REMOVE_AFTER_MS = 30_000.0  # a silent worker is removed after this time without a heartbeat
 MAX_SWITCH_MS = 8000.0  # for this long after an order a heartbeat with the old phase is ignored
 MAX_CHECK_GAP_MS = 1000.0  # a longer gap between two checks means that this process itself was stalled
@@ -30,6 +34,8 @@
     def __init__(self, directory: WorkerDirectory, interval_ms: float):
         self.directory = directory
         self.silent_after_ms = MAX_MISSED_HEARTBEATS * interval_ms
+        self.mass_silence_ms = MASS_SILENCE_HEARTBEATS * interval_ms
+        self.held_until: float | None = None  # no worker is marked before this time, after a mass silence
         self.last_heartbeat_at: dict[str, float] = {}
         self.committed_sequences: dict[str, int] = {}  # the newest call whose effect is committed
         self.proposed_sequences: dict[str, int] = {}  # the newest call that was proposed, committed or not
@@ -41,6 +47,7 @@
         self.last_heartbeat_at = dict.fromkeys(self.directory.workers, now)
         self.committed_sequences, self.proposed_sequences = {}, {}
         self.pending_orders = {}
+        self.held_until = None
         self.last_check_at = now
 
     def order_accepted(self, now: float, worker: pb.Worker, phase: str) -> pb.Worker:
@@ -135,8 +142,21 @@
                 del self.last_heartbeat_at[worker_id]
                 self.committed_sequences.pop(worker_id, None)
                 self.proposed_sequences.pop(worker_id, None)
-        # when most workers are overdue at once, the likely cause is a network failure of this process
-        return overdue if live_count >= len(overdue) else []
+        return [] if self._is_mass_silence(now, live_count, len(overdue)) else overdue
+
+    def _is_mass_silence(self, now: float, live_count: int, overdue_count: int) -> bool:
+        """Whether overdue workers are put down to a network failure of this process, and not marked.
+
+        When most workers are overdue at once, that is the likely cause.  If the others remain silent while
+        some are heard, they are lost after all.  While none is heard, nothing is known of any.
+        """
+        if not overdue_count:
+            self.held_until = None
+        elif not live_count:
+            self.held_until = inf
+        elif self.held_until == inf or (self.held_until is None and overdue_count > live_count):
+            self.held_until = now + self.mass_silence_ms
+        return self.held_until is not None and now < self.held_until
 
 
 def _is_same_state(known: pb.Worker, worker: pb.Worker) -> bool:
--- a/tests/system/test_workers.py
+++ b/tests/system/test_workers.py
@@ -4,7 +4,11 @@
 
 from molespur.system.rpc import molespur_pb2 as pb
 from molespur.system.workers.directory import WorkerDirectory
-from molespur.system.workers.liveness import WorkerLiveness
+from molespur.system.workers.liveness import (
+    MASS_SILENCE_HEARTBEATS,
+    MAX_MISSED_HEARTBEATS,
+    WorkerLiveness,
+)
 
 
 def test_a_worker_at_the_address_of_another_one_replaces_it():
@@ -97,6 +101,37 @@
     assert check_until_overdue(liveness, 8000.0)[1] == []
 
 
+def test_most_workers_that_stay_silent_while_others_are_heard_are_marked_silent_in_the_end():
+    """Guards against lost workers that stay in service for good: the others were fewer than they."""
+    directory = WorkerDirectory()
+    liveness = WorkerLiveness(directory, 1000.0)
+    put(directory, *(worker(f"i-{n}", f"10.9.0.{n}:80") for n in range(4)))
+    liveness.reset(0.0)
+    marked, now = {}, 0.0
+    while now < 10_000.0:
+        now += 500.0
+        liveness.heartbeat(now, worker("i-0", "10.9.0.0:80", sequence=int(now)))
+        overdue = liveness.find_overdue(now)
+        marked.update({each.id: now for each in overdue})
+        put(directory, *overdue)
+    held_until = 1000.0 * (MAX_MISSED_HEARTBEATS + MASS_SILENCE_HEARTBEATS)
+    assert set(marked) == {"i-1", "i-2", "i-3"}
+    assert all(held_until <= at <= held_until + 1000.0 for at in marked.values())
+
+
+def test_workers_that_come_back_one_after_the_other_after_a_silence_of_all_are_not_marked_silent():
+    """The owner was cut off from all of them for some time."""
+    directory = WorkerDirectory()
+    liveness = WorkerLiveness(directory, 1000.0)
+    put(directory, *(worker(f"i-{n}", f"10.9.0.{n}:80") for n in range(5)))
+    liveness.reset(0.0)
+    assert check_until_overdue(liveness, 30_000.0)[1] == []
+    for n in range(5):
+        now = 30_000.0 + 200.0 * n
+        liveness.heartbeat(now, worker(f"i-{n}", f"10.9.0.{n}:80", sequence=9))
+        assert liveness.find_overdue(now) == []
+
+
 def test_an_owner_that_was_stalled_marks_no_worker_silent():
     directory = WorkerDirectory()
     liveness = WorkerLiveness(directory, 1000.0)
