Owner of a shard: a worker that is lost during its switch is marked silent like any other

Callers saw (model): a worker that crashes between an accepted order and its end stood as switching, so as a decode worker, until it was removed after 30 s; if it was the only one ordered to decode, the service was refused for that long.

Found by asking of each state that counts as alive for the split (ready, switching) how it ends when its worker is gone.

Fix: a switching worker without heartbeats is marked silent too; its heartbeats go on during a switch, so a sound one is not met.

--- a/molespur/system/workers/liveness.py
+++ b/molespur/system/workers/liveness.py
@@ -132,7 +132,7 @@
             changed.CopyFrom(worker)
             if worker.state == pb.DRAINING or silence > REMOVE_AFTER_MS:
                 changed.state = pb.GONE
-            elif worker.state == pb.READY:
+            elif worker.state in (pb.READY, pb.SWITCHING):
                 changed.state = pb.SILENT
             else:
                 continue
--- a/tests/system/test_lost_workers.py
+++ b/tests/system/test_lost_workers.py
@@ -123,3 +123,13 @@
             owner.become_owner()
         assert owner.run(REPAIRED_MS + 10_000.0) <= REPAIRED_MS, (phases, lost)
         assert owner.decodes(), (phases, lost)
+
+
+def test_a_worker_that_is_lost_during_its_switch_does_not_count_as_a_decode_worker():
+    """Guards against 30 s without a decode worker: only ready workers were marked silent."""
+    owner = Owner([PREFILL, PREFILL, PREFILL])
+    while not owner.switching:
+        owner.run(CHECK_MS)
+    owner.lose(*owner.switching)
+    assert owner.run(REPAIRED_MS + 10_000.0) <= REPAIRED_MS
+    assert owner.decodes()
