A rejection without the attempt's id proves nothing; calls without an id share no connection

Cause: check_head took a rejection that bore this attempt's id or none for this attempt's. Load reports and freed handles carry no id and shared the workers' connections with requests, so a late second response to one of them, 400 with Molespur-Not-Executed, came in the place of a request's response; the request was then sent to another worker. PROTOCOL.md: answers from workers carry the id back; the id tells a surplus answer from the one that is due.

Change: the id is compared first, whatever the status. Calls without an id send Connection: close, so nothing that comes late on their connection has a reader; a report that carries an id is not counted, and a report names its worker (Molespur-Expected-Instance), since its address may have passed on.

--- a/molespur/system/data_plane/answer_checks.py
+++ b/molespur/system/data_plane/answer_checks.py
@@ -9,14 +9,15 @@
 def check_head(head: Head, attempt_id: bytes, needs_stamp: bool = True) -> None:
     """Raise UpstreamError unless this is a worker's response to this attempt.
 
+    Workers return the id of the attempt with every response, rejections included.  A response without it
+    answers another call that was made on the same connection before.
+
     `needs_stamp`: the response goes to the client, so a success has to carry the worker's stamp.
     """
-    response_attempt_id = head.get(ATTEMPT_ID)
-    rejected = head.get(NOT_EXECUTED) is not None or head.status == 421
-    if rejected and response_attempt_id in (attempt_id, None):
+    if head.get(ATTEMPT_ID) != attempt_id:  # a late response to another call, which proves nothing about this
+        raise UpstreamError(Failure.MAY_HAVE_RUN, "response without the id of this attempt")
+    if head.get(NOT_EXECUTED) is not None or head.status == 421:
         raise UpstreamError(Failure.REJECTED, f"rejected with status {head.status}")
-    if response_attempt_id != attempt_id:  # a rejection of another request proves nothing about this one
-        raise UpstreamError(Failure.MAY_HAVE_RUN, "response to another request")
     if head.get(b"content-encoding") is not None:
         raise UpstreamError(Failure.MAY_HAVE_RUN, "response body is encoded")
     if head.status < 200 or (needs_stamp and head.status < 300 and head.get(STAMP) is None):
@@ -27,6 +28,11 @@
         )
 
 
+def answers_call_without_id(head: Head) -> bool:
+    """Whether this may be the response to a call without an attempt id, such as a load report."""
+    return not head.get(ATTEMPT_ID)
+
+
 def is_framed(head: Head) -> bool:
     """Whether the end of the body is distinguishable from a broken connection."""
     return head.get(b"transfer-encoding") is not None or head.get(b"content-length") is not None
--- a/molespur/system/data_plane/reports.py
+++ b/molespur/system/data_plane/reports.py
@@ -5,8 +5,9 @@
 from contextlib import suppress
 from random import Random
 
+from .answer_checks import answers_call_without_id
 from .state import DataPlaneState
-from .upstream import UpstreamError, Upstreams
+from .upstream import CLOSE_CONNECTION, EXPECTED_INSTANCE, UpstreamError, Upstreams
 
 INTERVAL_S = 4.0  # between two reports of one worker
 # the same while other schedulers announce their work, which is newer than reports; each report is charged for
@@ -45,7 +46,11 @@
         )  # a worker that does not reply is polled again after all others
         with suppress(UpstreamError, TimeoutError, ValueError):
             async with asyncio.timeout(TIMEOUT_S):
-                headers = [(b"Host", track.address.encode())]
+                headers = [
+                    (b"Host", track.address.encode()),
+                    (EXPECTED_INSTANCE, track.id.encode()),
+                    CLOSE_CONNECTION,
+                ]
                 max_connections = self.state.max_connections(service)
                 response = await self.upstreams.call(
                     track.address, "GET", b"/api/report", headers, b"", max_connections
@@ -54,5 +59,5 @@
                     body = await response.read()
                 finally:
                     await response.close()
-                if response.head.status == 200:
+                if response.head.status == 200 and answers_call_without_id(response.head):
                     self.state.update_report(track, self.clock(), body)
--- a/molespur/system/data_plane/serving_context.py
+++ b/molespur/system/data_plane/serving_context.py
@@ -9,7 +9,7 @@
 from ..settings.configuration import Service
 from .request_counts import RequestCounts
 from .state import DataPlaneState
-from .upstream import UpstreamError, Upstreams
+from .upstream import CLOSE_CONNECTION, UpstreamError, Upstreams
 
 FREE_HANDLE_TIMEOUT_S = 1.0
 
@@ -50,7 +50,7 @@
                     address,
                     "DELETE",
                     target,
-                    [(b"Host", address.encode())],
+                    [(b"Host", address.encode()), CLOSE_CONNECTION],
                     b"",
                     self.state.max_connections(service),
                 )
--- a/molespur/system/data_plane/upstream.py
+++ b/molespur/system/data_plane/upstream.py
@@ -21,6 +21,9 @@
 NOT_EXECUTED = b"molespur-not-executed"
 STAMP = b"molespur-server-stamp"
 EXPECTED_INSTANCE = b"Molespur-Expected-Instance"
+# on calls without an attempt id: a late second response to one can't be told from the response to the next
+# call on the connection
+CLOSE_CONNECTION = (b"Connection", b"close")
 
 
 class UpstreamError(Exception):
--- a/tests/system/mutations/breaks.py
+++ b/tests/system/mutations/breaks.py
@@ -25,6 +25,7 @@
 LOSS_TESTS = (TESTS + "test_second_loss.py",)
 CHANGE_TESTS = (TESTS + "test_many_changes.py",)
 CALLER_TESTS = (TESTS + "test_answers_and_callers.py",)
+UNNAMED_CALL_TESTS = (TESTS + "test_calls_without_id.py",)
 EXCHANGE_TESTS = (TESTS + "test_exchange.py",)
 REST_TESTS = (TESTS + "test_resting_workers.py",)
 PART_TESTS = (TESTS + "test_workers.py", TESTS + "test_liveness_contact.py", TESTS + "test_orders.py")
@@ -134,9 +135,21 @@
           "self._send_heartbeat(member)\n            return", "return", CHANGE_TESTS),
     # -- Callers and responses -------------------------------------------------------------------------
     Break("a rejection accepted for another request", DATA_PLANE + "answer_checks.py",
-          "if rejected and response_attempt_id in (attempt_id, None):", "if rejected:", CALLER_TESTS),
+          "if head.get(ATTEMPT_ID) != attempt_id:",
+          "if head.status < 400 and head.get(ATTEMPT_ID) != attempt_id:", CALLER_TESTS),
+    Break("a response without an id accepted", DATA_PLANE + "answer_checks.py",
+          "if head.get(ATTEMPT_ID) != attempt_id:",
+          "if head.get(ATTEMPT_ID) not in (attempt_id, None):", CALLER_TESTS + UNNAMED_CALL_TESTS),
+    Break("a connection kept after a load report", DATA_PLANE + "reports.py",
+          "                    CLOSE_CONNECTION,\n", "", UNNAMED_CALL_TESTS),
+    Break("a connection kept after a handle was freed", DATA_PLANE + "serving_context.py",
+          "[(b\"Host\", address.encode()), CLOSE_CONNECTION],", "[(b\"Host\", address.encode())],",
+          UNNAMED_CALL_TESTS),
+    Break("a load report taken from a response with an id", DATA_PLANE + "reports.py",
+          "response.head.status == 200 and answers_call_without_id(response.head)",
+          "response.head.status == 200", UNNAMED_CALL_TESTS),
     Break("a response accepted with any attempt id", DATA_PLANE + "answer_checks.py",
-          "if response_attempt_id != attempt_id:", "if False:", CALLER_TESTS),
+          "if head.get(ATTEMPT_ID) != attempt_id:", "if False:", CALLER_TESTS),
     Break("a retry of a request that may have run", DATA_PLANE + "exchange.py",
           "max_runs = self.route.max_attempts if self._is_repeatable() else 1",
           "max_runs = self.route.max_attempts", CALLER_TESTS + EXCHANGE_TESTS),
--- a/tests/system/test_answers_and_callers.py
+++ b/tests/system/test_answers_and_callers.py
@@ -309,7 +309,9 @@
     ("attempt", "status", "failure"),
     [
         (b"a1", 503, Failure.REJECTED),
-        (None, 421, Failure.REJECTED),
+        (b"a1", 421, Failure.REJECTED),
+        (None, 503, Failure.MAY_HAVE_RUN),
+        (None, 421, Failure.MAY_HAVE_RUN),
         (b"other", 503, Failure.MAY_HAVE_RUN),
         (b"other", 421, Failure.MAY_HAVE_RUN),
         (b"other", 200, Failure.MAY_HAVE_RUN),
