Orders to workers: a connection for each call, so that a late response meets no other call

A second response that comes late was read as the response to the next call: a copy of a 412 makes the owner send that worker no more orders in its term, a copy of a 202 makes it record an order that was refused, a copy of an order's response makes a report unreadable. No caller has reported it.

Test, red before, green after: a worker that repeats its last response before the next on the same connection.

--- a/molespur/system/control_plane/orders.py
+++ b/molespur/system/control_plane/orders.py
@@ -34,6 +34,7 @@
 DEFAULT_SWITCH_S = 2.0
 MAX_REPORT_POLLS = 4  # polls of a switching worker; after that its heartbeat completes the order
 REPORT_POLL_S = 0.25
+EXPECTED_INSTANCE = "Molespur-Expected-Instance"
 SPLIT_LOG_MS = 1000.0  # min. interval between log lines on a service's split
 
 
@@ -152,12 +153,12 @@
         if expected is not None:
             body["IfRevision"] = expected
         if self._client is None:
-            self._client = httpx.AsyncClient(timeout=ORDER_TIMEOUT_S, trust_env=False, verify=False)
+            self._client = _create_client()
         try:
             response = await self._client.post(
                 f"http://{worker.address}/api/order",
                 content=json.dumps(body),
-                headers={"Content-Type": "application/json", "Molespur-Expected-Instance": worker.id},
+                headers={"Content-Type": "application/json", EXPECTED_INSTANCE: worker.id},
             )
         except httpx.HTTPError as error:
             logging.warning("order to %s failed: %r", worker.id, error)
@@ -202,7 +203,9 @@
         import httpx
 
         try:
-            response = await self._client.get(f"http://{worker.address}/api/report")
+            response = await self._client.get(
+                f"http://{worker.address}/api/report", headers={EXPECTED_INSTANCE: worker.id}
+            )
             report = response.json()
             if report.get("Utilization"):
                 return False
@@ -211,3 +214,19 @@
             return report.get("Phase") == phase
         except (httpx.HTTPError, ValueError, AttributeError):
             return False
+
+
+def _create_client():
+    """An HTTP client that uses a connection for one call only.
+
+    Nothing in a response to an order or in a load report names the call that it answers, so a late second
+    response on a kept connection would be read as the response to the next call.
+    """
+    import httpx
+
+    return httpx.AsyncClient(
+        timeout=ORDER_TIMEOUT_S,
+        trust_env=False,
+        verify=False,
+        limits=httpx.Limits(max_keepalive_connections=0),
+    )
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -6,6 +6,7 @@
 
 import pytest
 from control import OneControlPlane
+from wire import header
 
 from molespur.system.control_plane.methods import IS_LEADER
 from molespur.system.control_plane.orders import HANDOVER_MS, PhaseOrders
@@ -175,6 +176,8 @@
         self.phase, self.sequence, self.orders, self.statuses = "decode", 4, [], []
         self.reports, self.order_in_progress = 0, False
         self.on_report = lambda: None
+        self.repeats_last_response, self.statuses_to_give = False, []
+        self.expected_instances = set()
 
     @asynccontextmanager
     async def serving(self):
@@ -183,15 +186,19 @@
         server.close()
 
     async def _serve(self, reader, writer):
+        surplus = b""
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
+                self.expected_instances.add(header(head, b"Molespur-Expected-Instance"))
                 if head.startswith(b"GET /api/report"):
                     status, body = b"200 OK", self._report()
                 else:
                     length = int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0])
                     status, body = self._order(json.loads(await reader.readexactly(length))), b""
-                writer.write(b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
+                response = b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
+                writer.write(surplus + response)
+                surplus = response if self.repeats_last_response else b""
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
@@ -203,6 +210,8 @@
 
     def _order(self, order):
         self.orders.append(order)
+        if self.statuses_to_give:
+            return self.statuses_to_give.pop(0)
         if order.get("IfRevision", self.sequence) != self.sequence:
             self.statuses.append(409)
             return b"409 Conflict"
@@ -284,6 +293,26 @@
     run_with_worker(plane, scenario, monkeypatch)
 
 
+def test_a_late_second_response_to_an_order_does_not_count_for_the_next_call(plane, monkeypatch):
+    """Guards against a copy of an earlier response that decides on a worker, such as a 412 of a former owner.
+
+    Orders and reports carry no attempt id, so nothing but the connection tells their responses apart.
+    """
+
+    async def scenario(worker, orders, execute_order):
+        worker.repeats_last_response = True
+        await execute_order("prefill")
+        assert orders.revisions.expected("w-0") == 5, "the report that followed was read"
+        worker.statuses_to_give = [b"412 Precondition Failed"]
+        await execute_order("decode")
+        assert orders.refused_tokens == {"w-0": 7}
+        await execute_order("decode")
+        assert orders.outcomes == {("prefill", "202"): 1, ("decode", "412"): 1, ("decode", "202"): 1}
+        assert worker.expected_instances == {b"w-0"}
+
+    run_with_worker(plane, scenario, monkeypatch)
+
+
 def test_a_leader_without_contact_to_a_majority_does_not_confirm_its_leadership(plane):
     """It was stalled, and receives the call before its timers run."""
 
