Schedulers hold bodies within a budget from MemoryMb, each of them once

Cause: nothing bounded the bodies in hand, and Limits.MemoryMb was not read. Each body was held as the pieces it came in, joined, and copied into the buffer of its worker's connection by asyncio; 640 KiB more were read ahead of each request by hypercorn's queue.

Change: memory.py is one budget for bodies of requests and buffered responses: half of what MemoryMb leaves above 64 MB. A body is charged before it is read (request_body.py); without room nothing is read, large ones wait in order, small ones have a reserve; after half of the request's time 503 no-memory with Retry-After. What a client still sends of a refused request is read and discarded, until it pauses for 0.5 s, 8 s at most (0.5 s before): the answer is not lost with a reset. A declared length over the limit is refused before the body. A body is allocated once and written to its worker in pieces; responses go to the client in pieces and count until it has them. Two pieces are read ahead in place of ten. Figures: body_memory_bytes, body_memory_limit_bytes, bodies_waiting. Errors say themselves whether they close the connection.

Found while writing it: a refusal before the end of a body could wait for ever, since the server's queue to the application was full and nobody read it; the rest is now taken off it.

--- a/molespur/system/data_plane/client_request.py
+++ b/molespur/system/data_plane/client_request.py
@@ -30,7 +30,7 @@
     headers: list[tuple[bytes, bytes]]
     attempt_id: bytes
     deadline_ms: float
-    body: bytes = b""
+    body: bytes | bytearray = b""
     usage: bytes = b""
     prefix: bytes = b""
     last_event_id: bytes = b""
--- a/molespur/system/data_plane/client_server.py
+++ b/molespur/system/data_plane/client_server.py
@@ -20,7 +20,8 @@
 from ..serving import http_config
 from ..settings.configuration import Limits
 
-LINGER_S = 0.5  # how long a closing connection still reads what its client sends
+LINGER_S = 0.5  # a closing connection still reads what its client sends, until nothing has come for so long
+MAX_LINGER_S = 8.0  # the longest time for that
 REASON_PHRASES = {408: b"Request Timeout"}
 
 
@@ -74,6 +75,7 @@
         super().__init__(server.app, loop, server.config, server.context, {}, reader, writer)
         self.idle_task = RequestTimer(server.limits, writer.close, loop)
         self._lingering: asyncio.TimerHandle | None = None
+        self._linger_ends_at = 0.0  # loop time
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being served on it."""
@@ -95,10 +97,19 @@
         """
         if self._lingering is not None or self.writer.is_closing():
             return
-        self._lingering = asyncio.get_running_loop().call_later(LINGER_S, self.writer.close)
+        self._linger_ends_at = asyncio.get_running_loop().time() + MAX_LINGER_S
+        self._restart_linger()
         with suppress(OSError, RuntimeError):
             self.writer.write_eof()
 
+    def _restart_linger(self) -> None:
+        """Close the connection when nothing more has come for a while."""
+        if self._lingering is not None:
+            self._lingering.cancel()
+        loop = asyncio.get_running_loop()
+        ends_at = min(loop.time() + LINGER_S, self._linger_ends_at)
+        self._lingering = loop.call_at(ends_at, self.writer.close)
+
     async def _close(self) -> None:
         if self._lingering is not None:
             self._lingering.cancel()
@@ -114,7 +125,10 @@
                 if head_due.expired():
                     await self.protocol_send(RawData(closing_response(ErrorKind.HEADERS_TOO_SLOW)))
                 break
-            if self._lingering is not None or self.writer.is_closing():
+            if self.writer.is_closing():
+                continue
+            if self._lingering is not None:
+                self._restart_linger()
                 continue  # ignore a request that arrives after the connection has begun to close
             self.idle_task.record_received()
             await self.protocol.handle(RawData(data))
--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -10,6 +10,7 @@
 from .client_call import ClientCall
 from .client_request import ClientRequest, demand_of, read_head
 from .endings import EndReason, ResponseAborted
+from .request_body import ClientDisconnected, RequestBody, declared_length, respond_while_discarding
 from .serving_context import ServingContext
 from .state import DataPlaneState
 from .upstream import Upstreams
@@ -54,9 +55,12 @@
         """Serve one request and count the reason of its end."""
         reason = EndReason.INTERNAL_ERROR
         received_at = self.clock()
+        limits = self.state.limits
+        body = RequestBody(receive, declared_length(scope["headers"]), limits, self.memory)
+        request = None
         try:
-            request = read_head(scope, self.state.limits)
-            request.body = await self._read_body(receive, request.deadline_ms)
+            request = read_head(scope, limits)
+            request.body = await body.read(request.deadline_ms)
             await self._wait_for_state(request)
             route, service = await self._route(request)
             demand = demand_of(
@@ -66,7 +70,8 @@
             reason = await self._run_until_ended(call, receive)
         except FleetError as error:
             reason = EndReason.ERROR_RESPONSE
-            await self.respond_with_error(send, self._refusal(error.kind))
+            refusal = self.respond_with_error(send, self._refusal(error.kind))
+            await respond_while_discarding(body, refusal)
         except ClientDisconnected:
             reason = EndReason.CLIENT_DISCONNECTED
         except ResponseAborted as aborted:
@@ -77,6 +82,9 @@
             raise
         finally:
             self.counts.ended[reason] += 1
+            if request is not None:
+                request.body = b""  # tasks that end later may still refer to the request
+            body.release()
 
     async def _run_until_ended(self, call: ClientCall, receive) -> EndReason:
         """Carry a request out until its response ends, its deadline has passed or its client disconnects."""
@@ -95,27 +103,6 @@
         finally:
             disconnect.cancel()
 
-    async def _read_body(self, receive, deadline_ms: float) -> bytes:
-        """Read the complete body, within the idle timeout of clients and the request's deadline."""
-        limits = self.state.limits
-        max_bytes = limits.max_body_bytes
-        chunks, size = [], 0
-        try:
-            async with asyncio.timeout(min(limits.idle_timeout_s, deadline_ms / 1000.0)):
-                while True:
-                    message = await receive()
-                    if message["type"] == "http.disconnect":
-                        raise ClientDisconnected
-                    chunk = message.get("body", b"")
-                    size += len(chunk)
-                    if size > max_bytes:
-                        raise FleetError(ErrorKind.BODY_TOO_LARGE)
-                    chunks.append(chunk)
-                    if not message.get("more_body", False):
-                        return b"".join(chunks)
-        except TimeoutError as error:
-            raise FleetError(ErrorKind.BODY_TOO_SLOW) from error
-
     async def _wait_for_state(self, request: ClientRequest) -> None:
         """Wait a moment for the first state from the feed, just after the start of the process."""
         if self.state.first_state_received.is_set():
@@ -155,7 +142,3 @@
 def _max_wait_s(request: ClientRequest) -> float:
     """How long a request may wait for state that it needs."""
     return min(MAX_STATE_WAIT_MS, MAX_STATE_WAIT_SHARE * request.deadline_ms) / 1000.0
-
-
-class ClientDisconnected(Exception):
-    """The client has closed its connection."""
--- a/molespur/system/data_plane/role.py
+++ b/molespur/system/data_plane/role.py
@@ -58,7 +58,12 @@
         """All metrics with their current values."""
         ingress = self.ingress
         return metrics(
-            self.state, ingress.counts, self.upstreams, self.follower, lambda: ingress.open_requests
+            self.state,
+            ingress.counts,
+            self.upstreams,
+            self.follower,
+            ingress.memory,
+            lambda: ingress.open_requests,
         )
 
     async def run(self) -> None:
--- a/molespur/system/data_plane/serving_context.py
+++ b/molespur/system/data_plane/serving_context.py
@@ -7,6 +7,7 @@
 
 from ..errors import ERROR_RESPONSES, ErrorKind
 from ..settings.configuration import Service
+from .memory import MemoryBudget, budget_bytes
 from .request_counts import RequestCounts
 from .state import DataPlaneState
 from .upstream import CLOSE_CONNECTION, UpstreamError, Upstreams
@@ -19,6 +20,7 @@
 
     def __init__(self, state: DataPlaneState, upstreams: Upstreams, clock: Callable[[], float]):
         self.state, self.upstreams, self.clock = state, upstreams, clock
+        self.memory = MemoryBudget(budget_bytes(state.settings.limits.memory_mb))
         self.stopping = False
         self.call_keys = count()  # keys of the calls to workers
         self.counts = RequestCounts()
@@ -31,7 +33,7 @@
         headers = [(b"content-length", b"0")]
         if answer.retry_after_s is not None:
             headers.append((b"retry-after", f"{answer.retry_after_s:.3f}".encode()))
-        if self.stopping or answer.status in (400, 413, 431, 408):
+        if self.stopping or answer.closes_connection:
             headers.append((b"connection", b"close"))
         await send({"type": "http.response.start", "status": answer.status, "headers": headers})
         await send({"type": "http.response.body", "body": b"", "more_body": False})
--- a/molespur/system/data_plane/upstream.py
+++ b/molespur/system/data_plane/upstream.py
@@ -3,7 +3,7 @@
 A call fails with `UpstreamError`, which states how far the call came.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 import httpcore
@@ -12,6 +12,7 @@
 from ..faults import FaultPoint, trigger
 from .exchange_messages import Failure
 from .pool import ConnectionPool
+from .request_body import BodyStream
 
 MAX_BODY_BYTES = 8 << 20
 NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
@@ -102,14 +103,19 @@
         except BROKEN_ERRORS as error:
             raise UpstreamError(Failure.MAY_HAVE_RUN, repr(error)) from error
 
-    async def read(self) -> bytes:
-        """The complete body.  Raises UpstreamError when it breaks off or is too large."""
+    async def read(self, on_size: Callable[[int], None] | None = None) -> bytearray:
+        """The complete body.  Raises UpstreamError when it breaks off or is too large.
+
+        `on_size` is told how many bytes have been received, each time that more have.
+        """
         body = bytearray()
         async for chunk in self.chunks():
             body += chunk
+            if on_size is not None:
+                on_size(len(body))
             if len(body) > MAX_BODY_BYTES:
                 raise UpstreamError(Failure.MAY_HAVE_RUN, "response body is too large")
-        return bytes(body)
+        return body
 
     async def close(self) -> None:
         """Return the connection to the pool, or close it if the response was not read to its end."""
@@ -142,7 +148,7 @@
         method: str,
         target: bytes,
         headers: list[tuple[bytes, bytes]],
-        body: bytes,
+        body: bytes | bytearray,
         max_connections: int,
         repeatable: bool = True,
     ) -> UpstreamResponse:
@@ -152,7 +158,11 @@
         """
         transport = self._transport(address, max_connections)
         extensions = {"target": target, "timeout": {}, "repeatable": repeatable}
-        request = httpx.Request(method, transport.url, headers=headers, content=body, extensions=extensions)
+        if body:
+            headers = [*headers, (b"Content-Length", b"%d" % len(body))]
+        request = httpx.Request(
+            method, transport.url, headers=headers, stream=BodyStream(body), extensions=extensions
+        )
         trigger(FaultPoint.BEFORE_CONNECT)
         try:
             response = await transport.handle_async_request(request)
--- a/molespur/system/data_plane/worker_call.py
+++ b/molespur/system/data_plane/worker_call.py
@@ -240,8 +240,13 @@
 
     async def _relay_complete(self, response: UpstreamResponse) -> Event:
         """Read the response to its end before any of it goes to the client."""
-        head = response.head
-        body = await response.read()
+        buffered = self.shared.context.memory.charge(0)
+        try:
+            return await self._send_complete(response.head, await response.read(buffered.resize))
+        finally:
+            buffered.release()
+
+    async def _send_complete(self, head: Head, body: bytearray) -> Event:
         if not is_framed(head):
             raise UpstreamError(Failure.MAY_HAVE_RUN, "response without framing headers may be truncated")
         self._on_bytes_received()
--- a/molespur/system/errors.py
+++ b/molespur/system/errors.py
@@ -13,6 +13,7 @@
     HEADERS_TOO_SLOW = "headers-too-slow"
     BODY_TOO_LARGE = "body-too-large"
     BODY_TOO_SLOW = "body-too-slow"
+    NO_MEMORY = "no-memory"  # the scheduler's memory for bodies is in use
     NO_ROUTE = "no-route"
     NO_CONFIGURATION = "no-configuration"
     OLD_CONFIGURATION = "old-configuration"  # a newer one, possibly in force elsewhere, might allow it
@@ -35,19 +36,26 @@
 
 @dataclass(frozen=True, slots=True)
 class ErrorResponse:
-    """An HTTP status, and whether it guarantees that the request was not and will not be run."""
+    """An HTTP status, and whether it guarantees that the request was not and will not be run.
+
+    `closes_connection`: what the client still sends of its request is not read.
+    """
 
     status: int
     guarantees_not_run: bool = False
     retry_after_s: float | None = None
+    closes_connection: bool = False
 
 
 ERROR_RESPONSES = {
-    ErrorKind.MALFORMED: ErrorResponse(400),
-    ErrorKind.HEADERS_TOO_LARGE: ErrorResponse(431),
-    ErrorKind.HEADERS_TOO_SLOW: ErrorResponse(408, guarantees_not_run=True),
-    ErrorKind.BODY_TOO_LARGE: ErrorResponse(413),
-    ErrorKind.BODY_TOO_SLOW: ErrorResponse(408, guarantees_not_run=True),
+    ErrorKind.MALFORMED: ErrorResponse(400, closes_connection=True),
+    ErrorKind.HEADERS_TOO_LARGE: ErrorResponse(431, closes_connection=True),
+    ErrorKind.HEADERS_TOO_SLOW: ErrorResponse(408, guarantees_not_run=True, closes_connection=True),
+    ErrorKind.BODY_TOO_LARGE: ErrorResponse(413, closes_connection=True),
+    ErrorKind.BODY_TOO_SLOW: ErrorResponse(408, guarantees_not_run=True, closes_connection=True),
+    ErrorKind.NO_MEMORY: ErrorResponse(
+        503, guarantees_not_run=True, retry_after_s=0.3, closes_connection=True
+    ),
     ErrorKind.NO_ROUTE: ErrorResponse(404),
     ErrorKind.NO_CONFIGURATION: ErrorResponse(503, guarantees_not_run=True, retry_after_s=0.7),
     ErrorKind.OLD_CONFIGURATION: ErrorResponse(503, guarantees_not_run=True, retry_after_s=0.3),
--- a/molespur/system/serving.py
+++ b/molespur/system/serving.py
@@ -11,6 +11,8 @@
 KEEP_ALIVE_S = 30.0
 GRACEFUL_SHUTDOWN_S = 1.0
 MAX_HEADER_BYTES = 64 << 10
+# pieces of a body (64 KiB at most) that are read ahead of the application; with more the client is not read
+MAX_PIECES_READ_AHEAD = 2
 
 
 def http_config(keep_alive_s: float = KEEP_ALIVE_S) -> Config:
@@ -18,6 +20,7 @@
     config = Config()
     config.keep_alive_timeout = keep_alive_s
     config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.max_app_queue_size = MAX_PIECES_READ_AHEAD
     config.include_server_header = False
     config.include_date_header = False
     config.accesslog = None
--- a/molespur/system/settings/process.py
+++ b/molespur/system/settings/process.py
@@ -43,6 +43,13 @@
     regions: int = 0
 
 
+@frozen
+class ProcessLimits:
+    """What the platform grants a process."""
+
+    memory_mb: float = 256.0
+
+
 @frozen
 class ProcessSettings:
     """Settings of a process; `wire_name` gives the key of each attribute in the file."""
@@ -61,6 +68,7 @@
     heartbeat_interval_ms: float = 1000.0
     fault_tolerance: FaultTolerance = field(factory=FaultTolerance)
     bounds: Bounds = field(factory=Bounds)
+    limits: ProcessLimits = field(factory=ProcessLimits)
     bind_ip: str = ""
 
     @property
--- a/tests/system/test_metrics.py
+++ b/tests/system/test_metrics.py
@@ -70,7 +70,9 @@
                 await client.response()
 
             def current_metrics():
-                return figures.metrics(ingress.state, ingress.counts, ingress.upstreams, follower, lambda: 0)
+                return figures.metrics(
+                    ingress.state, ingress.counts, ingress.upstreams, follower, ingress.memory, lambda: 0
+                )
 
             response = await readiness_app(lambda: True, current_metrics).test_client().get("/api/metrics")
             assert response.status_code == 200 and response.content_type == metrics.CONTENT_TYPE
@@ -87,6 +89,8 @@
         assert samples["molespur_feed_offset", ("shard", "configuration")] == 7
         assert samples["molespur_state_age_ms",] == 300
         assert samples["molespur_config_age_ms",] == 30
+        assert samples["molespur_body_memory_bytes",] == 0 == samples["molespur_bodies_waiting",]
+        assert samples["molespur_body_memory_limit_bytes",] == 96e6, "half of 256 MB less 64"
 
     run(scenario())
 
--- a/tests/system/test_operator_pages.py
+++ b/tests/system/test_operator_pages.py
@@ -7,12 +7,18 @@
 from attrs import fields
 
 from molespur.system.settings.configuration import Limits
-from molespur.system.settings.process import Bounds, FaultTolerance, ProcessSettings, wire_name
+from molespur.system.settings.process import (
+    Bounds,
+    FaultTolerance,
+    ProcessLimits,
+    ProcessSettings,
+    wire_name,
+)
 
 ROOT = Path(__file__).parent.parent.parent
 PAGES = ROOT / "docs/operate"
 SOURCES = ROOT / "molespur/system"
-GROUPS = {"FaultTolerance": FaultTolerance, "Bounds": Bounds}
+GROUPS = {"FaultTolerance": FaultTolerance, "Bounds": Bounds, "Limits": ProcessLimits}
 LEVELS = ("info", "warning", "error")
 
 
