--- a/molespur/system/consensus/following.py
+++ b/molespur/system/consensus/following.py
@@ -82,6 +82,7 @@
     def _install_snapshot(self, snapshot: Snapshot) -> None:
         """Replace the log and the state by a snapshot."""
         self.log.install_snapshot(snapshot)
+        self._limit_unsynced_records(0)
         record = self._ensure_record()
         record.snapshot, record.truncate_from = self.log.snapshot, 0
         self._actions.append(Restore(self.log.snapshot))
--- a/molespur/system/consensus/replica_state.py
+++ b/molespur/system/consensus/replica_state.py
@@ -145,12 +145,19 @@
         """Append entries to the log, replacing all entries from the index of the first one on."""
         first = entries[0].index
         self.log.append(entries)
-        for unsynced in self._unsynced_records:
-            unsynced.index = min(unsynced.index, first - 1)
+        self._limit_unsynced_records(first - 1)
         record = self._ensure_record()
         record.truncate_from = first
         record.entries = list(entries)
 
+    def _limit_unsynced_records(self, index: int) -> None:
+        """Let the records that are being written make durable no more than the entries up to an index.
+
+        The entries after it have been replaced since.
+        """
+        for unsynced in self._unsynced_records:
+            unsynced.index = min(unsynced.index, index)
+
     def _ensure_record(self) -> Persist:
         """Return the record of the current event, created if needed, with the current hard state."""
         if self._record is None:
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -3,6 +3,7 @@
 from random import Random
 from zlib import crc32
 
+import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from virtual_group import VirtualGroup
@@ -400,3 +401,77 @@
     assert [a.snapshot.state for a in actions if isinstance(a, raft.Restore)] == [b"state"]
     (record,) = [a for a in actions if isinstance(a, raft.Persist)]
     assert record.truncate_from == 0 and record.snapshot.index == 4
+
+
+def persist_sequences(actions):
+    return [action.sequence for action in actions if isinstance(action, raft.Persist)]
+
+
+def replies_at_once(actions):
+    """The indexes that are acknowledged before anything else is written."""
+    return [
+        action.message.append_reply.match_index
+        for action in actions
+        if isinstance(action, raft.Send) and action.message.WhichOneof("body") == "append_reply"
+    ]
+
+
+def test_records_of_a_replaced_log_make_nothing_of_the_new_log_durable():
+    """Guards against acknowledged entries that are on no disk, after a snapshot replaced a log.
+
+    Records of the old log were completed after that, and their indexes counted for the new log.
+    """
+    follower, _ = install_snapshot_at_four(term=2)  # its log ends at 6
+    follower.handle(6.0, raft.Persisted(follower._sequence))
+    old = append_from_leader(follower, 7.0, term=2, previous=(6, 2), entries=[(7, 2), (8, 2), (9, 2)])
+    snapshot = pb.ConsensusMessage(group="g", sender="b", receiver=follower.id, term=3)
+    snapshot.install_snapshot.index, snapshot.install_snapshot.term = 6, 3
+    snapshot.install_snapshot.membership.CopyFrom(follower.log.membership)
+    snapshot.install_snapshot.state, snapshot.install_snapshot.size = b"state", 5
+    snapshot.install_snapshot.checksum = crc32(b"state")
+    follower.handle(8.0, raft.Received(snapshot))
+    (old_sequence,) = persist_sequences(old)
+    follower.handle(9.0, raft.Persisted(old_sequence))
+    assert follower.log.durable_index < 6, "the snapshot itself is not written yet"
+    new = append_from_leader(follower, 10.0, term=3, previous=(6, 3), entries=[(7, 3), (8, 3)])
+    again = append_from_leader(follower, 11.0, term=3, previous=(6, 3), entries=[(7, 3), (8, 3)])
+    assert replies_at_once(new) == replies_at_once(again) == [], "neither is on disk"
+    follower.handle(12.0, raft.Persisted(persist_sequences(new)[0]))
+    assert follower.log.durable_index == 8
+
+
+def append_from_leader(follower, now, term, previous, entries):
+    """Entries (index, term) arrive from the leader `b`, after the entry `previous`."""
+    message = pb.ConsensusMessage(group="g", sender="b", receiver=follower.id, term=term)
+    message.append_request.previous_index, message.append_request.previous_term = previous
+    for index, entry_term in entries:
+        message.append_request.entries.add(index=index, term=entry_term, data=b"%d" % index)
+    return follower.handle(now, raft.Received(message))
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_what_counts_as_synced_is_on_disk_whatever_replaces_the_log(seed):
+    """Slow disks, leaders that are cut off with entries of their own, and snapshots that replace their logs.
+
+    The group checks after every event that what counts as synced is on the replica's disk.
+    """
+    group = VirtualGroup(seed, sync_ms=150.0, loss=0.02)
+    group.run(4000)
+    number = 0
+    for _ in range(12):
+        group.random.choice((group.heal, lambda: None))()
+        cut_off = group.random.choice(sorted(group.processes))
+        group.isolate(cut_off)
+        for _ in range(group.random.randrange(4, 20)):
+            number += 1
+            for process in group.processes.values():  # also at a leader that is cut off
+                if process.replica.role is raft.Role.LEADER:
+                    process.handle(raft.Propose(b"%d" % number))
+            group.run(group.random.choice((5, 30, 90, 400)))
+        if group.random.random() < 0.4:
+            group.kill(cut_off)
+            group.run(300)
+            group.restart(cut_off)
+        group.heal()
+        group.run(group.random.choice((20, 100, 300, 1500)))
+    check_converged(group, [])
--- a/tests/system/virtual_group.py
+++ b/tests/system/virtual_group.py
@@ -95,8 +95,16 @@
                 case raft.ReadRefused(number):
                     self.on_read.pop(number, None)
                     self.reads[number] = None
+        self.check_durable()
         return actions
 
+    def check_durable(self):
+        """Check that the entries that count as synced are on the disk, from the log as it is now."""
+        log = self.replica.log
+        for index in range(log.snapshot.index + 1, log.durable_index + 1):
+            entry = self.disk.entries.get(index)
+            assert entry is not None and entry.term == log.term_at(index), f"entry {index} is not on disk"
+
     def apply(self, entry):
         outcome = self.state_machine.apply(entry.data) if entry.kind == pb.COMMAND else None
         term, callback = self.waiters.pop(entry.index, (0, None))
