Operator's changes: an unknown Service beside a TrafficSplit is refused

Change: parse_change, for what is to be put in force (the owner, check-configuration, system config put, diff, check), looks at both. parse, for what is in force, is as before: a configuration that an earlier build has accepted stays readable. Tests, red before: the function, and a change through the owner's HTTP.

--- a/molespur/system/cli.py
+++ b/molespur/system/cli.py
@@ -45,7 +45,7 @@
         standard_logging.getLogger(library).setLevel(standard_logging.WARNING)
     try:
         if options["check-configuration"]:
-            configuration.parse(Path(options["FILE"]).read_bytes())
+            configuration.parse_change(Path(options["FILE"]).read_bytes())
             print("the configuration can be used")
             return 0
         settings = process.load(os.environ)
--- a/molespur/system/client/cli.py
+++ b/molespur/system/client/cli.py
@@ -136,7 +136,7 @@
         if of_process:
             process.parse(text)
         else:
-            operator_configuration.parse(text.encode())
+            operator_configuration.parse_change(text.encode())
     except FleetError as error:
         line = find_line(text, error.detail.partition(":")[0])
         at = f"{path}:{line}" if line is not None else str(path)
@@ -189,7 +189,7 @@
 def _parsed(body: bytes) -> dict:
     """A configuration that was checked as the control plane checks it.  Raises FleetError(UNREADABLE)."""
     try:
-        operator_configuration.parse(body)
+        operator_configuration.parse_change(body)
     except FleetError as error:
         raise FleetError(ErrorKind.UNREADABLE, error.detail) from error
     return json.loads(body)
--- a/molespur/system/control_plane/calls.py
+++ b/molespur/system/control_plane/calls.py
@@ -174,7 +174,9 @@
 
     async def put_configuration(self, body: bytes, base_version: int) -> None:
         """Put a configuration in force; this process must own the configuration shard.  Raises FleetError."""
-        version = configuration.parse(body).version  # nothing else is kept while the change is committed
+        version = configuration.parse_change(
+            body
+        ).version  # nothing else is kept while the change is committed
         digest = hashlib.sha256(b"%d\n" % base_version + body).digest()[:16]
         machine = self.host.groups[CONFIGURATION].state_machine
         command = pb.PutConfiguration(version=version, base_version=base_version, digest=digest, body=body)
--- a/molespur/system/settings/configuration.py
+++ b/molespur/system/settings/configuration.py
@@ -122,6 +122,20 @@
     return configuration
 
 
+def parse_change(body: bytes) -> Configuration:
+    """Parse and validate a configuration that is to be put in force.  Raises FleetError like `parse`.
+
+    It is stricter than `parse`: a configuration that is in force may have been accepted by an earlier
+    version of the program.
+    """
+    configuration = parse(body)
+    services = {service.name for service in configuration.services}
+    for index, route in enumerate(configuration.routes):
+        is_known = not route.service or route.service in services
+        _require(is_known, f"Routes[{index}].Service", f"unknown service {route.service!r}")
+    return configuration
+
+
 def check(configuration: Configuration) -> None:
     """Raise FleetError(INVALID_CONFIGURATION) if a configuration cannot be activated."""
     services = {service.name for service in configuration.services}
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -84,6 +84,27 @@
     assert 400 <= ERROR_RESPONSES[kind].status < 500
 
 
+def test_an_unknown_service_beside_a_traffic_split_is_refused_but_stays_in_force():
+    """Guards against an invalid configuration that is acknowledged; one that was stays readable."""
+    body = (
+        b'{"Version":1,"Services":[{"Name":"s"}],"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/",'
+        b'"Service":"unknown","TrafficSplit":[{"Service":"s","Weight":1}]}]}'
+    )
+    with pytest.raises(FleetError) as raised:
+        configuration.parse_change(body)
+    assert raised.value.kind is ErrorKind.INVALID_CONFIGURATION
+    assert raised.value.detail == "Routes[0].Service: unknown service 'unknown'"
+    assert configuration.parse(body).version == 1
+
+
+def test_a_traffic_split_may_stand_beside_a_known_service_or_none():
+    for service in ('"Service":"s",', '"Service":"",', ""):
+        route = '{"Name":"r","Host":"h","PathPrefix":"/p/",%s"TrafficSplit":[{"Service":"s","Weight":1}]}'
+        body = '{"Version":1,"Services":[{"Name":"s"}],"Routes":[%s]}' % (route % service)
+        accepted = configuration.parse_change(body.encode())
+        assert [target.service for target in accepted.routes[0].targets()] == ["s"]
+
+
 def test_unknown_keys_are_ignored():
     known = configuration.parse(
         b'{"Version":2,"New":1,"Services":[{"Name":"s","Tls":false,"Engine":{"stride":9}}]}'
--- a/tests/system/test_configuration_calls.py
+++ b/tests/system/test_configuration_calls.py
@@ -22,7 +22,7 @@
 
 def test_a_change_under_way_holds_its_body_and_not_its_parsed_form(plane, monkeypatch):
     """Guards against a process over its memory: eight changes of 15,000 routes were held parsed at once."""
-    parse, parsed, under_way, committed = configuration.parse, [], [], asyncio.Event()
+    parse, parsed, under_way, committed = configuration.parse_change, [], [], asyncio.Event()
 
     def recording_parse(body):
         result = parse(body)
@@ -34,7 +34,7 @@
         await committed.wait()
         return PutOutcome.ACCEPTED
 
-    monkeypatch.setattr(configuration, "parse", recording_parse)
+    monkeypatch.setattr(configuration, "parse_change", recording_parse)
     monkeypatch.setattr(plane.host, "propose", propose)
 
     async def scenario():
@@ -47,3 +47,14 @@
         await asyncio.gather(*changes)
 
     plane.loop.run_until_complete(asyncio.wait_for(scenario(), 20))
+
+
+def test_a_change_with_an_unknown_service_beside_a_traffic_split_is_refused(plane):
+    """Guards against an invalid configuration that is acknowledged: only one of the two was checked."""
+    route = {"Name": "r", "Host": "h", "PathPrefix": "/p/", "Service": "unknown"}
+    route["TrafficSplit"] = [{"Service": "s", "Weight": 1}]
+    body = {"Version": 1, "Services": [{"Name": "s"}], "Routes": [route]}
+    status, answer = plane.put(json.dumps(body).encode(), 0)
+    assert status == 400 and b"unknown service" in answer
+    route["Service"] = "s"
+    assert plane.put(json.dumps(body).encode(), 0)[0] == 200
