A scheduler that stops uses its whole grace period where that is short

Seen by the review: with GracePeriodS 5 an answer due after 3.7 s was cut at 3.5 s. Cause: the wait for the platform is 2.4 s or a third of the period, and 2.4 s were subtracted in either case. Both follow from one function now (plan_stop). With 8 s, as on all sites, nothing changes: 2.4 s and 4.8 s. Test: the parts add up to the period less the margin (5, 8 and 30 s).

--- a/molespur/system/data_plane/role.py
+++ b/molespur/system/data_plane/role.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from dataclasses import dataclass
 from random import Random
 
 from absl import logging
@@ -23,11 +24,28 @@
 from .state import DataPlaneState
 from .upstream import Upstreams
 
-LEAVE_DELAY_S = 2.4  # the platform removes a scheduler after two failed readiness checks, a second apart
+MAX_LEAVE_DELAY_S = 2.4  # the platform removes a scheduler after two failed readiness checks, a second apart
+MAX_LEAVE_DELAY_SHARE = 1 / 3  # of the grace period
 GRACE_MARGIN_S = 0.8  # left of the grace period when open requests are aborted
+MIN_OPEN_REQUESTS_S = 1.0  # time for open requests, however short the grace period is
 HOUSEKEEPING_INTERVAL_S = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class StopTimes:
+    """How a scheduler spends its grace period (s): it serves on, then open requests may end."""
+
+    leave_delay_s: float
+    open_requests_s: float
+
+
+def plan_stop(grace_period_s: float) -> StopTimes:
+    """Divide the grace period between the time in which clients still come and that for open requests."""
+    leave_delay_s = min(MAX_LEAVE_DELAY_S, MAX_LEAVE_DELAY_SHARE * grace_period_s)
+    left_s = grace_period_s - leave_delay_s - GRACE_MARGIN_S
+    return StopTimes(leave_delay_s, max(left_s, MIN_OPEN_REQUESTS_S))
+
+
 def clock() -> float:
     """Milliseconds on the monotonic clock."""
     return time.monotonic() * 1000.0
@@ -80,10 +98,12 @@
             settings_watch.run(),
         )
         self._http = loop.create_task(import_in_steps("molespur.system.data_plane.http"))
-        grace_s = max(self.settings.bounds.grace_period_s - LEAVE_DELAY_S - GRACE_MARGIN_S, 1.0)
-        ingress = loop.create_task(self._serve_clients(closing, grace_s))
+        stop_times = plan_stop(self.settings.bounds.grace_period_s)
+        ingress = loop.create_task(self._serve_clients(closing, stop_times.open_requests_s))
         readiness = loop.create_task(self._serve_readiness(ended))
-        leaving = loop.create_task(self._leave(stop, closing, ended, ingress, readiness))
+        leaving = loop.create_task(
+            self._leave(stop, stop_times.leave_delay_s, closing, ended, ingress, readiness)
+        )
         await run_until_stopped(
             ended,
             *background,
@@ -104,12 +124,12 @@
         app = http.readiness_app(self.is_ready, self.metrics)
         await http.serve(app, self.settings.listen["Readiness"], ended)
 
-    async def _leave(self, stop, closing, ended, ingress, readiness) -> None:
+    async def _leave(self, stop, delay_s: float, closing, ended, ingress, readiness) -> None:
         """Wait for a signal to stop, then serve on until the platform sends no more clients here."""
         await stop.wait()
         logging.info("stopping with %d open requests", self.ingress.open_requests)
         self.stopping = self.ingress.stopping = True
-        await asyncio.sleep(min(LEAVE_DELAY_S, self.settings.bounds.grace_period_s / 3))
+        await asyncio.sleep(delay_s)
         self.follower.leave()
         closing.set()
         await ingress
--- a/tests/system/test_role_processes.py
+++ b/tests/system/test_role_processes.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from molespur.system.data_plane.role import GRACE_MARGIN_S, plan_stop
+
 ROOT = Path(__file__).resolve().parents[2]
 SETTINGS = """
 NodeName: "{role}"
@@ -74,3 +76,15 @@
         _, said = process.communicate(timeout=20)
     assert process.returncode == 1
     assert said.splitlines()[-1].startswith("molespur: ") and "ddress" in said.splitlines()[-1]
+
+
+@pytest.mark.parametrize("grace_period_s", [5.0, 8.0, 30.0])
+def test_a_scheduler_that_stops_uses_its_whole_grace_period(grace_period_s):
+    """Guards against responses that are cut early: the wait before was shorter than what was subtracted."""
+    times = plan_stop(grace_period_s)
+    assert times.leave_delay_s <= 2.4 and times.leave_delay_s <= grace_period_s / 3
+    assert times.leave_delay_s + times.open_requests_s + GRACE_MARGIN_S == pytest.approx(grace_period_s)
+
+
+def test_a_very_short_grace_period_leaves_a_second_for_open_requests():
+    assert plan_stop(1.0).open_requests_s == 1.0
