Load reports: a report has the age of its arrival, not of the last time it was asked for

Known from reading: ReportPoller dated a worker's last report anew before it had replied, so the load that a silent worker reported minutes ago weighed as much as a fresh one in the forecasts. The poller keeps its turns itself now, and forgets workers that are gone. Test: a worker that never replies keeps its report's age and its turn.

--- a/molespur/system/data_plane/reports.py
+++ b/molespur/system/data_plane/reports.py
@@ -5,6 +5,8 @@
 from contextlib import suppress
 from random import Random
 
+from ...policy.tracking import WorkerTrack
+from ..settings.configuration import Service
 from .answer_checks import answers_call_without_id
 from .state import DataPlaneState
 from .upstream import CLOSE_CONNECTION, EXPECTED_INSTANCE, UpstreamError, Upstreams
@@ -22,6 +24,7 @@
         self, state: DataPlaneState, upstreams: Upstreams, clock: Callable[[], float], random: Random
     ):
         self.state, self.upstreams, self.clock, self.random = state, upstreams, clock, random
+        self._polled_at: dict[str, float] = {}  # by worker id, ms
 
     async def run(self) -> None:
         """Poll until cancelled: one worker at a time, all of them within the interval."""
@@ -34,16 +37,20 @@
                 if track.usable
             ]
             if targets:
-                service, track = min(targets, key=lambda target: target[1].report.updated_at)
+                service, track = self._next_target(targets)
                 await self._poll(service, track)
             peers_announce = targets and targets[0][1].peer_scale > 0
             interval_s = PEERS_INTERVAL_S if peers_announce else INTERVAL_S
             await asyncio.sleep(interval_s / max(len(targets), 1) * (0.8 + 0.4 * self.random.random()))
 
-    async def _poll(self, service, track) -> None:
-        track.report.updated_at = (
-            self.clock()
-        )  # a worker that does not reply is polled again after all others
+    def _next_target(self, targets: list[tuple[Service, WorkerTrack]]) -> tuple[Service, WorkerTrack]:
+        """The target that was polled least recently, whether it replied or not."""
+        listed = {track.id for _, track in targets}
+        self._polled_at = {worker_id: at for worker_id, at in self._polled_at.items() if worker_id in listed}
+        return min(targets, key=lambda target: self._polled_at.get(target[1].id, float("-inf")))
+
+    async def _poll(self, service: Service, track: WorkerTrack) -> None:
+        self._polled_at[track.id] = self.clock()
         with suppress(UpstreamError, TimeoutError, ValueError):
             async with asyncio.timeout(TIMEOUT_S):
                 headers = [
--- a/tests/system/test_calls_without_id.py
+++ b/tests/system/test_calls_without_id.py
@@ -156,3 +156,29 @@
         assert worker.connections == 3, "one for each call"
 
     run(scenario())
+
+
+def test_a_worker_that_does_not_reply_keeps_the_age_of_its_last_report_and_its_turn():
+    """Guards against an old load that looks fresh: a report was dated when it was asked for."""
+
+    async def scenario():
+        replying = ScriptedWorker("w", report_with(), None, phase="decode")
+        silent = ScriptedWorker("v", None, phase="decode")
+        async with data_plane(configuration("idempotent"), replying, silent) as (_, ingress):
+            now = [0.0]
+            poller = ReportPoller(ingress.state, ingress.upstreams, lambda: now[0], Random(1))
+            tracks = ingress.state.workers["s"]
+            targets = [(Service("s", max_connections=50), track) for track in tracks.values()]
+            turns = []
+            for _ in range(6):
+                now[0] += 1000.0
+                service, track = poller._next_target(targets)
+                turns.append(track.id)
+                await poller._poll(service, track)
+            assert turns == ["w", "v"] * 3 or turns == ["v", "w"] * 3
+            assert tracks["v"].report.updated_at == float("-inf")
+            assert tracks["w"].report.updated_at == 1000.0 * (turns.index("w") + 1)
+            poller._next_target(targets[:1])
+            assert list(poller._polled_at) == [targets[0][1].id], "workers that are gone are forgotten"
+
+    run(scenario())
