Owner of a shard: what is known of workers that are gone is dropped

Known from reading: refused_tokens, revisions and a planner's ordered_at kept every worker id for ever (slow growth at an owner that lives long). They are pruned to the registered workers when an order is given. Tests: 2, red before.

--- a/molespur/system/control_plane/orders.py
+++ b/molespur/system/control_plane/orders.py
@@ -121,6 +121,7 @@
     async def _execute(self, group: str, order: PhaseOrder, token: int) -> None:
         """Send an order and follow it up."""
         worker = order.worker
+        self._forget_gone_workers(keep=worker.id)
         status = await self._post(order, token)
         self.revisions.order_sent(worker.id)
         if status is None:
@@ -138,6 +139,15 @@
         elif status in ACCEPTED_STATUSES:
             await self._await_completion(group, order)
 
+    def _forget_gone_workers(self, keep: str) -> None:
+        """Drop what is known of workers that are not registered any more."""
+        groups = (self.host.groups[name] for name in WORKER_GROUPS)
+        registered = {keep}.union(*(group.state_machine.workers for group in groups))
+        self.refused_tokens = {
+            worker_id: token for worker_id, token in self.refused_tokens.items() if worker_id in registered
+        }
+        self.revisions.retain(registered)
+
     async def _post(self, order: PhaseOrder, token: int) -> int | None:
         """Send an order; return the status of the response, None without a response."""
         import httpx
--- a/molespur/system/workers/phases.py
+++ b/molespur/system/workers/phases.py
@@ -107,7 +107,8 @@
             if is_reversal and not is_short and now - self.last_order_at < REVERSE_MS:
                 return OrderHold.REVERSAL
             self.wanted_since, self.direction = now, direction
-        settle = SETTLE_MS if self.ordered_at and not is_short else FIRST_SETTLE_MS
+        has_ordered = self.last_order_at > float("-inf")
+        settle = SETTLE_MS if has_ordered and not is_short else FIRST_SETTLE_MS
         if now - self.wanted_since < settle:
             return OrderHold.SETTLING
         return self._order(now, alive, PREFILL if direction > 0 else DECODE) or OrderHold.NO_CANDIDATE
@@ -132,6 +133,8 @@
             return None
         zone_counts = Counter(worker.zone for worker in alive if worker.phase != phase)
         worker = max(candidates, key=lambda w: (zone_counts[w.zone], w.id))
+        listed = {each.id for each in alive}
+        self.ordered_at = {worker_id: at for worker_id, at in self.ordered_at.items() if worker_id in listed}
         self.ordered_at[worker.id] = self.last_order_at = now
         return PhaseOrder(worker, phase)
 
--- a/molespur/system/workers/revisions.py
+++ b/molespur/system/workers/revisions.py
@@ -4,6 +4,8 @@
 another process in between.
 """
 
+from collections.abc import Collection
+
 
 class OrderRevisions:
     """The known numbers; each is valid until its worker may have accepted another order."""
@@ -23,6 +25,10 @@
         """An order has been sent.  It may be accepted, refused or lost, so the number is unknown."""
         self._known.pop(worker_id, None)
 
+    def retain(self, worker_ids: Collection[str]) -> None:
+        """Drop the numbers of all other workers: they are gone."""
+        self._known = {worker_id: n for worker_id, n in self._known.items() if worker_id in worker_ids}
+
     def forget(self) -> None:
         """Drop all numbers: another process may have sent orders."""
         self._known.clear()
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -293,6 +293,17 @@
     run_with_worker(plane, scenario, monkeypatch)
 
 
+def test_what_is_known_of_workers_that_are_gone_is_dropped(plane, monkeypatch):
+    async def scenario(_worker, orders, execute_order):
+        orders.refused_tokens["gone"] = 3
+        orders.revisions.reported("gone", 8)
+        await execute_order("prefill")
+        assert orders.refused_tokens == {} and orders.revisions.expected("gone") is None
+        assert orders.revisions.expected("w-0") == 5
+
+    run_with_worker(plane, scenario, monkeypatch)
+
+
 def test_a_late_second_response_to_an_order_does_not_count_for_the_next_call(plane, monkeypatch):
     """Guards against a copy of an earlier response that decides on a worker, such as a 412 of a former owner.
 
--- a/tests/system/test_phases.py
+++ b/tests/system/test_phases.py
@@ -155,6 +155,15 @@
     assert carry_out_orders(planner, workers, less_prefill, 4300.0, 4300.0 + 4 * CHECK_INTERVAL_MS) == []
 
 
+def test_a_planner_forgets_workers_that_are_gone():
+    planner, workers = PhasePlanner(), large_fleet(10, 20)
+    carry_out_orders(planner, workers, PREFILL_HEAVY, 0.0, 4000.0)
+    gone = next(iter(planner.ordered_at))
+    workers = [each for each in workers if each.id != gone]
+    carry_out_orders(planner, workers, PREFILL_HEAVY, 4300.0, 8000.0)
+    assert planner.ordered_at and set(planner.ordered_at) <= {each.id for each in workers}
+
+
 # -- A service that has lost all its decode workers --------------------------------------------------------
 #
 # These tests guard against a service that is refused for good although it has a sound worker (review/1): the
