Nothing is started for a client that has left while its calls are being ended

Change: an event RequestAbandoned; after it only a complete response still counts. Tests, red before: a timer and a rejection in that moment, at the client call; every event at the exchange.

--- a/molespur/system/data_plane/client_call.py
+++ b/molespur/system/data_plane/client_call.py
@@ -127,6 +127,7 @@
 
     async def _end_calls(self) -> None:
         """Cancel the open calls, and free the KV caches that no worker will take."""
+        self.report(messages.RequestAbandoned())  # a call may report an event before it is cancelled
         open_tasks = [task for task in self._tasks.values() if not task.done()]
         for attempt, task in self._tasks.items():
             if not task.done():
--- a/molespur/system/data_plane/exchange.py
+++ b/molespur/system/data_plane/exchange.py
@@ -30,6 +30,7 @@
     Finish,
     HedgeRefusal,
     PrefillCompleted,
+    RequestAbandoned,
     RequestReceived,
     RespondWithError,
     ResponseCompleted,
@@ -84,9 +85,13 @@
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Process one event at time `now` (ms) and return the actions to take, in order."""
+        if self.state is State.DONE and not isinstance(event, ResponseCompleted):
+            return []  # nothing is started any more
         match event:
             case RequestReceived():
                 return self._on_request(now)
+            case RequestAbandoned():
+                self._set_state(State.DONE)
             case PrefillCompleted(number, handle) if number in self.open_attempts:
                 return self._on_prefill_completed(now, self.open_attempts[number], handle)
             case AttemptSilent(number) if number in self.open_attempts:
--- a/molespur/system/data_plane/exchange_messages.py
+++ b/molespur/system/data_plane/exchange_messages.py
@@ -48,6 +48,11 @@
     """The complete request has been received."""
 
 
+@dataclass(slots=True)
+class RequestAbandoned:
+    """The client has left, or the request's time is over: nothing more may be started for it."""
+
+
 @dataclass(slots=True)
 class PrefillCompleted:
     """The prefill call of an attempt has returned a handle of the KV cache."""
@@ -86,7 +91,13 @@
 
 
 Event = (
-    RequestReceived | PrefillCompleted | AttemptSilent | AttemptProgressed | AttemptFailed | ResponseCompleted
+    RequestReceived
+    | RequestAbandoned
+    | PrefillCompleted
+    | AttemptSilent
+    | AttemptProgressed
+    | AttemptFailed
+    | ResponseCompleted
 )
 
 # -- Actions ---------------------------------------------------------------------------------------
--- a/tests/system/test_exchange.py
+++ b/tests/system/test_exchange.py
@@ -74,6 +74,25 @@
     return actions[0]
 
 
+def test_after_a_request_is_abandoned_only_its_complete_response_still_counts():
+    for started in (1, 2):
+        request = exchange(max_attempts=3, resumable=True)
+        begin(request)
+        if started == 2:
+            assert isinstance(only(request.handle(900, machine.AttemptSilent(1))), machine.StartPrefill)
+        assert request.handle(950, machine.RequestAbandoned()) == []
+        for number in (1, 2):
+            for event in (
+                machine.AttemptSilent(number),
+                machine.AttemptProgressed(number),
+                machine.PrefillCompleted(number, "h"),
+                *(machine.AttemptFailed(number, failure) for failure in Failure),
+            ):
+                assert request.handle(960, event) == []
+        completed = request.handle(970, machine.ResponseCompleted(1))
+        assert isinstance(completed[-1], machine.Finish)
+
+
 def begin(request, now=0):
     return only(request.handle(now, machine.RequestReceived()))
 
--- a/tests/system/test_overtaken_attempts.py
+++ b/tests/system/test_overtaken_attempts.py
@@ -26,9 +26,16 @@
     stream_head,
 )
 
+from molespur.system.data_plane import client_call
 from molespur.system.data_plane.client_call import ClientCall
 from molespur.system.data_plane.client_request import ClientRequest, demand_of
-from molespur.system.data_plane.exchange_messages import AttemptProgressed, AttemptSilent, RequestReceived
+from molespur.system.data_plane.exchange_messages import (
+    AttemptFailed,
+    AttemptProgressed,
+    AttemptSilent,
+    Failure,
+    RequestReceived,
+)
 from molespur.system.data_plane.ingress import Ingress
 from molespur.system.data_plane.state import DataPlaneState
 from molespur.system.data_plane.upstream import Upstreams
@@ -145,3 +152,33 @@
         assert state.meter("s").running == 0
 
     run_virtual(scenario())
+
+
+@pytest.mark.parametrize("event", [AttemptSilent(1), AttemptFailed(1, Failure.REJECTED)], ids=str)
+def test_no_attempt_is_started_for_a_client_that_has_left(event, monkeypatch):
+    """Guards against requests that reach a worker after their client has gone.
+
+    A timer or a worker's response may be handled between the client's departure and the end of its calls.
+    """
+
+    async def scenario():
+        workers = [ScriptedWorker(f"w{n}", lambda _: [asyncio.Event()]) for n in range(2)]
+        call, state = await _client_call(*workers)
+        running = asyncio.ensure_future(call.run())
+        while not any(worker.requests for worker in workers):
+            await asyncio.sleep(0.01)
+        cancel = client_call._cancel
+
+        def report_before_cancelling(worker_call, task):
+            call.report(event)
+            cancel(worker_call, task)
+
+        monkeypatch.setattr(client_call, "_cancel", report_before_cancelling)
+        running.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await running
+        await asyncio.sleep(1.0)
+        assert sum(len(worker.requests) for worker in workers) == 1
+        assert not any(track.unfinished for track in state.listed_workers("s"))
+
+    run_virtual(scenario())
