Forecasts: a run time is learned once, and a refusal by forecast lets a probe through

Causes: (1) what requests take was learned three times, as the route's run time, the worker's pace and the model's pace; while the run time rises from its prior of 40 ms the paces have risen already, and the product goes beyond the deadline. (2) Then every request is refused, and as forecasts are learned from served requests only, nothing puts it right.

Fix: (1) the run time learns what the paces don't explain. (2) While no call of the scheduler to the service is open, one request each 100 ms is sent in spite of its forecast (ForecastProbe): a refusal by forecast is given only beside a call whose result will show whether it is right.

--- a/molespur/policy/pair.py
+++ b/molespur/policy/pair.py
@@ -334,14 +334,21 @@
             min(elapsed_ms, 10 * step.forecast_ms),
         )
         if step.phase is ServingPhase.PLAIN:
-            run_ms = self.plain_run_ms.setdefault(demand.route, PLAIN_RUN_MS)
-            self.plain_run_ms[demand.route] = run_ms + PLAIN_RUN_GAIN * (
-                max(elapsed_ms - step.wait_ms, 1.0) - run_ms
-            )
+            self._learn_plain_run(step, demand.route, elapsed_ms)
         if now >= self.next_refit_at:
             self.next_refit_at = now + REFIT_INTERVAL_MS
             self.model.refit(FIRST_TOKEN_MS, ServingPhase)
 
+    def _learn_plain_run(self, step: Step, route: str, elapsed_ms: float) -> None:
+        """Adjust the run time of a route's requests at a worker of ordinary pace.
+
+        The paces of this worker and of all of them are learned apart, so what they explain is left out.
+        """
+        pace = self.model.pace(step.phase) * exp(step.worker.log_pace.get(step.phase, 0.0))
+        observed_ms = max(elapsed_ms - step.wait_ms, 1.0) / pace
+        run_ms = self.plain_run_ms.setdefault(route, PLAIN_RUN_MS)
+        self.plain_run_ms[route] = run_ms + PLAIN_RUN_GAIN * (observed_ms - run_ms)
+
     def record_overtaken(
         self, now: float, step: Step, started_at: float, last_received_at: float, responded: bool
     ) -> None:
--- a/molespur/system/data_plane/client_call.py
+++ b/molespur/system/data_plane/client_call.py
@@ -48,6 +48,7 @@
             lambda: state.listed_workers(service.name),
             lambda now: state.budget(service.name).spend(now),
             state.hedge_gate(service.name),
+            state.forecast_probe(service.name),
         )
         self._started_at = context.clock()
         self._tasks: dict[int, asyncio.Task] = {}  # attempt -> its call's task
--- a/molespur/system/data_plane/exchange.py
+++ b/molespur/system/data_plane/exchange.py
@@ -38,6 +38,7 @@
     StartRun,
     State,
 )
+from .forecast_probe import ForecastProbe
 from .hedging import HedgeGate
 
 MIN_TIME_LEFT_MS = 30.0  # with less time left no call is started
@@ -70,9 +71,11 @@
         workers: Callable[[], Iterable[WorkerTrack]],
         spend_budget: Callable[[float], bool],
         hedge_gate: HedgeGate,
+        forecast_probe: ForecastProbe,
     ):
         self.route, self.demand, self.policy = route, demand, policy
         self.workers, self.spend_budget, self.hedge_gate = workers, spend_budget, hedge_gate
+        self.forecast_probe = forecast_probe
         self.state = State.NEW
         self.open_attempts: dict[int, Attempt] = {}
         self.avoid: list[str] = []
@@ -150,7 +153,9 @@
         selection = self.policy.choose(now, self.workers(), self.demand, self.avoid)
         if selection is None:
             return ErrorKind.NO_WORKER
-        if self._is_hopeless(now, selection) or not self._take_budget(now):
+        if self._is_hopeless(now, selection) and not self.forecast_probe.may_start(now):
+            return ErrorKind.OVERLOADED
+        if not self._take_budget(now):
             return ErrorKind.OVERLOADED
         return self._start_attempt(selection, resume)
 
--- a/molespur/system/data_plane/state.py
+++ b/molespur/system/data_plane/state.py
@@ -15,6 +15,7 @@
 from ..settings.process import ProcessSettings
 from ..shards.placement import CONFIGURATION, GROUPS
 from .budget import RetryBudget
+from .forecast_probe import ForecastProbe
 from .hedging import HedgeGate
 from .load import LoadMeter
 from .peer_work import PeerWorkTable, worker_hash
@@ -43,6 +44,7 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.meters: dict[str, LoadMeter] = {}
         self.hedge_gates: dict[str, HedgeGate] = {}
+        self.forecast_probes: dict[str, ForecastProbe] = {}
         self.schedulers = 0  # the highest number that the control plane has announced
         self.first_state_received = (
             asyncio.Event()
@@ -158,6 +160,13 @@
             gate = self.hedge_gates[service] = HedgeGate(lambda: self.listed_workers(service))
         return gate
 
+    def forecast_probe(self, service: str) -> ForecastProbe:
+        """What lets requests for a service through in spite of their forecast."""
+        probe = self.forecast_probes.get(service)
+        if probe is None:
+            probe = self.forecast_probes[service] = ForecastProbe(lambda: self.listed_workers(service))
+        return probe
+
     def meter(self, service: str) -> LoadMeter:
         """The meter of what this scheduler sends to a service."""
         return self.meters.setdefault(service, LoadMeter())
