--- a/tests/system/test_operator_pages.py
+++ b/tests/system/test_operator_pages.py
@@ -15,6 +15,8 @@
     wire_name,
 )
 
+from molespur.system.workers.phases import OrderHold
+
 ROOT = Path(__file__).parent.parent.parent
 PAGES = ROOT / "docs/operate"
 SOURCES = ROOT / "molespur/system"
@@ -80,3 +82,14 @@
     for event in events:
         sample = re.sub(r"%[sdr]", "7", event)
         assert any(re.fullmatch(pattern, sample) for pattern in patterns), event
+
+
+def test_the_page_of_progress_names_tests_that_exist_and_every_reason_without_an_order():
+    page = (ROOT / "docs/design/progress.md").read_text()
+    sources = "\n".join(path.read_text() for path in (ROOT / "tests").rglob("*.py"))
+    named = set(re.findall(r"`(test_[a-z0-9_]+)`", page))
+    assert len(named) > 20
+    assert [name for name in sorted(named) if f"def {name}(" not in sources] == []
+    files = set(re.findall(r"`(test_[a-z_]+\.py)`", page))
+    assert [name for name in sorted(files) if not (ROOT / "tests/system" / name).exists()] == []
+    assert [hold for hold in OrderHold if hold.value != "on-target" and f"`{hold.value}`" not in page] == []
