--- a/tests/system/test_operator_pages.py
+++ b/tests/system/test_operator_pages.py
@@ -14,7 +14,6 @@
     ProcessSettings,
     wire_name,
 )
-
 from molespur.system.workers.phases import OrderHold
 
 ROOT = Path(__file__).parent.parent.parent
