--- a/molespur/system/soak/checker.py
+++ b/molespur/system/soak/checker.py
@@ -18,6 +18,7 @@
 DEADLINE_S = 4.0  # of a client's request, and the route's time-out
 BODY_S = 0.25  # longest time that the slow bodies of these clients take
 LAPSE_S = 5.0  # memory that was read apart is kept this long
+LEAST_SERVED_SHARE = 0.5  # of the requests in the end
 SLACK_S = 0.25  # clocks of two tasks of the soak, and sockets' queues
 PROMISES = (408, 421, 429, 503)  # the request has not run and never will
 NOT_REPEATED = (RequestKind.NON_IDEMPOTENT, RequestKind.STREAM, RequestKind.MODEL)
@@ -216,6 +217,27 @@
         yield Finding("LOST", 0.0, f"{newest} was acknowledged, {index.log.last_read} is read back")
 
 
+def _newest_in_force_in_the_end(index: _Index) -> Iterator[Finding]:
+    newest = max((change.version for change in index.taken), default=0)
+    for process, version in index.log.final_versions.items():
+        if version is None or version < newest:
+            what = f"{process} has {version} in the end, {newest} was acknowledged"
+            yield Finding("RECOVER", 0.0, what)
+
+
+def _last_worker_serves(index: _Index) -> Iterator[Finding]:
+    """Long after the last trouble each service has one sound worker, and its requests come one by one."""
+    answers = defaultdict(list)
+    for answer in index.log.final_answers:
+        answers[answer.scheduler, answer.service].append(answer)
+    for (scheduler, service), given in answers.items():
+        served = sum(answer.status == 200 for answer in given)
+        if served <= LEAST_SERVED_SHARE * len(given):
+            statuses = [answer.status for answer in given]
+            what = f"{scheduler} answers {statuses} for {service}, which has a sound worker"
+            yield Finding("RECOVER", given[0].at, what)
+
+
 def _left_workers_rest(index: _Index) -> Iterator[Finding]:
     left_at = {goodbye.worker: goodbye.at for goodbye in index.log.goodbyes}
     scheduler_of = {exchange.attempt: exchange for exchange in index.log.exchanges}
@@ -282,6 +304,8 @@
     "a read tells the newest": _reads_are_new,
     "no process goes back": _versions_only_rise,
     "the newest is read back": _read_back,
+    "the newest is in force everywhere in the end": _newest_in_force_in_the_end,
+    "a service with a sound worker serves in the end": _last_worker_serves,
     "workers that have left rest": _left_workers_rest,
     "nobody ends by itself": _nobody_ends_by_itself,
     "prompt memory stays with its request": _memory_stays_with_its_request,
--- a/molespur/system/soak/records.py
+++ b/molespur/system/soak/records.py
@@ -196,6 +196,16 @@
     version: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class FinalAnswer:
+    """What became of a request after the recovery time, when one worker of its service is left."""
+
+    at: float
+    scheduler: str
+    service: str
+    status: int  # 0: no complete answer
+
+
 @dataclass
 class Log:
     """Everything that was noted in one run."""
@@ -212,4 +222,6 @@
     handles: list[HandleEvent] = field(default_factory=list)
     orders: list[OrderTaken] = field(default_factory=list)
     samples: list[Sample] = field(default_factory=list)
+    final_answers: list[FinalAnswer] = field(default_factory=list)
+    final_versions: dict[str, int | None] = field(default_factory=dict)  # by process; None: it does not tell
     last_read: int | None = None  # the version that was read back at the end
--- a/molespur/system/soak/run.py
+++ b/molespur/system/soak/run.py
@@ -26,6 +26,7 @@
 from .operators import Operators
 from .plan import Event
 from .records import Change, Log
+from .recovery import RECOVERY_S, FinalRequests
 from .service_workers import ServiceWorkers
 from .strikes import STRIKES
 from .watch import LOOK_S, ProcessWatch, RouteProbes
@@ -64,6 +65,7 @@
         self.clients = Clients(self.log, self.clock, self.random, self._targets)
         self.workers = ServiceWorkers(self.fleet, self.log, self.clock, self.met, self._spawn)
         self.probes = RouteProbes(self.log, self.clock, self._targets, self._spawn)
+        self.final_requests = FinalRequests(self.log, self.clock, self._targets)
         self.watch = ProcessWatch(self.fleet, self.log, self.clock)
         self.stop = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
@@ -142,9 +144,13 @@
         await asyncio.sleep(max(began + self.length_s - self.clock(), 0.0))
 
     async def _settle(self, clients: list[asyncio.Task]) -> None:
-        """All trouble is over: the last answers come in, and the newest configuration is read back."""
+        """All trouble is over: the last answers come in, and what has to recover is looked at."""
         self.stop.set()
         await asyncio.wait(clients, timeout=LAST_S)
+        self.workers.thin_out(self.random)
+        await asyncio.sleep(RECOVERY_S)
+        await self.final_requests.send()
+        self.log.final_versions = await self.watch.versions()
         self.log.last_read = await self.operators.read_back()
 
     # -- Trouble -------------------------------------------------------------------------------
--- a/molespur/system/soak/service_workers.py
+++ b/molespur/system/soak/service_workers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Coroutine
+from random import Random
 
 from ..demo.fleet import WORKER_PORT, ZONES
 from . import plan
@@ -14,6 +15,7 @@
 from .records import Arrival, BrokenOff, Deed, Goodbye, Log, WorkerEnded
 
 PLAIN_WORKERS, MODEL_WORKERS = 4, 5
+IN_ORDER_SHARE = 0.5  # of the services that are thinned out: their workers leave, the others' are lost
 LEAST_STAYING = 3  # of a service: with fewer nothing is done to one
 HOSTS_A_PART = 250
 LONGEST_MOOD_S = 3.0  # a request has 4 s
@@ -109,6 +111,25 @@
             self._start(worker.service)
             (worker.leaving if event.trouble is Trouble.WORKER_DRAIN else worker.down).set()
 
+    def thin_out(self, random: Random) -> None:
+        """Take away all workers of each service but one: all at once, or each in order.
+
+        The last model worker is one that reads prompts, where there is one: it has to be told to answer.
+        """
+        for service in (SERVICE, MODEL_SERVICE):
+            staying = [
+                worker
+                for worker in self.workers.values()
+                if worker.service == service and not worker.leaving.is_set()
+            ]
+            prefill = [w for w in staying if isinstance(w, ModelWorker) and w.phase == PREFILL]
+            last = random.choice(prefill or staying)
+            in_order = random.random() < IN_ORDER_SHARE
+            self.met["services thinned out"] += 1
+            for worker in staying:
+                if worker is not last:
+                    (worker.leaving if in_order else worker.down).set()
+
     async def _strike_links(self, worker: PlainWorker, event: Event) -> None:
         """What a worker sends and gets is held up for a moment, or its connections break."""
         if event.trouble is Trouble.WORKER_RESET:
--- a/molespur/system/soak/watch.py
+++ b/molespur/system/soak/watch.py
@@ -77,6 +77,11 @@
                         self.log.samples.append(replace(sample, version=version))
                 await asyncio.sleep(LOOK_S)
 
+    async def versions(self) -> dict[str, int | None]:
+        """The version that each process has in force now, by its name."""
+        async with httpx.AsyncClient(timeout=SAMPLE_S) as client:
+            return {name: await self._version(client, name) for name in list(self.fleet.machines)}
+
     async def _version(self, client: httpx.AsyncClient, name: str) -> int | None:
         machine = self.fleet.machines.get(name)
         if machine is None or name in self.fleet.busy:
--- a/tests/system/test_soak_checker.py
+++ b/tests/system/test_soak_checker.py
@@ -11,6 +11,7 @@
     Deed,
     Ending,
     Exchange,
+    FinalAnswer,
     Goodbye,
     HandleDeed,
     HandleEvent,
@@ -67,6 +68,16 @@
     return OrderTaken(5.0, "w", holder, token)
 
 
+def final(*statuses, scheduler="edge", service="model"):
+    return [FinalAnswer(40.0 + n, scheduler, service, status) for n, status in enumerate(statuses)]
+
+
+def log_of_end(versions):
+    made = log()
+    made.final_versions = versions
+    return made
+
+
 READ, TAKEN, FREED, LAPSED = HandleDeed.READ, HandleDeed.TAKEN, HandleDeed.FREED, HandleDeed.LAPSED
 ADDED = change(3, 2, added=("/n/",))
 DROPPED = change(4, 3, removed=("/n/",))
@@ -131,6 +142,8 @@
         deeds=[ProcessDeed(10.1, "w", Deed.CUT)],
     ),
     "orders of two holders in turn": log(orders=[order("a", 3), order("a", 3), order("b", 4)]),
+    "served by the last worker, but for one": log(final_answers=final(200, 200, 503, 200)),
+    "the newest in the end, or one without a clear answer": log_of_end({"edge": 2, "core": 3}),
     "a newer version in another life": log(
         samples=[Sample(1.0, "edge", 7, 1, 1, 5), Sample(2.0, "edge", 8, 1, 1, 3)]
     ),
@@ -204,6 +217,17 @@
         log(exchanges=[model()], handles=[memory(READ, 10.0), memory(LAPSED, 15.0)]),
     ),
     "two holders with one token": ("ONE", log(orders=[order("a", 3), order("b", 3)])),
+    "a service refused in the end": ("RECOVER", log(final_answers=final(503, 503, 503, 503))),
+    "a service refused at one scheduler": (
+        "RECOVER",
+        log(final_answers=final(200, 200, 200, 200) + final(0, 503, 200, 200, scheduler="edge-2")),
+    ),
+    "a service refused beside another one": (
+        "RECOVER",
+        log(final_answers=final(200, 200, service="plain") + final(503, 0)),
+    ),
+    "an old version in the end": ("RECOVER", log_of_end({"edge": 1, "core": 2})),
+    "a process that tells no version in the end": ("RECOVER", log_of_end({"edge": None, "core": 2})),
     "a process ended by itself": ("EXIT", log(deeds=[ProcessDeed(3.0, "edge", Deed.EXIT, 132)])),
 }
 
--- a/tests/system/test_soak_parts.py
+++ b/tests/system/test_soak_parts.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 import socket
+from collections import Counter
+from random import Random
 
 import pytest
 
@@ -10,7 +12,11 @@
 from molespur.system.soak import plan
 from molespur.system.soak.fault_line import FaultLine
 from molespur.system.soak.fleet import FRONT_PART, SoakFleet
+from molespur.system.soak.model_worker import DECODE, PREFILL, ModelWorker
+from molespur.system.soak.operators import MODEL_SERVICE, SERVICE
+from molespur.system.soak.plain_worker import PlainWorker
 from molespur.system.soak.records import Log
+from molespur.system.soak.service_workers import ServiceWorkers
 
 LENGTH_S = 300.0
 PORT = 18990
@@ -109,3 +115,41 @@
         second = SoakFleet(tmp_path, 6, Log(), lambda: 0.0)
         second.stop()
     assert second.network != first.network
+
+
+class FakeWorkers(ServiceWorkers):
+    """The workers of a run that are not started."""
+
+    def _start(self, service):
+        self._number += 1
+        name = f"{service}-{self._number}"
+        if service == SERVICE:
+            worker = PlainWorker(name, service, f"127.0.0.1:{self._number}", "a", None, None)
+        else:
+            worker = ModelWorker(
+                name,
+                service,
+                f"127.0.0.1:{self._number}",
+                "a",
+                None,
+                None,
+                phase=(DECODE, PREFILL)[self._number % 2],
+                log=None,
+                clock=None,
+                others=None,
+            )
+        self.workers[name] = worker
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_in_the_end_one_worker_of_each_service_is_left_and_the_last_model_worker_reads(seed):
+    async def scenario():
+        workers = FakeWorkers(None, Log(), None, Counter(), None)
+        workers.come_up()
+        workers.thin_out(Random(seed))
+        left = [w for w in workers.workers.values() if not (w.leaving.is_set() or w.down.is_set())]
+        assert [worker.service for worker in left] == [SERVICE, MODEL_SERVICE]
+        assert left[1].phase == PREFILL
+        assert workers.met["services thinned out"] == 2
+
+    asyncio.run(scenario())
--- a/tests/system/wrong_process.py
+++ b/tests/system/wrong_process.py
@@ -216,6 +216,27 @@
     orders.PhaseOrders._post = lambda self, order, _fence: post(self, order, 1)
 
 
+def gives_up_on_the_last_worker() -> None:
+    plan = phases.PhasePlanner.plan
+
+    def wrong(self, now, workers, load):
+        return plan(self, now, workers, load) if len(phases.live_workers(workers)) > 1 else None
+
+    phases.PhasePlanner.plan = wrong
+
+
+def tells_no_newer_changes() -> None:
+    """The feed passes the first twenty changes on, and no more."""
+    put, versions = state.DataPlaneState._put_configuration, set()
+
+    def wrong(self, told):
+        versions.add(told.version)
+        if len(versions) <= 20:
+            put(self, told)
+
+    state.DataPlaneState._put_configuration = wrong
+
+
 @dataclass(frozen=True)
 class Wrong:
     """One wrong: the role whose processes have it, the rule of the checker that must find it."""
@@ -242,6 +263,12 @@
     "reads without asking a majority": Wrong(CONTROL, "a read tells the newest", reads_without_asking),
     "goes back": Wrong(SCHEDULER, "no process goes back", goes_back),
     "forgets what it acknowledged": Wrong(CONTROL, "the newest is read back", forgets_changes),
+    "gives up on the last worker": Wrong(
+        CONTROL, "a service with a sound worker serves in the end", gives_up_on_the_last_worker
+    ),
+    "tells no newer changes": Wrong(
+        SCHEDULER, "the newest is in force everywhere in the end", tells_no_newer_changes
+    ),
     "sends to those that left": Wrong(SCHEDULER, "workers that have left rest", sends_to_those_that_left),
     "ends by itself": Wrong(SCHEDULER, "nobody ends by itself", ends_by_itself),
     "swaps memory": Wrong(SCHEDULER, "prompt memory stays with its request", swaps_memory),
