A request without a body waits for no memory

Found on reading the change once more: a request without a body reserved nothing, and waited all the same while buffered responses, which are counted without waiting, took more than the budget. Test, red before, green after.

--- a/molespur/system/data_plane/request_body.py
+++ b/molespur/system/data_plane/request_body.py
@@ -49,7 +49,7 @@
             raise FleetError(ErrorKind.BODY_TOO_LARGE)
         try:
             async with asyncio.timeout(min(self._idle_timeout_s, deadline_ms / 1000.0)):
-                if self._declared is not None:
+                if self._declared:
                     await self._reserve(self._declared, deadline_ms)
                 return await self._read(deadline_ms)
         except TimeoutError as error:
--- a/tests/system/test_request_bodies.py
+++ b/tests/system/test_request_bodies.py
@@ -139,6 +139,19 @@
     run(scenario())
 
 
+def test_a_request_without_a_body_needs_no_room():
+    async def scenario():
+        async with serving(answer) as (port, ingress, _worker):
+            in_use = ingress.memory.charge(2 * TOTAL)  # responses may take more than the budget
+            client = await Client.connect(port)
+            await client.send(request())
+            assert (await client.response())[0] == 200
+            in_use.release()
+            assert ingress.memory.used == 0
+
+    run(scenario())
+
+
 def test_a_body_that_is_declared_too_long_is_refused_before_it_is_read():
     async def scenario():
         async with serving(answer) as (port, ingress, _worker):
