--- a/molespur/system/soak/fleet.py
+++ b/molespur/system/soak/fleet.py
@@ -40,7 +40,7 @@
         self.network = f"127.{net}"
         self.line = FaultLine()
         self.machines: dict[str, Machine] = {}
-        self.busy: set[str] = set()  # something is being done to these: no other trouble strikes them
+        self.busy: set[str] = set()  # processes with a fault in progress: they get no other one
         self._processes: dict[str, subprocess.Popen] = {}
         self._expected: set[str] = set()  # these were told to end
         self.command: Callable[[Machine], Sequence[str]] = lambda _machine: PROGRAM
@@ -54,7 +54,7 @@
         return [machine for machine in self.machines.values() if machine.role == role]
 
     def idle(self, role: str) -> list[Machine]:
-        """Those that run for a moment at least, and are in no trouble."""
+        """The machines of a role that have been running for a moment and have no fault in progress."""
         settled = {name for name, at in self._started_at.items() if self.clock() - at > SETTLED_S}
         free = (settled & set(self._processes)) - self.busy
         return [machine for machine in self.of_role(role) if machine.name in free]
--- a/molespur/system/soak/operators.py
+++ b/molespur/system/soak/operators.py
@@ -35,7 +35,7 @@
         self, log: Log, clock: Callable[[], float], random: Random, control: Callable[[], Sequence[str]]
     ):
         self.log, self.clock, self.random, self.control = log, clock, random, control
-        self.on_taken: Callable[[Change], None] = lambda _change: None
+        self.on_accepted: Callable[[Change], None] = lambda _change: None
         self.pause_s = PAUSE_S
         self.newest = 0  # version that some operator knows to be taken
         self.routes: dict[int, tuple[str, ...]] = {0: ()}  # version -> added routes in it
@@ -98,7 +98,7 @@
         if change.status == 200:
             self.routes[change.version] = routes
             self.newest = max(self.newest, change.version)
-            self.on_taken(change)
+            self.on_accepted(change)
         elif change.status == 412:
             await self._learn(client, stop)
 
--- a/molespur/system/soak/plain_worker.py
+++ b/molespur/system/soak/plain_worker.py
@@ -28,8 +28,8 @@
 NOT_EXECUTED = "Molespur-Not-Executed: 1\r\n"
 
 
-class Mood(Enum):
-    """What a worker may do for a while."""
+class Behavior(Enum):
+    """How a worker may misbehave for a while."""
 
     REST = "rest"  # no byte of any answer goes out
     SLOW = "slow"
@@ -77,7 +77,7 @@
         """`bind_host`: where it listens, if it is reached at its address over a fault line."""
         self.name, self.service, self.address, self.zone = name, service, address, zone
         self.on_arrival, self.on_goodbye, self.on_break = on_arrival, on_goodbye, on_break
-        self._mood_until: dict[Mood, float] = {}  # on the loop's clock
+        self._behavior_until: dict[Behavior, float] = {}  # on the loop's clock
         self.bind_host = bind_host
         self.leaving = asyncio.Event()
         self.down = asyncio.Event()
@@ -98,21 +98,21 @@
             for writer in self._writers:
                 writer.transport.abort()
 
-    def change_mood(self, mood: Mood, for_s: float) -> None:
-        """Do this for so long."""
-        self._mood_until[mood] = asyncio.get_running_loop().time() + for_s
+    def set_behavior(self, behavior: Behavior, for_s: float) -> None:
+        """Behave like this for `for_s` seconds."""
+        self._behavior_until[behavior] = asyncio.get_running_loop().time() + for_s
 
-    def _left_of(self, mood: Mood) -> float:
-        return self._mood_until.get(mood, 0.0) - asyncio.get_running_loop().time()
+    def _left_of(self, behavior: Behavior) -> float:
+        return self._behavior_until.get(behavior, 0.0) - asyncio.get_running_loop().time()
 
     async def _work(self, seconds: float) -> None:
         """Take this long for the next step of an answer, longer when slow; rest first if told to."""
-        while (left := self._left_of(Mood.REST)) > 0:
+        while (left := self._left_of(Behavior.REST)) > 0:
             await asyncio.sleep(left)
-        await asyncio.sleep(seconds * (SLOW_TIMES if self._left_of(Mood.SLOW) > 0 else 1.0))
+        await asyncio.sleep(seconds * (SLOW_TIMES if self._left_of(Behavior.SLOW) > 0 else 1.0))
 
     def _perhaps_break(self, writer, attempt: str) -> None:
-        if self._left_of(Mood.BREAK) > 0:
+        if self._left_of(Behavior.BREAK) > 0:
             self.on_break(self.name, attempt)
             writer.transport.abort()
             raise BrokeOff
@@ -177,7 +177,7 @@
         if request.field("molespur-expected-instance", self.name) != self.name:
             self._write_refusal(writer, request, "421 Misdirected")
             return
-        runs = self._running < SLOTS and self._left_of(Mood.REFUSE) <= 0
+        runs = self._running < SLOTS and self._left_of(Behavior.REFUSE) <= 0
         self.on_arrival(self.name, attempt, runs)
         if not runs:
             self._write_refusal(writer, request, "503 Full", executed=False)
--- a/molespur/system/soak/plan.py
+++ b/molespur/system/soak/plan.py
@@ -1,8 +1,8 @@
-"""The course of a soak, from its seed alone: what happens to which process, and when.  Pure.
+"""The faults of a soak, determined by its seed: what happens to which process, and when.  Pure.
 
-Times are seconds from the start of traffic.  Schedulers are troubled at any time and in overlapping
-series.  Of the control plane one machine at a time is lost, which is what the fleet is told to bear
-(`FaultTolerance`), and none again before `SYNC_S` have passed since it was back.
+Times are seconds from the start of traffic.  Faults of schedulers and workers come at any time and in
+overlapping series.  Of the control plane one machine at a time is lost, which is what the fleet has to
+tolerate (`FaultTolerance`), and the next one at least `SYNC_S` after it is back.
 """
 
 from dataclasses import dataclass
@@ -10,16 +10,16 @@
 from random import Random
 
 SYNC_S = 4.0  # a machine counts as lost for this long after it is back
-QUIET_S = 6.0  # nothing new happens in the last seconds
+QUIET_S = 6.0  # no fault starts in the last seconds
 SCHEDULER_GAP_S = (0.6, 3.0)
 CONTROL_GAP_S = (0.5, 3.0)
 WORKER_GAP_S = (1.0, 4.0)
-SERIES = 3  # at most so many troubles follow at once
+MAX_SERIES = 3  # faults that follow each other at `SERIES_GAP_S`
 SERIES_GAP_S = 0.3
 
 
-class Trouble(Enum):
-    """What may happen."""
+class Fault(Enum):
+    """The kinds of faults; the values are printed in the report."""
 
     SCHEDULER_STOP = "scheduler stopped and started"
     SCHEDULER_KILL = "scheduler killed"
@@ -48,60 +48,60 @@
     WORKER_RESET = "connections of a worker reset"
 
 
-SCHEDULER_TROUBLES = (
-    Trouble.SCHEDULER_STOP, Trouble.SCHEDULER_STOP, Trouble.SCHEDULER_KILL, Trouble.SCHEDULER_FREEZE,
-    Trouble.SCHEDULER_RELOAD, Trouble.SCHEDULER_RENAME,
+SCHEDULER_FAULTS = (
+    Fault.SCHEDULER_STOP, Fault.SCHEDULER_STOP, Fault.SCHEDULER_KILL, Fault.SCHEDULER_FREEZE,
+    Fault.SCHEDULER_RELOAD, Fault.SCHEDULER_RENAME,
 )  # fmt: skip
-CONTROL_TROUBLES = tuple(trouble for trouble in Trouble if trouble.name.startswith("CONTROL"))
-WORKER_TROUBLES = (Trouble.WORKER_CRASH, Trouble.WORKER_DRAIN, Trouble.WORKER_DRAIN)
-WORKER_LINKS = (Trouble.WORKER_CUT, Trouble.WORKER_RESET)
-WORKER_MOODS = (
-    Trouble.WORKER_REST, Trouble.WORKER_REST, Trouble.WORKER_SLOW, Trouble.WORKER_REFUSE,
-    Trouble.WORKER_BREAK,
+CONTROL_FAULTS = tuple(fault for fault in Fault if fault.name.startswith("CONTROL"))
+WORKER_FAULTS = (Fault.WORKER_CRASH, Fault.WORKER_DRAIN, Fault.WORKER_DRAIN)
+WORKER_LINK_FAULTS = (Fault.WORKER_CUT, Fault.WORKER_RESET)
+WORKER_BEHAVIORS = (
+    Fault.WORKER_REST, Fault.WORKER_REST, Fault.WORKER_SLOW, Fault.WORKER_REFUSE,
+    Fault.WORKER_BREAK,
 )  # fmt: skip
-HARMLESS = (Trouble.CONTROL_RELOAD, Trouble.CONTROL_RESET)  # the machine is not lost by it
+HARMLESS = (Fault.CONTROL_RELOAD, Fault.CONTROL_RESET)  # the machine stays available
 
 
 @dataclass(frozen=True, slots=True)
 class Event:
-    """One trouble: `choice` in [0, 1) picks whom it strikes among those that are there then."""
+    """One fault: `choice` in [0, 1) selects its target among those that are available then."""
 
     at: float
-    trouble: Trouble
+    fault: Fault
     for_s: float
     choice: float
 
 
-def make(seed: int, length_s: float) -> list[Event]:
-    """All events of a run, in order of time."""
+def create_events(seed: int, length_s: float) -> list[Event]:
+    """Return all events of a run, ordered by time."""
     random = Random(seed)
     events = [
-        *_series(random, length_s, SCHEDULER_TROUBLES, SCHEDULER_GAP_S),
-        *_one_at_a_time(random, length_s),
-        *_series(random, length_s, WORKER_TROUBLES, WORKER_GAP_S),
-        *_series(random, length_s, WORKER_MOODS, WORKER_GAP_S),
-        *_series(random, length_s, WORKER_LINKS, WORKER_GAP_S),
+        *_series(random, length_s, SCHEDULER_FAULTS, SCHEDULER_GAP_S),
+        *_control_events(random, length_s),
+        *_series(random, length_s, WORKER_FAULTS, WORKER_GAP_S),
+        *_series(random, length_s, WORKER_BEHAVIORS, WORKER_GAP_S),
+        *_series(random, length_s, WORKER_LINK_FAULTS, WORKER_GAP_S),
     ]
     return sorted(events, key=lambda event: event.at)
 
 
-def _event(random: Random, at: float, troubles: tuple[Trouble, ...]) -> Event:
-    return Event(at, random.choice(troubles), random.uniform(0.4, 5.0), random.random())
+def _event(random: Random, at: float, faults: tuple[Fault, ...]) -> Event:
+    return Event(at, random.choice(faults), random.uniform(0.4, 5.0), random.random())
 
 
-def _series(random: Random, length_s: float, troubles: tuple[Trouble, ...], gap: tuple[float, float]):
+def _series(random: Random, length_s: float, faults: tuple[Fault, ...], gap: tuple[float, float]):
     at = random.uniform(*gap)
     while at < length_s - QUIET_S:
-        for number in range(random.randint(1, SERIES)):
-            yield _event(random, at + number * SERIES_GAP_S, troubles)
+        for number in range(random.randint(1, MAX_SERIES)):
+            yield _event(random, at + number * SERIES_GAP_S, faults)
         at += random.uniform(*gap)
 
 
-def _one_at_a_time(random: Random, length_s: float):
+def _control_events(random: Random, length_s: float):
     at = random.uniform(*CONTROL_GAP_S)
     while at < length_s - QUIET_S:
-        event = _event(random, at, CONTROL_TROUBLES)
+        event = _event(random, at, CONTROL_FAULTS)
         yield event
         at += random.uniform(*CONTROL_GAP_S)
-        if event.trouble not in HARMLESS:
+        if event.fault not in HARMLESS:
             at += event.for_s + SYNC_S
--- a/molespur/system/soak/recovery.py
+++ b/molespur/system/soak/recovery.py
@@ -1,6 +1,6 @@
-"""The end of a soak: one worker of each service is left, and after the recovery time it has to be used.
+"""The end of a soak: one worker of each service is left, and has to serve after the recovery time.
 
-Nobody sends anything in between: a service has to come back without traffic.
+There is no traffic in between: a service has to recover without it.
 """
 
 import asyncio
@@ -19,14 +19,14 @@
 
 
 class FinalRequests:
-    """Asks every scheduler for every service."""
+    """Requests to every service at every scheduler."""
 
     def __init__(self, log: Log, clock: Callable[[], float], targets: Callable[[], list[Target]]):
         self.log, self.clock, self.targets = log, clock, targets
         self._numbers = count(1)
 
     async def send(self) -> None:
-        """Send all of them, and note what became of each."""
+        """Send all of them and record the outcomes."""
         await asyncio.gather(
             *(self._send_to(target, service) for target in self.targets() for service in KINDS)
         )
--- a/molespur/system/soak/run.py
+++ b/molespur/system/soak/run.py
@@ -1,7 +1,4 @@
-"""One run of a soak:
-
-the fleet comes up, clients, operators, workers and trouble go on at once, then all is checked.
-"""
+"""One run of a soak: starts the fleet, runs clients, operators, workers and faults, and checks the log."""
 
 import asyncio
 import json
@@ -22,26 +19,26 @@
 from . import plan
 from .checker import Finding, check
 from .clients import Clients, Target
+from .fault_actions import FAULT_ACTIONS
 from .fleet import CONTROL, SCHEDULER, SoakFleet, control_addresses
 from .operators import Operators
 from .plan import Event
 from .records import Change, Log
 from .recovery import RECOVERY_S, FinalRequests
 from .service_workers import ServiceWorkers
-from .strikes import STRIKES
 from .watch import LOOK_S, ProcessWatch, RouteProbes
 
 CONTROL_PROCESSES = 3
 CLIENTS = 12
 READY_S = 30.0
-LAST_S = 6.0  # a client waits 5 s for an answer at most
+MAX_CLIENT_END_S = 6.0  # a client waits for a response for at most 5 s
 OPERATORS = ("north", "south")
-HISTORY_FILE = "history.json"  # beside the processes' logs: all that was noted
+HISTORY_FILE = "history.json"  # the complete log, in the folder of the processes' logs
 
 
 @dataclass
 class Result:
-    """What one run gave."""
+    """The result of one run; `met` counts the faults and accepted changes."""
 
     seed: int
     findings: list[Finding]
@@ -56,11 +53,11 @@
     def __init__(self, seed: int, length_s: float, processes: int, folder: Path):
         self.seed, self.length_s, self.processes = seed, length_s, processes
         self.log, self.met = Log(), Counter()
-        self.began = time.monotonic()
+        self.started_at = time.monotonic()
         self.fleet = SoakFleet(folder, seed, self.log, self.clock)
         self.random = Random(seed)
         self.operators = Operators(self.log, self.clock, self.random, lambda: control_addresses(self.fleet))
-        self.operators.on_taken = self._taken
+        self.operators.on_accepted = self._change_accepted
         self.operator_names: Sequence[str] = OPERATORS
         self.clients = Clients(self.log, self.clock, self.random, self._targets)
         self.workers = ServiceWorkers(self.fleet, self.log, self.clock, self.met, self._spawn)
@@ -72,7 +69,7 @@
 
     def clock(self) -> float:
         """Seconds on the steady clock since the run began."""
-        return time.monotonic() - self.began
+        return time.monotonic() - self.started_at
 
     def _spawn(self, work: Coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(work)
@@ -89,22 +86,22 @@
     def _targets(self) -> list[Target]:
         return [Target(m.name, m.host, FRONTEND_PORT) for m in self.fleet.of_role(SCHEDULER)]
 
-    def _taken(self, change: Change) -> None:
+    def _change_accepted(self, change: Change) -> None:
         self.met["changes taken"] += 1
         self.probes.later(change)
 
-    # -- The course ----------------------------------------------------------------------------
+    # -- Phases of a run ----------------------------------------------------------------------------
 
     async def run(self) -> None:
-        """The whole course.  Raises FleetError where the fleet does not come up."""
+        """Run to the end.  Raises FleetError if the fleet does not become ready."""
         try:
-            await self._come_up()
+            await self._start_fleet()
             clients = [self._spawn(self.clients.run(number, self.stop)) for number in range(CLIENTS)]
             for name in self.operator_names:
                 self._spawn(self.operators.run(name, self.stop))
             self._spawn(self.watch.run())
-            await self._trouble()
-            await self._settle(clients)
+            await self._inject_faults()
+            await self._finish(clients)
         finally:
             self.stop.set()
             for task in list(self._tasks):
@@ -112,12 +109,12 @@
             await asyncio.gather(*self._tasks, return_exceptions=True)
             await asyncio.to_thread(self.fleet.stop)
 
-    async def _come_up(self) -> None:
+    async def _start_fleet(self) -> None:
         control = [self.fleet.new_machine(CONTROL) for _ in range(CONTROL_PROCESSES)]
         others = [self.fleet.new_machine(SCHEDULER) for _ in range(self.processes - CONTROL_PROCESSES)]
         for machine in (*control, *others):
             await self.fleet.start(machine, bootstrap=True)
-        self.workers.come_up()
+        self.workers.start_all()
         async with asyncio.timeout(READY_S):
             await self.operators.first()
         until = self.clock() + READY_S
@@ -136,49 +133,49 @@
                 return False
         return True
 
-    async def _trouble(self) -> None:
-        began = self.clock()
-        for event in plan.make(self.seed, self.length_s):
-            await asyncio.sleep(max(began + event.at - self.clock(), 0.0))
-            self._spawn(self._strike(event))
-        await asyncio.sleep(max(began + self.length_s - self.clock(), 0.0))
+    async def _inject_faults(self) -> None:
+        started_at = self.clock()
+        for event in plan.create_events(self.seed, self.length_s):
+            await asyncio.sleep(max(started_at + event.at - self.clock(), 0.0))
+            self._spawn(self._apply(event))
+        await asyncio.sleep(max(started_at + self.length_s - self.clock(), 0.0))
 
-    async def _settle(self, clients: list[asyncio.Task]) -> None:
-        """All trouble is over: the last answers come in, and what has to recover is looked at."""
+    async def _finish(self, clients: list[asyncio.Task]) -> None:
+        """Stop the traffic, thin the services out, and record whether the fleet has recovered."""
         self.stop.set()
-        await asyncio.wait(clients, timeout=LAST_S)
+        await asyncio.wait(clients, timeout=MAX_CLIENT_END_S)
         self.workers.thin_out(self.random)
         await asyncio.sleep(RECOVERY_S)
         await self.final_requests.send()
         self.log.final_versions = await self.watch.versions()
         self.log.last_read = await self.operators.read_back()
 
-    # -- Trouble -------------------------------------------------------------------------------
+    # -- Faults ------------------------------------------------------------------------------
 
-    def _victim(self, event: Event) -> Machine | None:
-        role = CONTROL if event.trouble.name.startswith("CONTROL") else SCHEDULER
+    def _target(self, event: Event) -> Machine | None:
+        role = CONTROL if event.fault.name.startswith("CONTROL") else SCHEDULER
         idle = self.fleet.idle(role)
         if role == SCHEDULER and len(idle) < 2:
-            return None  # somebody must be there to serve
+            return None  # one scheduler has to stay available
         return idle[int(event.choice * len(idle))] if idle else None
 
-    async def _strike(self, event: Event) -> None:
-        if event.trouble.name.startswith("WORKER"):
-            self.workers.strike(event)
+    async def _apply(self, event: Event) -> None:
+        if event.fault.name.startswith("WORKER"):
+            self.workers.apply_fault(event)
             return
-        victim = self._victim(event)
-        if victim is None:
+        machine = self._target(event)
+        if machine is None:
             return
-        self.met[event.trouble.value] += 1
-        self.fleet.busy.add(victim.name)
+        self.met[event.fault.value] += 1
+        self.fleet.busy.add(machine.name)
         try:
-            await STRIKES[event.trouble](self.fleet, victim, event)
+            await FAULT_ACTIONS[event.fault](self.fleet, machine, event)
         finally:
-            self.fleet.busy.discard(victim.name)
+            self.fleet.busy.discard(machine.name)
 
 
 def run_soak(seed: int, length_s: float, processes: int) -> Result:
-    """Play one run; its logs stay where the result says.  Raises FleetError or OSError."""
+    """Run one soak; the processes' logs stay in the result's folder.  Raises FleetError or OSError."""
     for library in ("httpx", "httpcore", "asyncio"):
         standard_logging.getLogger(library).setLevel(standard_logging.CRITICAL)
     folder = Path(tempfile.mkdtemp(prefix=f"molespur-soak-{seed}-"))
--- a/molespur/system/soak/service_workers.py
+++ b/molespur/system/soak/service_workers.py
@@ -1,4 +1,4 @@
-"""The stand-in workers of a soak: started, lost, told to leave, put into moods, cut off."""
+"""The stand-in workers of a soak: starts them, and applies faults to them."""
 
 import asyncio
 from collections import Counter
@@ -10,25 +10,25 @@
 from .fleet import WORKER_BACK_PART, WORKER_PART, SoakFleet, control_addresses
 from .model_worker import DECODE, PREFILL, ModelWorker
 from .operators import MODEL_SERVICE, SERVICE
-from .plain_worker import Mood, PlainWorker
-from .plan import Event, Trouble
+from .plain_worker import Behavior, PlainWorker
+from .plan import Event, Fault
 from .records import Arrival, BrokenOff, Deed, Goodbye, Log, WorkerEnded
 
 PLAIN_WORKERS, MODEL_WORKERS = 4, 5
 IN_ORDER_SHARE = 0.5  # of the services that are thinned out: their workers leave, the others' are lost
-LEAST_STAYING = 3  # of a service: with fewer nothing is done to one
+MIN_REMAINING = 3  # workers of a service below which none gets a fault
 HOSTS_A_PART = 250
-LONGEST_MOOD_S = 3.0  # a request has 4 s
-MOODS = {
-    Trouble.WORKER_REST: Mood.REST,
-    Trouble.WORKER_SLOW: Mood.SLOW,
-    Trouble.WORKER_REFUSE: Mood.REFUSE,
-    Trouble.WORKER_BREAK: Mood.BREAK,
+MAX_BEHAVIOR_S = 3.0  # a request has 4 s
+BEHAVIORS = {
+    Fault.WORKER_REST: Behavior.REST,
+    Fault.WORKER_SLOW: Behavior.SLOW,
+    Fault.WORKER_REFUSE: Behavior.REFUSE,
+    Fault.WORKER_BREAK: Behavior.BREAK,
 }
 
 
 class ServiceWorkers:
-    """All workers of one run; one that goes is followed by another of its service."""
+    """All workers of one run; a worker that ends is replaced by another one of its service."""
 
     def __init__(
         self,
@@ -42,8 +42,8 @@
         self.workers: dict[str, PlainWorker] = {}
         self._number = 0
 
-    def come_up(self) -> None:
-        """Start the first ones."""
+    def start_all(self) -> None:
+        """Start the initial workers."""
         for _ in range(PLAIN_WORKERS):
             self._start(SERVICE)
         for _ in range(MODEL_WORKERS):
@@ -81,7 +81,7 @@
         found = (worker for worker in self.workers.values() if worker.address == address)
         return next((worker for worker in found if isinstance(worker, ModelWorker)), None)
 
-    # -- What they note ------------------------------------------------------------------------
+    # -- What workers report --------------------------------------------------------------------
 
     def _arrived(self, worker: str, attempt: str, runs: bool) -> None:
         self.log.arrivals.append(Arrival(self.clock(), worker, attempt, runs))
@@ -92,24 +92,24 @@
     def _broke_off(self, worker: str, attempt: str) -> None:
         self.log.broken_off.append(BrokenOff(self.clock(), worker, attempt))
 
-    # -- Trouble -------------------------------------------------------------------------------
+    # -- Faults ------------------------------------------------------------------------------
 
-    def strike(self, event: Event) -> None:
-        """Do to one of them what the event says."""
+    def apply_fault(self, event: Event) -> None:
+        """Apply the fault of an event to one worker."""
         staying = [worker for worker in self.workers.values() if not worker.leaving.is_set()]
         if not staying:
             return
         worker = staying[int(event.choice * len(staying))]
-        if sum(other.service == worker.service for other in staying) < LEAST_STAYING:
+        if sum(other.service == worker.service for other in staying) < MIN_REMAINING:
             return
-        self.met[event.trouble.value] += 1
-        if event.trouble in MOODS:
-            worker.change_mood(MOODS[event.trouble], min(event.for_s, LONGEST_MOOD_S))
-        elif event.trouble in plan.WORKER_LINKS:
-            self.spawn(self._strike_links(worker, event))
+        self.met[event.fault.value] += 1
+        if event.fault in BEHAVIORS:
+            worker.set_behavior(BEHAVIORS[event.fault], min(event.for_s, MAX_BEHAVIOR_S))
+        elif event.fault in plan.WORKER_LINK_FAULTS:
+            self.spawn(self._disturb_links(worker, event))
         else:
             self._start(worker.service)
-            (worker.leaving if event.trouble is Trouble.WORKER_DRAIN else worker.down).set()
+            (worker.leaving if event.fault is Fault.WORKER_DRAIN else worker.down).set()
 
     def thin_out(self, random: Random) -> None:
         """Take away all workers of each service but one: all at once, or each in order.
@@ -130,14 +130,14 @@
                 if worker is not last:
                     (worker.leaving if in_order else worker.down).set()
 
-    async def _strike_links(self, worker: PlainWorker, event: Event) -> None:
-        """What a worker sends and gets is held up for a moment, or its connections break."""
-        if event.trouble is Trouble.WORKER_RESET:
+    async def _disturb_links(self, worker: PlainWorker, event: Event) -> None:
+        """Reset the connections of a worker, or cut it off from schedulers for a while."""
+        if event.fault is Fault.WORKER_RESET:
             self.fleet.note(worker.name, Deed.RESET)
             self.fleet.line.reset(worker.name)
             return
         self.fleet.note(worker.name, Deed.CUT)
         self.fleet.line.cut_from_strangers(worker.name)
-        await asyncio.sleep(min(event.for_s, LONGEST_MOOD_S))
+        await asyncio.sleep(min(event.for_s, MAX_BEHAVIOR_S))
         self.fleet.line.heal(worker.name)
         self.fleet.note(worker.name, Deed.HEAL)
--- a/molespur/system/soak/watch.py
+++ b/molespur/system/soak/watch.py
@@ -1,4 +1,4 @@
-"""What a soak looks at beside its clients: routes probed after a change, versions and use of each process."""
+"""Observes the fleet during a soak: probes of changed routes, versions and resource use of processes."""
 
 import asyncio
 from collections.abc import Callable, Coroutine
@@ -14,12 +14,12 @@
 
 LOOK_S = 0.1
 SAMPLE_S = 1.0
-PROBE_AFTER_S = 2.05  # the promise of propagation, and a little
+PROBE_AFTER_S = 2.05  # the propagation bound, with a margin
 PROBE_S = 3.0
 
 
 class RouteProbes:
-    """Asks every scheduler for a route that was added or removed, once the change has to be in force."""
+    """Requests added and removed routes at every scheduler once the change has to be in force."""
 
     def __init__(
         self,
@@ -32,7 +32,7 @@
         self._number = 0
 
     def later(self, change: Change) -> None:
-        """A change was taken: probe its routes in time."""
+        """Schedule the probes of an accepted change."""
         for route in (*change.added, *change.removed):
             self.spawn(self._probe(route))
 
@@ -59,7 +59,7 @@
 
 
 class ProcessWatch:
-    """Notes who ends by itself, what each process uses, and the version that it has in force."""
+    """Records unexpected exits, and resource use and configuration version of each process."""
 
     def __init__(self, fleet: SoakFleet, log: Log, clock: Callable[[], float]):
         self.fleet, self.log, self.clock = fleet, log, clock
--- a/tests/system/test_soak_parts.py
+++ b/tests/system/test_soak_parts.py
@@ -24,27 +24,29 @@
 
 
 def test_the_course_follows_from_the_seed():
-    assert plan.make(5, LENGTH_S) == plan.make(5, LENGTH_S) != plan.make(6, LENGTH_S)
+    assert (
+        plan.create_events(5, LENGTH_S) == plan.create_events(5, LENGTH_S) != plan.create_events(6, LENGTH_S)
+    )
 
 
-def test_all_kinds_of_trouble_come():
-    met = {event.trouble for seed in range(10) for event in plan.make(seed, LENGTH_S)}
-    assert met == set(plan.Trouble)
+def test_all_kinds_of_faults_come():
+    met = {event.fault for seed in range(10) for event in plan.create_events(seed, LENGTH_S)}
+    assert met == set(plan.Fault)
 
 
 @pytest.mark.parametrize("seed", range(10))
 def test_one_control_machine_is_lost_at_a_time(seed):
     lost = [
         event
-        for event in plan.make(seed, LENGTH_S)
-        if event.trouble in plan.CONTROL_TROUBLES and event.trouble not in plan.HARMLESS
+        for event in plan.create_events(seed, LENGTH_S)
+        if event.fault in plan.CONTROL_FAULTS and event.fault not in plan.HARMLESS
     ]
     for earlier, later in itertools.pairwise(lost):
         assert later.at >= earlier.at + earlier.for_s + plan.SYNC_S
 
 
-def test_schedulers_are_troubled_in_series_that_overlap():
-    events = [e for e in plan.make(3, LENGTH_S) if e.trouble in plan.SCHEDULER_TROUBLES]
+def test_scheduler_faults_come_in_series_that_overlap():
+    events = [e for e in plan.create_events(3, LENGTH_S) if e.fault in plan.SCHEDULER_FAULTS]
     together = [b for a, b in itertools.pairwise(events) if b.at < a.at + a.for_s]
     assert len(together) > len(events) / 4
 
@@ -145,7 +147,7 @@
 def test_in_the_end_one_worker_of_each_service_is_left_and_the_last_model_worker_reads(seed):
     async def scenario():
         workers = FakeWorkers(None, Log(), None, Counter(), None)
-        workers.come_up()
+        workers.start_all()
         workers.thin_out(Random(seed))
         left = [w for w in workers.workers.values() if not (w.leaving.is_set() or w.down.is_set())]
         assert [worker.service for worker in left] == [SERVICE, MODEL_SERVICE]
