--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -32,9 +32,9 @@
 
 
 class CalmSoak(Soak):
-    """A soak in which nothing is done to anybody."""
+    """A soak without faults."""
 
-    async def _trouble(self) -> None:
+    async def _inject_faults(self) -> None:
         await asyncio.sleep(self.length_s)
 
 
