--- a/molespur/system/soak/checker.py
+++ b/molespur/system/soak/checker.py
@@ -267,12 +267,18 @@
 
 
 def _memory_is_given_back(index: _Index) -> Iterator[Finding]:
-    """Memory that nobody takes is freed: its scheduler was in no trouble, and its worker was reached."""
+    """Memory that nobody takes is freed: its scheduler was in no trouble, and its worker was reached.
+
+    Memory that a worker reads only after the request has ended is known to nobody but that worker.
+    """
+    read_at = {(e.worker, e.handle): e.at for e in index.log.handles if e.deed is HandleDeed.READ}
     exchanges = {exchange.attempt: exchange for exchange in index.log.exchanges}
     for event in index.log.handles:
         exchange = exchanges.get(event.attempt)
         if event.deed is not HandleDeed.LAPSED or exchange is None:
             continue
+        if read_at.get((event.worker, event.handle), exchange.ended_at) > exchange.ended_at:
+            continue
         since = event.at - LAPSE_S
         hard = (Deed.RESET, Deed.CUT, Deed.HEAL)
         disturbed = index.troubled(event.worker, since - IN_TOUCH_S, event.at, hard)
--- a/tests/system/test_soak_checker.py
+++ b/tests/system/test_soak_checker.py
@@ -131,6 +131,9 @@
         exchanges=[model()], arrivals=[ran()], handles=[memory(READ, 10.0), memory(TAKEN, 10.02)]
     ),
     "memory that is given back": log(handles=[memory(READ, 10.0), memory(FREED, 10.5)]),
+    "memory that is read after its request has ended": log(
+        exchanges=[model()], handles=[memory(READ, 10.2), memory(LAPSED, 15.2)]
+    ),
     "memory that lapses with its scheduler": log(
         exchanges=[model()],
         handles=[memory(READ, 10.0), memory(LAPSED, 15.0)],
