Test of the fault line: nets of their own, since the tests run at the same time

test_what_a_cut_holds_up_goes_on_once_it_heals failed once (-n 3). Trace: OSError 98, both tests of the fault line listen at 127.0.31.2:18990, and under xdist they run at the same time: 6 of 8 runs of the two with -n 2 failed, 0 of 6 after.

--- a/tests/system/test_soak_parts.py
+++ b/tests/system/test_soak_parts.py
@@ -20,7 +20,6 @@
 
 LENGTH_S = 300.0
 PORT = 18990
-FRONT, BACK, OTHER = "127.0.31.1", "127.0.31.2", "127.0.31.3"
 
 
 def test_the_course_follows_from_the_seed():
@@ -51,18 +50,19 @@
     assert len(together) > len(events) / 4
 
 
-async def connected(line, scenario):
-    """An echo behind the line, and a connection to it from the other process."""
+async def connected(line, scenario, net):
+    """An echo behind the line, and a connection to it from the other process, on addresses of this net."""
+    front, back, other = (f"{net}.{number}" for number in (1, 2, 3))
 
     async def echo(reader, writer):
         while data := await reader.read(100):
             writer.write(data.upper())
         writer.close()
 
-    server = await asyncio.start_server(echo, BACK, PORT)
-    await line.serve("core", FRONT, BACK, PORT)
-    line.know("other", OTHER)
-    reader, writer = await asyncio.open_connection(FRONT, PORT, local_addr=(OTHER, 0))
+    server = await asyncio.start_server(echo, back, PORT)
+    await line.serve("core", front, back, PORT)
+    line.know("other", other)
+    reader, writer = await asyncio.open_connection(front, PORT, local_addr=(other, 0))
     try:
         async with asyncio.timeout(10):
             await scenario(reader, writer)
@@ -72,9 +72,10 @@
         server.close()
 
 
-def play(scenario):
+def play(scenario, net):
+    """Run a scenario; tests that run at the same time need different nets."""
     line = FaultLine()
-    asyncio.run(connected(line, lambda *ends: scenario(line, *ends)))
+    asyncio.run(connected(line, lambda *ends: scenario(line, *ends), net))
 
 
 def test_what_a_cut_holds_up_goes_on_once_it_heals():
@@ -89,7 +90,7 @@
         line.heal("core")
         assert await waiting == b"B"
 
-    play(scenario)
+    play(scenario, "127.0.31")
 
 
 def test_a_reset_breaks_the_connections_of_a_process():
@@ -100,7 +101,7 @@
         with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
             await reader.readexactly(1)
 
-    play(scenario)
+    play(scenario, "127.0.32")
 
 
 def test_two_soaks_of_one_seed_have_nets_of_their_own(tmp_path):
