--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,16 @@
 __all__ = ["pytest_collection_modifyitems"]
 pytest_plugins = ["pytester"]
 
+CROWDS = "crowds"  # tests that measure memory: played one at a time, when they are named
+
+
+def pytest_ignore_collect(collection_path, config):
+    """Leave the crowds out unless they are asked for."""
+    if collection_path.name == CROWDS and not any(CROWDS in argument for argument in config.args):
+        return True
+    return None
+
+
 settings.register_profile("repeatable", derandomize=True, database=None, deadline=None)
 settings.register_profile("explore", derandomize=False, database=None, deadline=None, print_blob=True)
 settings.load_profile("repeatable")
