All HTTP listeners: what callers make a process hold is charged to one budget where it arrives

Cause: memory was counted for complete bodies only, above hypercorn. Each connection held up to 320 KiB read ahead that nobody counted, its socket as much as the kernel allows, connections had no bound, and the two listeners of quart (control plane, readiness) no budget at all: quart collects a body whether its handler reads it or not.

Change: package inbound/, one HTTP server for all listeners, on hypercorn's protocol. A connection is charged at its acceptance for its objects and receive buffer (sockets have a small one, inherited from the listener, so also while they wait to be accepted), a request when its head has come, bytes of unfinished heads and unread responses as they grow, a body before it is read. Without room idle connections give way, the oldest first, then unfinished heads and clients that do not read; a request without room is 503 with Retry-After. While memory is contended, bodies without progress for a second are 503 as well, and responses that nobody takes are cut off; at the latest after IdleTimeoutMs. Half of MaxOpenFiles less 200 is for accepted connections. HTTP/2 and WebSocket are not spoken. A request sent ahead no longer keeps a closed connection's tasks and socket; a queue that the application does not read no longer holds up the end of its request.

Moved: memory, request_body, client_server, serving -> inbound/.

Tests changed: names of modules and classes; a fake writer has no transport.

--- a/molespur/system/control_plane/http.py
+++ b/molespur/system/control_plane/http.py
@@ -6,13 +6,16 @@
 from quart import Quart, Response, request
 
 from ..errors import ErrorKind, FleetError
+from ..inbound.bounded_app import BodyPolicy, BoundedApp
+from ..inbound.memory import MemoryBudget
+from ..inbound.server import serve
 from ..metrics import CONTENT_TYPE, Metric, exposition
-from ..serving import serve
 from .calls import ControlCalls, worker_from_registration
 
-__all__ = ["create_app", "error_response", "serve"]
+__all__ = ["bounded_app", "create_app", "error_response", "serve"]
 
 MAX_CONFIGURATION_BYTES = 8 << 20
+CONFIGURATION_PATH = "/api/config"
 JSON = "application/json"
 
 
@@ -41,7 +44,7 @@
         await calls.remove(worker_id)
         return Response("{}", content_type=JSON)
 
-    @app.put("/api/config")
+    @app.put(CONFIGURATION_PATH)
     async def put_configuration() -> Response:
         owner = await calls.configuration_owner()
         if owner is not None:
@@ -75,3 +78,16 @@
         return Response(exposition(metrics()), content_type=CONTENT_TYPE)
 
     return app
+
+
+CONFIGURATION_BODIES = BodyPolicy(max_body_bytes=MAX_CONFIGURATION_BYTES)
+OTHER_BODIES = BodyPolicy()
+
+
+def bounded_app(calls: ControlCalls, metrics: Callable[[], list[Metric]], memory: MemoryBudget) -> BoundedApp:
+    """The application with the bodies of its requests within the memory budget."""
+    return BoundedApp(create_app(calls, metrics), memory, _body_policy)
+
+
+def _body_policy(path: str) -> BodyPolicy:
+    return CONFIGURATION_BODIES if path == CONFIGURATION_PATH else OTHER_BODIES
--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -7,6 +7,9 @@
 from absl import logging
 
 from ..feed.source import FeedSource
+from ..inbound.connections import client_connections
+from ..inbound.figures import connection_metrics, memory_metrics
+from ..inbound.memory import MemoryBudget, budget_bytes
 from ..membership.announcements import Announcement, AnnouncementSchedule
 from ..membership.schedulers import SchedulerMonitor
 from ..metrics import Metric
@@ -56,6 +59,8 @@
         )
         self.feed = FeedSource(self.host, clock, self.calls.read_barrier)
         self.orders = PhaseOrders(settings, self.host, self.calls, self.schedulers, clock)
+        self.memory = MemoryBudget(budget_bytes(settings.limits.memory_mb))
+        self.connections = client_connections(self.memory, settings.limits.max_open_files)
         self.channels: set[Channel] = set()
         self.announcements = AnnouncementSchedule()
         self.host.on_change = self.feed.changed
@@ -67,7 +72,7 @@
     def metrics(self) -> list[Metric]:
         """The current metrics."""
         failed_writes = self.host.writer.failures if self.host.writer is not None else 0
-        return metrics(
+        own = metrics(
             self.host,
             self.feed,
             self.schedulers,
@@ -76,6 +81,7 @@
             failed_writes,
             clock(),
         )
+        return own + memory_metrics(self.memory) + connection_metrics(self.connections)
 
     async def run(self) -> None:
         """Serve until a stop is requested."""
@@ -96,9 +102,8 @@
 
     async def _serve(self, http_stop: asyncio.Event) -> None:
         http = await import_in_steps("molespur.system.control_plane.http")
-        await http.serve(
-            http.create_app(self.calls, self.metrics), self.settings.listen["ControlPlane"], http_stop
-        )
+        app = http.bounded_app(self.calls, self.metrics, self.memory)
+        await http.serve(app, self.settings.listen["ControlPlane"], http_stop, self.connections)
 
     async def _leave(self, stop, http_stop, ended, http) -> None:
         """Wait for a stop request, then hand over leadership and end."""
--- a/molespur/system/data_plane/figures.py
+++ b/molespur/system/data_plane/figures.py
@@ -4,9 +4,10 @@
 from collections.abc import Callable
 
 from ..feed.follower import FeedFollower
+from ..inbound.figures import memory_metrics
+from ..inbound.memory import MemoryBudget
 from ..metrics import Metric, MetricKind, counter, gauge
 from ..rpc import traffic
-from .memory import MemoryBudget
 from .request_counts import RequestCounts
 from .state import DataPlaneState
 from .upstream import Upstreams
@@ -66,9 +67,7 @@
         ),
         counter("worker_connections_opened", "Connections opened to workers.", upstreams.total_opened),
         gauge("open_requests", "Requests of clients under way.", open_requests()),
-        gauge("body_memory_bytes", "Memory for bodies of requests and responses, in use.", memory.used),
-        gauge("body_memory_limit_bytes", "Memory for bodies, beyond which no body is read.", memory.total),
-        gauge("bodies_waiting", "Requests whose bodies wait for memory.", memory.waiting),
+        *memory_metrics(memory),
         gauge(
             "configuration_version", "Version in force; 0 before the first.", state.configuration_version()
         ),
--- a/molespur/system/data_plane/http.py
+++ b/molespur/system/data_plane/http.py
@@ -5,13 +5,16 @@
 
 from quart import Quart, Response
 
+from ..inbound.bounded_app import BodyPolicy, BoundedApp
+from ..inbound.memory import MemoryBudget
+from ..inbound.server import HttpServer, serve
 from ..metrics import CONTENT_TYPE, Metric, exposition
-from ..serving import serve
-from .client_server import ClientServer
 from .endings import ResponseAborted
 from .ingress import Ingress
 
-__all__ = ["ClientServer", "IngressApp", "readiness_app", "serve"]
+__all__ = ["BoundedApp", "HttpServer", "IngressApp", "bounded_readiness_app", "readiness_app", "serve"]
+
+READINESS_BODIES = BodyPolicy(max_body_bytes=4096)
 
 
 class _ClientConnection:
@@ -48,3 +51,10 @@
         return Response("ready\n") if is_ready() else Response("not ready\n", 503)
 
     return app
+
+
+def bounded_readiness_app(
+    is_ready: Callable[[], bool], metrics: Callable[[], list[Metric]], memory: MemoryBudget
+) -> BoundedApp:
+    """The same, with the bodies of its requests within the memory budget."""
+    return BoundedApp(readiness_app(is_ready, metrics), memory, lambda _path: READINESS_BODIES)
--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -6,11 +6,11 @@
 from typing import Protocol
 
 from ..errors import REFUSED_BY_CONFIGURATION, ErrorKind, FleetError
+from ..inbound.request_body import ClientDisconnected, RequestBody, declared_length, respond_while_discarding
 from ..settings.configuration import Route, Service
 from .client_call import ClientCall
 from .client_request import ClientRequest, demand_of, read_head
 from .endings import EndReason, ResponseAborted
-from .request_body import ClientDisconnected, RequestBody, declared_length, respond_while_discarding
 from .serving_context import ServingContext
 from .state import DataPlaneState
 from .upstream import Upstreams
--- a/molespur/system/data_plane/role.py
+++ b/molespur/system/data_plane/role.py
@@ -8,6 +8,8 @@
 from absl import logging
 
 from ..feed.follower import FeedFollower
+from ..inbound.connections import client_connections, probe_connections
+from ..inbound.figures import connection_metrics
 from ..metrics import Metric
 from ..settings.process import ProcessSettings
 from ..signals import (
@@ -61,6 +63,9 @@
         self.upstreams = Upstreams()
         self.follower = FeedFollower(settings, clock, random, self.state.update, self.state.loads)
         self.ingress = Ingress(self.state, self.upstreams, clock, self.follower)
+        memory = self.ingress.memory
+        self.probes = probe_connections(memory)
+        self.connections = client_connections(memory, settings.limits.max_open_files)
         self.reports = ReportPoller(self.state, self.upstreams, clock, random)
         self.peers = PeerSocket(settings.peer_address, self.state.peer_work, clock)
         self.peers.count_schedulers = lambda: self.follower.schedulers
@@ -75,7 +80,7 @@
     def metrics(self) -> list[Metric]:
         """All metrics with their current values."""
         ingress = self.ingress
-        return metrics(
+        own = metrics(
             self.state,
             ingress.counts,
             self.upstreams,
@@ -83,6 +88,7 @@
             ingress.memory,
             lambda: ingress.open_requests,
         )
+        return own + connection_metrics(self.connections)
 
     async def run(self) -> None:
         """Serve until a signal to stop, and then until all open requests have ended."""
@@ -116,13 +122,13 @@
         http = await self._http
         logging.info("data plane %s is starting", self.settings.node_name)
         app = http.IngressApp(self.ingress)
-        server = http.ClientServer(app, lambda: self.state.limits)
+        server = http.HttpServer(app, lambda: self.state.limits, self.connections)
         await server.serve(self.settings.listen["Frontend"], closing, grace_s)
 
     async def _serve_readiness(self, ended: asyncio.Event) -> None:
         http = await self._http
-        app = http.readiness_app(self.is_ready, self.metrics)
-        await http.serve(app, self.settings.listen["Readiness"], ended)
+        app = http.bounded_readiness_app(self.is_ready, self.metrics, self.ingress.memory)
+        await http.serve(app, self.settings.listen["Readiness"], ended, self.probes)
 
     async def _leave(self, stop, delay_s: float, closing, ended, ingress, readiness) -> None:
         """Wait for a signal to stop, then serve on until the platform sends no more clients here."""
--- a/molespur/system/data_plane/serving_context.py
+++ b/molespur/system/data_plane/serving_context.py
@@ -6,8 +6,8 @@
 from itertools import count
 
 from ..errors import ERROR_RESPONSES, ErrorKind
+from ..inbound.memory import MemoryBudget, budget_bytes
 from ..settings.configuration import Service
-from .memory import MemoryBudget, budget_bytes
 from .request_counts import RequestCounts
 from .state import DataPlaneState
 from .upstream import CLOSE_CONNECTION, UpstreamError, Upstreams
--- a/molespur/system/data_plane/upstream.py
+++ b/molespur/system/data_plane/upstream.py
@@ -12,9 +12,9 @@
 from ..faults import FaultPoint, trigger
 from .exchange_messages import Failure
 from .pool import ConnectionPool
-from .request_body import BodyStream
 
 MAX_BODY_BYTES = 8 << 20
+PIECE_BYTES = 64 << 10  # of a body on its way to a worker
 NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 BROKEN_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
 
@@ -88,6 +88,18 @@
         await self._stream.aclose()
 
 
+class BodyStream(httpx.AsyncByteStream):
+    """A body on its way to a worker, in pieces: what the worker does not take stays in the one copy."""
+
+    def __init__(self, body: bytes | bytearray):
+        self._body = memoryview(body)
+
+    async def __aiter__(self) -> AsyncIterator[memoryview]:
+        """The pieces, in order."""
+        for start in range(0, len(self._body), PIECE_BYTES):
+            yield self._body[start : start + PIECE_BYTES]
+
+
 class UpstreamResponse:
     """A response whose body is yet to be read."""
 
--- a/molespur/system/demo/worker.py
+++ b/molespur/system/demo/worker.py
@@ -7,7 +7,7 @@
 import httpx
 from quart import Quart, Response, request
 
-from ..serving import serve
+from ..inbound.server import serve
 from .engine import PREFILL, Engine
 
 HEARTBEAT_S = 0.8
--- a/molespur/system/early_listener.py
+++ b/molespur/system/early_listener.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 
 BACKLOG = 1024  # maximum connections in the accept queue
+RECEIVE_BUFFER_BYTES = 16 << 10  # option of the sockets; the kernel lets 24 KiB arrive unread
+SEND_BUFFER_BYTES = 32 << 10  # option of the sockets
 _opened: dict[str, socket.socket] = {}
 
 
@@ -32,6 +34,9 @@
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # its connections inherit these, also those that wait to be accepted
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         listener.bind((host, int(port)))
         listener.listen(BACKLOG)
         listener.setblocking(False)
--- a/molespur/system/data_plane/memory.py
+++ b/molespur/system/inbound/memory.py
@@ -1,20 +1,28 @@
-"""The memory budget of a scheduler for request bodies and buffered responses.  No I/O.
+"""The memory budget of a process for all that its callers make it hold.  No I/O.
 
-A body is charged before it is read.  While there is no room for it, nothing of it is read, and its client is
-held back by TCP.  Small bodies have a reserve of their own, so they pass by large ones that wait.
+Connections, requests, bodies and buffered responses are charged to one budget.  A body is charged before it
+is read.  While there is no room for it, nothing of it is read, and its client is held back by TCP.  Small
+bodies have a reserve of their own, so they pass by large ones that wait.
+
+When a charge does not fit, connections that serve no request are closed first (`room_makers`).  While memory
+is contended, clients that make no progress lose what they hold.
 """
 
 import asyncio
+import time
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 BYTES_PER_MB = 1_000_000
-PROCESS_BYTES = 64 * BYTES_PER_MB  # of the process without bodies: code, state, connections
-# share of the rest; the other half is for socket buffers, for copies on their way, and for fragmentation
+PROCESS_BYTES = 64 * BYTES_PER_MB  # of the process without callers: code and state
+# share of the rest; the other half is for copies on their way and for fragmentation
 BUDGET_SHARE = 0.5
 MIN_BUDGET_BYTES = 8 * BYTES_PER_MB
 SMALL_BODY_BYTES = 64 << 10
 SMALL_RESERVE_SHARE = 1 / 8  # of the budget, for small bodies only
+CONTENTION_S = 2.0  # memory counts as contended for this long after a charge did not fit
+STALL_S = 1.0  # a client without progress for this long gives way while memory is contended
 
 
 def budget_bytes(memory_mb: float) -> int:
@@ -31,8 +39,16 @@
 
     def resize(self, size: int) -> None:
         """Use more or less.  What is more does not wait: it has been received already."""
-        self._budget._use(size - self.size)
-        self.size = size
+        change, self.size = size - self.size, size
+        self._budget._use(change)
+
+    def try_resize(self, size: int, large: bool = False) -> bool:
+        """Use more if there is room for it; `large`: without the reserve for small bodies."""
+        growth = size - self.size
+        if growth > 0 and not self._budget._has_room(growth, large):
+            return False
+        self.resize(size)
+        return True
 
     def release(self) -> None:
         """Return all of it; again has no effect."""
@@ -48,12 +64,19 @@
 
 
 class MemoryBudget:
-    """Bytes that all requests together may hold.  Large bodies are admitted in the order of their arrival."""
+    """Bytes that all callers together may hold.  Large bodies are admitted in the order of their arrival.
+
+    `room_makers` are called with the bytes that are missing; they may close connections to return memory.
+    `clock`: seconds on a monotonic clock.
+    """
 
-    def __init__(self, total: int):
+    def __init__(self, total: int, clock: Callable[[], float] = time.monotonic):
         self.total = total
         self.used = 0
         self.max_large = total - int(SMALL_RESERVE_SHARE * total)
+        self.room_makers: list[Callable[[int], None]] = []
+        self._clock = clock
+        self._denied_at = float("-inf")
         self._waiting: deque[_Waiter] = deque()
 
     @property
@@ -61,13 +84,23 @@
         """The number of reservations that wait for room."""
         return len(self._waiting)
 
+    @property
+    def is_contended(self) -> bool:
+        """Whether callers wait for memory, or were denied some a moment ago."""
+        return bool(self._waiting) or self._clock() - self._denied_at < CONTENTION_S
+
+    def record_denied(self) -> None:
+        """A caller was refused for want of memory or descriptors."""
+        self._denied_at = self._clock()
+
     async def reserve(self, size: float) -> Reservation:
         """Reserve room for a body, waiting until there is some.
 
         A body that is larger than the budget takes all that large ones may have, and so is held alone.
         """
         size = int(min(size, self.max_large))
-        if self._fits(size) and (_is_small(size) or not self._large_waits()):
+        small = _is_small(size)
+        if (small or not self._large_waits()) and self._has_room(size, not small):
             self.used += size
             return Reservation(self, size)
         waiter = _Waiter(size, asyncio.get_running_loop().create_future())
@@ -81,9 +114,28 @@
 
     def charge(self, size: int) -> Reservation:
         """Count bytes that are received in any case; the budget may be exceeded, and new bodies wait."""
+        self._use(size)
+        return Reservation(self, size)
+
+    def try_charge(self, size: int) -> Reservation | None:
+        """Count bytes if there is room for them."""
+        if not self._has_room(size, large=False):
+            return None
         self.used += size
         return Reservation(self, size)
 
+    def _has_room(self, size: int, large: bool) -> bool:
+        """Whether so many bytes more fit, after room has been made if they did not."""
+        limit = self.max_large if large else self.total
+        for make_room in self.room_makers:
+            missing = self.used + size - limit
+            if missing > 0:
+                make_room(missing)
+        if self.used + size <= limit:
+            return True
+        self.record_denied()
+        return False
+
     def _fits(self, size: int) -> bool:
         return self.used + size <= (self.total if _is_small(size) else self.max_large)
 
@@ -95,6 +147,8 @@
         self.used += size
         if size < 0:
             self._grant_waiting()
+        elif size > 0 and self.used > self.total:
+            self._has_room(0, large=False)
 
     def _withdraw(self, waiter: _Waiter) -> None:
         if waiter in self._waiting:
--- a/molespur/system/data_plane/request_body.py
+++ b/molespur/system/inbound/request_body.py
@@ -1,21 +1,26 @@
-"""Reads the body of a client's request into memory that is reserved first, and discards refused ones."""
+"""Reads the body of a request into memory that is reserved first, and discards refused ones."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
-
-import httpx
+from typing import Protocol
 
 from ..errors import ErrorKind, FleetError
-from ..settings.configuration import Limits
-from .memory import SMALL_BODY_BYTES, MemoryBudget, Reservation
+from .memory import SMALL_BODY_BYTES, STALL_S, MemoryBudget, Reservation
 
-PIECE_BYTES = 64 << 10  # of a body on its way to a worker
+MIN_PROGRESS_BYTES = 16 << 10  # of a body in STALL_S; with less it gives way while memory is contended
 MAX_MEMORY_WAIT_SHARE = 0.5  # of the time until the request's deadline
 
 Receive = Callable[[], Awaitable[dict]]
 
 
+class BodyLimits(Protocol):
+    """What a body may take (`Limits` of the operator's configuration, or those of a control-plane path)."""
+
+    max_body_bytes: int
+    idle_timeout_s: float
+
+
 class ClientDisconnected(Exception):
     """The client has closed its connection."""
 
@@ -31,13 +36,23 @@
 class RequestBody:
     """The body of one request, and the memory reserved for it.
 
-    `declared`: the length (bytes) that its head states, None if the body comes in chunks.
+    `declared`: the length (bytes) that its head states, None if the body comes in chunks.  `copies`: how many
+    times its length is held while it is processed.
     """
 
-    def __init__(self, receive: Receive, declared: int | None, limits: Limits, memory: MemoryBudget):
-        self._receive, self._declared, self._memory = receive, declared, memory
+    def __init__(
+        self,
+        receive: Receive,
+        declared: int | None,
+        limits: BodyLimits,
+        memory: MemoryBudget,
+        copies: int = 1,
+    ):
+        self._receive, self._declared, self._memory, self._copies = receive, declared, memory, copies
         self._max_bytes, self._idle_timeout_s = limits.max_body_bytes, limits.idle_timeout_s
         self._reservation: Reservation | None = None
+        self._progress_since = 0.0  # loop time
+        self._progress_bytes = 0
         self.is_complete = False  # the client has sent all of it
 
     async def read(self, deadline_ms: float) -> bytes | bytearray:
@@ -47,21 +62,31 @@
         """
         if self._declared is not None and self._declared > self._max_bytes:
             raise FleetError(ErrorKind.BODY_TOO_LARGE)
+        expected = SMALL_BODY_BYTES if self._declared is None else self._declared
         try:
             async with asyncio.timeout(min(self._idle_timeout_s, deadline_ms / 1000.0)):
-                if self._declared:
-                    await self._reserve(self._declared, deadline_ms)
+                if expected:
+                    await self._reserve(expected, deadline_ms)
                 return await self._read(deadline_ms)
         except TimeoutError as error:
             raise FleetError(ErrorKind.BODY_TOO_SLOW) from error
 
+    def try_hold(self, size: int) -> bool:
+        """Reserve so many bytes in all, if there is room; False if there is none."""
+        if self._reservation is None:
+            self._reservation = self._memory.charge(0)
+        return size <= self._reservation.size or self._reservation.try_resize(size)
+
     async def _reserve(self, size: float, deadline_ms: float) -> None:
         """Reserve memory; only the wait for it is limited here.  Raises FleetError(NO_MEMORY)."""
         try:
             async with asyncio.timeout(MAX_MEMORY_WAIT_SHARE * deadline_ms / 1000.0):
-                self._reservation = await self._memory.reserve(size)
+                reservation = await self._memory.reserve(self._copies * size)
         except TimeoutError as error:
             raise FleetError(ErrorKind.NO_MEMORY) from error
+        self.release()
+        self._reservation = reservation
+        self._progress_since, self._progress_bytes = asyncio.get_running_loop().time(), 0
 
     async def _read(self, deadline_ms: float) -> bytes | bytearray:
         first = await self._next_chunk()
@@ -70,27 +95,51 @@
         if self.is_complete:
             return first
         body = bytearray(self._declared or 0)  # a declared length is allocated once, and never moved
-        size, chunk = 0, first
+        size, chunk, is_bounded = 0, first, self._declared is not None
         while True:
             if size + len(chunk) > self._max_bytes:
                 raise FleetError(ErrorKind.BODY_TOO_LARGE)
-            if self._reservation is None and size + len(chunk) > SMALL_BODY_BYTES:
+            if not is_bounded and size + len(chunk) > SMALL_BODY_BYTES:
                 await self._reserve(self._max_bytes, deadline_ms)
+                is_bounded = True
             body[size : size + len(chunk)] = chunk
             size += len(chunk)
             if self.is_complete:
                 break
             chunk = await self._next_chunk()
-        if self._declared is None and self._reservation is not None:
-            self._reservation.resize(size)
+        if self._declared is None:
+            self._reservation.resize(self._copies * size)
         return body
 
     async def _next_chunk(self) -> bytes:
-        message = await self._receive()
+        message = await self._receive_unless_stalled()
         if message["type"] == "http.disconnect":
             raise ClientDisconnected
         self.is_complete = not message.get("more_body", False)
-        return message.get("body", b"")
+        chunk = message.get("body", b"")
+        if not self.is_complete:
+            self._check_progress(len(chunk))
+        return chunk
+
+    async def _receive_unless_stalled(self) -> dict:
+        """Receive the next message.  Raises FleetError(NO_MEMORY) if none comes while memory is contended."""
+        while True:
+            try:
+                async with asyncio.timeout(STALL_S):
+                    return await self._receive()
+            except TimeoutError as error:
+                if self._memory.is_contended:
+                    raise FleetError(ErrorKind.NO_MEMORY) from error
+
+    def _check_progress(self, received: int) -> None:
+        """Raise FleetError(NO_MEMORY) if the client sends very slowly while memory is contended."""
+        self._progress_bytes += received
+        now = asyncio.get_running_loop().time()
+        if now - self._progress_since < STALL_S:
+            return
+        if self._memory.is_contended and self._progress_bytes < MIN_PROGRESS_BYTES:
+            raise FleetError(ErrorKind.NO_MEMORY)
+        self._progress_since, self._progress_bytes = now, 0
 
     async def discard(self) -> None:
         """Receive the rest without keeping it, until the server has ended the request."""
@@ -103,18 +152,6 @@
             self._reservation.release()
 
 
-class BodyStream(httpx.AsyncByteStream):
-    """A body on its way to a worker, in pieces: what the worker does not take stays in the one copy."""
-
-    def __init__(self, body: bytes | bytearray):
-        self._body = memoryview(body)
-
-    async def __aiter__(self) -> AsyncIterator[memoryview]:
-        """The pieces, in order."""
-        for start in range(0, len(self._body), PIECE_BYTES):
-            yield self._body[start : start + PIECE_BYTES]
-
-
 async def respond_while_discarding(body: RequestBody, respond: Awaitable[None]) -> None:
     """Send a response before the body has come completely; what still comes of it is discarded.
 
--- a/molespur/system/settings/process.py
+++ b/molespur/system/settings/process.py
@@ -48,6 +48,7 @@
     """What the platform grants a process."""
 
     memory_mb: float = 256.0
+    max_open_files: int = 4096
 
 
 @frozen
--- a/tests/system/mutations/breaks.py
+++ b/tests/system/mutations/breaks.py
@@ -229,7 +229,7 @@
           "return LivenessAction.CLOSE if now - self._pinged_at > REPLY_TIMEOUT_S else LivenessAction.NONE",
           "return LivenessAction.NONE",
           (TESTS + "test_channel_liveness.py",)),
-    Break("a connection that is closed with unread bytes", DATA_PLANE + "client_server.py",
+    Break("a connection that is closed with unread bytes", "molespur/system/inbound/server.py",
           "            self._linger()\n", "            await self._close()\n",
           (TESTS + "test_closing_connections.py",)),
     Break("a process that stops while it is a surplus voter", SHARDS + "membership_changes.py",
--- a/tests/system/test_client_limits.py
+++ b/tests/system/test_client_limits.py
@@ -7,7 +7,8 @@
 from wire import Client, ScriptedWorker, answer, data_plane, header, request, run
 
 from molespur.system import early_listener
-from molespur.system.data_plane.client_server import ClientServer, RequestTimer, WaitState
+from molespur.system.inbound.request_timer import RequestTimer, WaitState
+from molespur.system.inbound.server import HttpServer
 from molespur.system.settings.configuration import Limits
 
 SHORT_MS, LONG_MS = 40, 60_000
@@ -127,7 +128,7 @@
         address = f"127.0.0.1:{listener.getsockname()[1]}"
         listener.close()
         stop = asyncio.Event()
-        server = ClientServer(refuse, Limits)
+        server = HttpServer(refuse, Limits)
         serving = asyncio.create_task(server.serve(address, stop, graceful_s=LONG_MS))
         await asyncio.sleep(0)
         client = await Client.connect(int(address.rpartition(":")[2]))
--- a/tests/system/test_closing_connections.py
+++ b/tests/system/test_closing_connections.py
@@ -13,7 +13,7 @@
 from test_data_plane_wire import configuration
 from wire import Client, ScriptedWorker, answer, data_plane, request, run
 
-from molespur.system.data_plane import client_server
+from molespur.system.inbound import server as http_server
 from molespur.system.settings.configuration import Limits
 
 PIECES = 20
@@ -49,7 +49,7 @@
 
 
 def test_a_client_that_never_stops_sending_does_not_hold_the_connection(monkeypatch):
-    monkeypatch.setattr(client_server, "LINGER_S", 0.0)
+    monkeypatch.setattr(http_server, "LINGER_S", 0.0)
 
     async def scenario(client, ingress):
         ingress.stopping = True
@@ -92,10 +92,11 @@
         async def app(scope, _receive, _send):
             served.append(scope)
 
-        server = client_server.ClientServer(app, Limits)
+        server = http_server.HttpServer(app, Limits)
         reader = asyncio.StreamReader()
         writer = ClosingWriter()
-        connection = client_server.ClientConnection(server, reader, writer)
+        accepted = server.connections.admit()
+        connection = http_server.HttpConnection(server, reader, writer, accepted)
         running = asyncio.ensure_future(connection.run())
         await asyncio.sleep(0)
         reader.feed_data(request())
@@ -111,6 +112,7 @@
     """The writer of a client's connection."""
 
     closing = False
+    transport = None
 
     def get_extra_info(self, name):
         return FakeSocket() if name == "socket" else None
--- a/tests/system/test_memory_budget.py
+++ b/tests/system/test_memory_budget.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from molespur.system.data_plane.memory import (
+from molespur.system.inbound.memory import (
     MIN_BUDGET_BYTES,
     SMALL_BODY_BYTES,
     MemoryBudget,
--- a/tests/system/test_request_bodies.py
+++ b/tests/system/test_request_bodies.py
@@ -12,8 +12,8 @@
 import pytest
 from wire import Client, ScriptedWorker, answer, chunk, data_plane, header, request, run
 
-from molespur.system.data_plane import request_body
-from molespur.system.data_plane.memory import SMALL_BODY_BYTES, MemoryBudget
+from molespur.system.inbound import request_body
+from molespur.system.inbound.memory import SMALL_BODY_BYTES, MemoryBudget
 
 BODY_BYTES = 1 << 20
 MAX_BODY_BYTES = 2 << 20
--- a/tests/system/wire.py
+++ b/tests/system/wire.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from molespur.system import early_listener
-from molespur.system.data_plane.http import ClientServer, IngressApp
+from molespur.system.data_plane.http import HttpServer, IngressApp
 from molespur.system.data_plane.ingress import Ingress
 from molespur.system.data_plane.state import DataPlaneState
 from molespur.system.data_plane.upstream import Upstreams
@@ -181,7 +181,7 @@
     port = listener.getsockname()[1]
     early_listener._opened[f"127.0.0.1:{port}"] = listener
     stop = asyncio.Event()
-    server = ClientServer(IngressApp(ingress), lambda: state.limits)
+    server = HttpServer(IngressApp(ingress), lambda: state.limits)
     serving = asyncio.create_task(server.serve(f"127.0.0.1:{port}", stop, graceful_s=0.2))
     try:
         yield port, ingress
