A buffered response waits for memory, and is no work of its worker once it has been read

Callers saw: requests for long answers that nobody reads took a scheduler over its memory, and the ordinary callers beside them were refused as overloaded.

Cause: a worker's buffered response was counted as it came, beyond the budget and without a wait. A call counted as work at its worker, and held its connection, until the client had taken the response, so unread answers looked like a slow worker; the wait for the client went into its forecast.

Once it has been read whole its connection goes back to the pool and the call has ended.

--- a/molespur/system/data_plane/network.py
+++ b/molespur/system/data_plane/network.py
@@ -16,7 +16,9 @@
 UNACKNOWLEDGED_MS = 1500
 MIN_LONG_WRITE_BYTES = 32 << 10  # more may fill the receive window of a worker that does not read
 LONG_UNACKNOWLEDGED_MS = 30_000  # until such a worker responds; the request's deadline is earlier
-MAX_UNREAD_BYTES = 256 << 10  # with more unread bytes, the worker is not read from
+MAX_UNREAD_BYTES = 32 << 10  # with more unread bytes, the worker is not read from
+RECEIVE_BUFFER_BYTES = 32 << 10  # option of the sockets; the kernel lets 48 KiB arrive unread
+SEND_BUFFER_BYTES = 128 << 10  # option of the sockets
 
 
 class WorkerStream(asyncio.Protocol, httpcore.AsyncNetworkStream):
@@ -39,6 +41,8 @@
         self._transport = transport
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self._set_long_write(False)
 
     def _set_long_write(self, long: bool) -> None:
--- a/molespur/system/data_plane/upstream.py
+++ b/molespur/system/data_plane/upstream.py
@@ -3,7 +3,7 @@
 A call fails with `UpstreamError`, which states how far the call came.
 """
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 
 import httpcore
@@ -105,6 +105,7 @@
 
     def __init__(self, response: httpx.Response):
         self._response = response
+        self._is_closed = False
         self.head = Head(response.status_code, [(k.lower(), v) for k, v in response.headers.raw])
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -115,23 +116,35 @@
         except BROKEN_ERRORS as error:
             raise UpstreamError(Failure.MAY_HAVE_RUN, repr(error)) from error
 
-    async def read(self, on_size: Callable[[int], None] | None = None) -> bytearray:
+    @property
+    def max_length(self) -> int:
+        """The length (bytes) that the body may reach."""
+        declared = self.head.get(b"content-length") or b""
+        return min(int(declared), MAX_BODY_BYTES) if declared.isdigit() else MAX_BODY_BYTES
+
+    async def read(self, hold: Callable[[int], Awaitable[None]] | None = None) -> bytearray:
         """The complete body.  Raises UpstreamError when it breaks off or is too large.
 
-        `on_size` is told how many bytes have been received, each time that more have.
+        `hold` is awaited with the size that the body is about to have, each time that more has come.
         """
         body = bytearray()
         async for chunk in self.chunks():
-            body += chunk
-            if on_size is not None:
-                on_size(len(body))
-            if len(body) > MAX_BODY_BYTES:
+            size = len(body) + len(chunk)
+            if size > MAX_BODY_BYTES:
                 raise UpstreamError(Failure.MAY_HAVE_RUN, "response body is too large")
+            if hold is not None:
+                await hold(size)
+            body += chunk
         return body
 
     async def close(self) -> None:
-        """Return the connection to the pool, or close it if the response was not read to its end."""
-        await self._response.aclose()
+        """Return the connection to the pool, or close it if the response was not read to its end.
+
+        Again has no effect.
+        """
+        if not self._is_closed:
+            self._is_closed = True
+            await self._response.aclose()
 
 
 class Upstreams:
--- a/molespur/system/data_plane/worker_call.py
+++ b/molespur/system/data_plane/worker_call.py
@@ -12,6 +12,7 @@
 from ...policy.pair import Demand, Step
 from ...policy.tracking import ServingPhase
 from ..faults import FaultPoint, trigger
+from ..inbound.memory import SMALL_BODY_BYTES
 from ..settings.configuration import STREAMING, Route, Service
 from .answer_checks import check_head, is_framed, read_handle
 from .client_answer import ClientResponse
@@ -28,6 +29,7 @@
     StartPrefill,
     StartRun,
 )
+from .response_memory import ResponseMemory
 from .serving_context import ServingContext
 from .silence import SilenceTimer
 from .upstream import EXPECTED_INSTANCE, Head, UpstreamError, UpstreamResponse
@@ -38,6 +40,7 @@
 MAX_SILENCE_FACTOR = 3.0
 SILENT_AFTER_GAPS = 4.0  # a stream counts as silent after this many target gaps between events,
 MIN_STREAM_SILENCE_MS = 800.0  # but not before this
+ANSWERED = "answered"  # an outcome in the metric `worker_calls`
 HEDGE_PRIORITY = 6  # after all calls that are no hedges, whose priorities are the ranks 0 to 5
 
 
@@ -98,7 +101,7 @@
         outcome, failed = "cancelled", False
         try:
             event = await self._carry_out()
-            outcome = "answered"
+            outcome = ANSWERED
             return event
         except UpstreamError as error:
             outcome, failed = error.failure.value, error.failure is not Failure.REJECTED
@@ -108,7 +111,9 @@
             self.end(outcome, failed)
 
     def end(self, outcome: str, failed: bool = False) -> None:
-        """The call has ended, or will never start: it no longer counts as own work."""
+        """The call has ended, or will never start: it no longer counts as own work.  Again has no effect."""
+        if self.ended:
+            return
         self.ended = True
         if self.silence_timer is not None:
             self.silence_timer.stop()
@@ -157,6 +162,12 @@
         self.last_received_at = self.clock()
         self.step.worker.record_received(self.last_received_at)
 
+    def _record_response(self) -> None:
+        """A buffered response has come, or as much of it as is buffered without waiting for memory."""
+        self._on_bytes_received()
+        if self.first_response_at is None:
+            self._on_first_response()
+
     def _on_first_response(self) -> None:
         self.first_response_at = now = self.clock()
         self.policy.record_first_response(now, self.step, self.shared.demand, self.key, now - self.started_at)
@@ -240,19 +251,32 @@
 
     async def _relay_complete(self, response: UpstreamResponse) -> Event:
         """Read the response to its end before any of it goes to the client."""
-        buffered = self.shared.context.memory.charge(0)
+        memory = ResponseMemory(self.shared.context.memory, response.max_length)
+
+        async def hold(size: int) -> None:
+            if size > SMALL_BODY_BYTES:
+                self._record_response()  # a wait for memory is not the worker's
+            await memory.hold(size)
+
         try:
-            return await self._send_complete(response.head, await response.read(buffered.resize))
+            body = await response.read(hold)
+            memory.complete(len(body))
+            self._check_complete(response.head)
+            await response.close()
+            self.end(ANSWERED)  # the rest is up to the client, and no work of the worker
+            return await self._send_complete(response.head, body)
         finally:
-            buffered.release()
+            memory.release()
 
-    async def _send_complete(self, head: Head, body: bytearray) -> Event:
+    def _check_complete(self, head: Head) -> None:
+        """Raise UpstreamError if a response that has been read does not count."""
         if not is_framed(head):
             raise UpstreamError(Failure.MAY_HAVE_RUN, "response without framing headers may be truncated")
-        self._on_bytes_received()
-        self._on_first_response()
+        self._record_response()
         if head.status >= 400 and self.shared.is_racing:  # the other attempt may succeed
             raise UpstreamError(Failure.MAY_HAVE_RUN, f"status {head.status} while another attempt is open")
+
+    async def _send_complete(self, head: Head, body: bytearray) -> Event:
         self._report_progress()
         await self.shared.client_response.send_complete(head, body)
         return ResponseCompleted(self.attempt)
--- a/molespur/system/inbound/request_body.py
+++ b/molespur/system/inbound/request_body.py
@@ -79,13 +79,12 @@
 
     async def _reserve(self, size: float, deadline_ms: float) -> None:
         """Reserve memory; only the wait for it is limited here.  Raises FleetError(NO_MEMORY)."""
+        self.release()  # a body that needs the whole budget must not wait for itself
         try:
             async with asyncio.timeout(MAX_MEMORY_WAIT_SHARE * deadline_ms / 1000.0):
-                reservation = await self._memory.reserve(self._copies * size)
+                self._reservation = await self._memory.reserve(self._copies * size)
         except TimeoutError as error:
             raise FleetError(ErrorKind.NO_MEMORY) from error
-        self.release()
-        self._reservation = reservation
         self._progress_since, self._progress_bytes = asyncio.get_running_loop().time(), 0
 
     async def _read(self, deadline_ms: float) -> bytes | bytearray:
