Connections to workers share one limit from MaxOpenFiles; an idle one gives way

Callers saw: one-request-then-idle and whole-body crowds took a scheduler to the end of its descriptors (696 of 700 sockets), and ordinary requests found none for their worker.

Cause: each worker's pool has its own limit (MaxConnections); nothing bounded them together, beside the clients' connections.

--- a/molespur/system/data_plane/pool.py
+++ b/molespur/system/data_plane/pool.py
@@ -62,10 +62,43 @@
             self._pool.release(self._pooled)
 
 
+class DescriptorLimit:
+    """At most `limit` connections of all pools together; an idle one gives way to one that is needed."""
+
+    def __init__(self, limit: int):
+        self.limit = limit
+        self.open = 0
+        self.pools: set[ConnectionPool] = set()
+
+    def try_take(self) -> bool:
+        """Count a connection that is about to be opened; False if there may be no more."""
+        if self.open >= self.limit and not self._close_idle():
+            return False
+        self.open += 1
+        return True
+
+    def give_back(self) -> None:
+        """A connection has been closed, or was not opened."""
+        self.open -= 1
+
+    def wake_one(self) -> None:
+        """Let one pool whose callers wait try again."""
+        for pool in self.pools:
+            if pool.wake_one():
+                return
+
+    def _close_idle(self) -> bool:
+        return any(pool.close_idle() for pool in self.pools)
+
+
 class ConnectionPool:
     """At most `limit` connections to one address, including those that are being opened."""
 
-    def __init__(self, host: bytes, port: int, limit: int):
+    def __init__(self, host: bytes, port: int, limit: int, descriptors: DescriptorLimit | None = None):
+        """`descriptors`: a limit that it shares with other pools."""
+        self._descriptors = descriptors or DescriptorLimit(limit)
+        self._descriptors.pools.add(self)
+        self._is_removed = False
         self._origin = httpcore.Origin(b"http", host, port)
         self._network = WorkerNetwork()
         self.limit = limit
@@ -95,7 +128,7 @@
         if pooled.is_clean():
             pooled.idle_since = self._now()
             self._idle.append(pooled)
-            self._wake_one()
+            self.wake_one()
         else:
             self._close(pooled)  # a call that was cancelled twice has not closed it
 
@@ -115,6 +148,8 @@
         for pooled in self._idle:
             self._close(pooled)
         self._idle = []
+        self._is_removed = True
+        self._leave_if_removed()
         if self._closing:
             await asyncio.wait(self._closing)
 
@@ -130,7 +165,7 @@
             pooled = self._take_idle(max_idle_s)
             if pooled is not None:
                 return pooled
-            if self.open < self.limit:
+            if self.open < self.limit and self._descriptors.try_take():
                 return await self._connect()
             await self._wait(deadline)
 
@@ -153,8 +188,7 @@
             self.total_opened += 1
             stream = await self._network.connect_tcp(host, port, timeout=CONNECT_TIMEOUT_S)
         except BaseException:
-            self.open -= 1
-            self._wake_one()
+            self._count_closed()
             raise
         return PooledConnection(httpcore.AsyncHTTP11Connection(origin=self._origin, stream=stream))
 
@@ -169,26 +203,46 @@
             raise httpcore.PoolTimeout from error
         except asyncio.CancelledError:
             if waiter.done() and not waiter.cancelled():
-                self._wake_one()  # it was woken but can't use the free connection
+                self.wake_one()  # it was woken but can't use the free connection
             raise
         finally:
             if waiter in self._waiting:
                 self._waiting.remove(waiter)
 
-    def _wake_one(self) -> None:
+    def _leave_if_removed(self) -> None:
+        if self._is_removed and not self.open:
+            self._descriptors.pools.discard(self)
+
+    def wake_one(self) -> bool:
+        """Let one caller that waits for a connection try again; False if none waits."""
         while self._waiting:
             waiter = self._waiting.popleft()
             if not waiter.done():
                 waiter.set_result(None)
-                return
+                return True
+        return False
+
+    def close_idle(self) -> bool:
+        """Close the connection that has been idle for the longest time; False if none is idle."""
+        if not self._idle:
+            return False
+        self._close(self._idle.pop(0))
+        return True
 
     def _close(self, pooled: PooledConnection) -> None:
-        self.open -= 1
+        self._count_closed()
         if not pooled.connection.is_closed():
             task = asyncio.get_running_loop().create_task(pooled.connection.aclose())
             self._closing.add(task)
             task.add_done_callback(self._closing.discard)
-        self._wake_one()
+
+    def _count_closed(self) -> None:
+        """A connection has been closed, or was not opened: another may be."""
+        self.open -= 1
+        self._descriptors.give_back()
+        self._leave_if_removed()
+        if not self.wake_one():
+            self._descriptors.wake_one()
 
 
 def max_idle_after(headers: list[tuple[bytes, bytes]]) -> float:
--- a/molespur/system/data_plane/role.py
+++ b/molespur/system/data_plane/role.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from ..feed.follower import FeedFollower
-from ..inbound.connections import client_connections, probe_connections
+from ..inbound.connections import client_connections, max_worker_connections, probe_connections
 from ..inbound.figures import connection_metrics
 from ..metrics import Metric
 from ..settings.process import ProcessSettings
@@ -60,7 +60,7 @@
         self.settings = settings
         random = Random()
         self.state = DataPlaneState(settings, random)
-        self.upstreams = Upstreams()
+        self.upstreams = Upstreams(max_worker_connections(settings.limits.max_open_files))
         self.follower = FeedFollower(settings, clock, random, self.state.update, self.state.loads)
         self.ingress = Ingress(self.state, self.upstreams, clock, self.follower)
         memory = self.ingress.memory
--- a/molespur/system/data_plane/upstream.py
+++ b/molespur/system/data_plane/upstream.py
@@ -11,9 +11,10 @@
 
 from ..faults import FaultPoint, trigger
 from .exchange_messages import Failure
-from .pool import ConnectionPool
+from .pool import ConnectionPool, DescriptorLimit
 
 MAX_BODY_BYTES = 8 << 20
+DEFAULT_MAX_CONNECTIONS = 1024
 PIECE_BYTES = 64 << 10  # of a body on its way to a worker
 NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 BROKEN_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
@@ -50,9 +51,9 @@
 class WorkerTransport(httpx.AsyncBaseTransport):
     """httpx's transport to one worker, on this package's connection pool; it repeats nothing."""
 
-    def __init__(self, url: httpx.URL, max_connections: int):
+    def __init__(self, url: httpx.URL, max_connections: int, descriptors: DescriptorLimit):
         self.url = url
-        self.pool = ConnectionPool(url.raw_host, url.port, max_connections)
+        self.pool = ConnectionPool(url.raw_host, url.port, max_connections, descriptors)
         self._target = httpcore.URL(scheme=url.raw_scheme, host=url.raw_host, port=url.port, target=b"/")
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
@@ -150,7 +151,9 @@
 class Upstreams:
     """The connections to all workers."""
 
-    def __init__(self):
+    def __init__(self, max_connections: int = DEFAULT_MAX_CONNECTIONS):
+        """`max_connections`: to all workers together."""
+        self._descriptors = DescriptorLimit(max_connections)
         self._transports: dict[str, WorkerTransport] = {}
         self._opened_to_removed = 0
 
@@ -163,7 +166,7 @@
         transport = self._transports.get(address)
         if transport is None:
             url = httpx.URL(f"http://{address}/")
-            transport = self._transports[address] = WorkerTransport(url, max_connections)
+            transport = self._transports[address] = WorkerTransport(url, max_connections, self._descriptors)
         transport.pool.limit = max_connections
         return transport
 
--- a/molespur/system/inbound/connections.py
+++ b/molespur/system/inbound/connections.py
@@ -14,7 +14,8 @@
 IDLE_BYTES = 48 << 10  # of a connection without a request: objects and receive buffer
 REQUEST_BYTES = 96 << 10  # of a request in progress, beyond its body: bytes read ahead, tasks, a worker call
 RESERVED_FILES = 200  # of MaxOpenFiles, for files outside the disk folder
-ACCEPTED_SHARE = 0.5  # of the other descriptors, for accepted connections; the rest is for own ones
+ACCEPTED_SHARE = 0.5  # of the other descriptors, for accepted connections
+WORKER_SHARE = 0.4  # for connections to workers; the rest is for listeners, probes and the control plane
 MIN_CONNECTIONS = 16
 MAX_PROBE_CONNECTIONS = 32  # of the platform's readiness checks and of those who read the metrics
 
@@ -134,8 +135,16 @@
 
 def client_connections(memory: MemoryBudget, max_open_files: int) -> ConnectionTable:
     """The table for the callers of a process with so many descriptors."""
-    limit = int(ACCEPTED_SHARE * (max_open_files - RESERVED_FILES))
-    return ConnectionTable(memory, max(limit, MIN_CONNECTIONS))
+    return ConnectionTable(memory, _share(ACCEPTED_SHARE, max_open_files))
+
+
+def max_worker_connections(max_open_files: int) -> int:
+    """How many connections to workers a process with so many descriptors may have."""
+    return _share(WORKER_SHARE, max_open_files)
+
+
+def _share(share: float, max_open_files: int) -> int:
+    return max(int(share * (max_open_files - RESERVED_FILES)), MIN_CONNECTIONS)
 
 
 def probe_connections(memory: MemoryBudget) -> ConnectionTable:
