JSON of callers is parsed only if its values fit into the memory budget

Callers saw: eight registrations of 4 MB, of values as small as {}, took a control-plane process to 7,618 MB (configurations with the same: 205 MB).

Cause: the values that parsing makes take up to thirty times the text, and nothing counted them before the parse.

Change: a body is charged with 100 bytes for each comma and opening bracket before it is parsed, which is at least what json.loads makes of it; what can't fit the budget at all is 413, what does not fit now 503.

--- a/molespur/system/inbound/bounded_app.py
+++ b/molespur/system/inbound/bounded_app.py
@@ -16,17 +16,20 @@
 BODY_COPIES = 3  # a body as it came, as the application collects it, and as it is given to its handler
 
 
+VALUE_BYTES = 100  # of a JSON value once it is parsed
+
+
 @dataclass(frozen=True, slots=True)
 class BodyPolicy:
-    """What a body may take.  `copies`: how many times its length is held while it is processed."""
+    """What a JSON body may take.  `copies`: how many times its length is held while it is processed."""
 
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
     idle_timeout_s: float = DEADLINE_MS / 1000.0
     copies: int = BODY_COPIES
 
     def memory_for(self, body: bytes | bytearray) -> int:
-        """The memory (bytes) that a body takes while it is processed."""
-        return self.copies * len(body)
+        """The memory (bytes) that a body takes while it is processed, with the values parsed from it."""
+        return self.copies * len(body) + VALUE_BYTES * _count_values(body)
 
 
 class BoundedApp:
@@ -63,6 +66,11 @@
         return content
 
 
+def _count_values(body: bytes | bytearray) -> int:
+    """At least as many values as parsing a JSON text makes: each follows a comma or an opening bracket."""
+    return sum(body.count(mark) for mark in (b",", b"[", b"{"))
+
+
 def _replay(content: bytes | bytearray, receive):
     """A receive function that gives the body once, and then what the server reports."""
     messages = [{"type": "http.request", "body": bytes(content), "more_body": False}]
