Channels from other processes: bounded in number, unfinished frames charged to the budget

Callers saw: connections to the RPC port that announce long frames and stop short took a control-plane process to 2,150 MB; idle ones took all descriptors (696 of 700).

Cause: each connection may gather a frame of 24 MiB, and neither frames nor connections were counted.

Change: channels that are accepted have a connection table of their own (0.4 of MaxOpenFiles less 200) on the process's budget; one that has not sent a frame gives way. A frame beyond 64 KiB is charged while it is unfinished; without room its channel is aborted, and a peer dials again. The listener's sockets have bounded buffers.

--- a/molespur/system/control_plane/role.py
+++ b/molespur/system/control_plane/role.py
@@ -6,8 +6,9 @@
 
 from absl import logging
 
+from ..early_listener import RPC_BUFFERS, open_listener
 from ..feed.source import FeedSource
-from ..inbound.connections import client_connections
+from ..inbound.connections import client_connections, peer_connections
 from ..inbound.figures import connection_metrics, memory_metrics
 from ..inbound.memory import MemoryBudget, budget_bytes
 from ..membership.announcements import Announcement, AnnouncementSchedule
@@ -34,6 +35,7 @@
 from .figures import metrics
 from .orders import PhaseOrders
 
+RPC_BACKLOG = 100  # connections that wait to be accepted, and that are accepted at once
 PERIODIC_WORK_S = 0.1
 HEARTBEAT_CHECK_S = 0.3
 
@@ -61,6 +63,7 @@
         self.orders = PhaseOrders(settings, self.host, self.calls, self.schedulers, clock)
         self.memory = MemoryBudget(budget_bytes(settings.limits.memory_mb))
         self.connections = client_connections(self.memory, settings.limits.max_open_files)
+        self.peer_connections = peer_connections(self.memory, settings.limits.max_open_files)
         self.channels: set[Channel] = set()
         self.announcements = AnnouncementSchedule()
         self.host.on_change = self.feed.changed
@@ -91,7 +94,11 @@
         ended = asyncio.Event()
         background = (self.host.run(), self._run_periodic_work(), watch.run())
         self.host.set_writer(DiskWriter(self.host.store, self.host.handle_written))
-        listener = await loop.create_server(self._accept, self.settings.local_ip, self.settings.rpc_port)
+        listener = await loop.create_server(
+            self._accept,
+            sock=open_listener(f"{self.settings.local_ip}:{self.settings.rpc_port}", RPC_BUFFERS),
+            backlog=RPC_BACKLOG,
+        )
         http_stop = asyncio.Event()
         http = loop.create_task(self._serve(http_stop))
         logging.info("control plane %s: replica %s", self.settings.node_name, self.host.replica_id)
@@ -115,7 +122,7 @@
         ended.set()
 
     def _accept(self) -> Channel:
-        channel = Channel(self._handle_frame, self._channel_closed)
+        channel = Channel(self._handle_frame, self._channel_closed, self.peer_connections.admit)
         self.channels.add(channel)
         return channel
 
--- a/molespur/system/early_listener.py
+++ b/molespur/system/early_listener.py
@@ -5,11 +5,23 @@
 """
 
 import socket
+from dataclasses import dataclass
 from pathlib import Path
 
 BACKLOG = 1024  # maximum connections in the accept queue
-RECEIVE_BUFFER_BYTES = 16 << 10  # option of the sockets; the kernel lets 24 KiB arrive unread
-SEND_BUFFER_BYTES = 32 << 10  # option of the sockets
+SEND_BUFFER_BYTES = 32 << 10  # of sockets that carry HTTP
+
+
+@dataclass(frozen=True, slots=True)
+class SocketBuffers:
+    """Options of a listener's sockets; the kernel lets half as much again arrive unread."""
+
+    receive_bytes: int
+    send_bytes: int
+
+
+HTTP_BUFFERS = SocketBuffers(16 << 10, SEND_BUFFER_BYTES)
+RPC_BUFFERS = SocketBuffers(128 << 10, 1 << 20)
 _opened: dict[str, socket.socket] = {}
 
 
@@ -28,15 +40,15 @@
         return
 
 
-def open_listener(address: str) -> socket.socket:
+def open_listener(address: str, buffers: SocketBuffers = HTTP_BUFFERS) -> socket.socket:
     """Return a listening socket for HOST:PORT.  Raises OSError or ValueError."""
     host, _, port = address.rpartition(":")
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # its connections inherit these, also those that wait to be accepted
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffers.receive_bytes)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffers.send_bytes)
         listener.bind((host, int(port)))
         listener.listen(BACKLOG)
         listener.setblocking(False)
--- a/molespur/system/inbound/connections.py
+++ b/molespur/system/inbound/connections.py
@@ -16,6 +16,7 @@
 RESERVED_FILES = 200  # of MaxOpenFiles, for files outside the disk folder
 ACCEPTED_SHARE = 0.5  # of the other descriptors, for accepted connections
 WORKER_SHARE = 0.4  # for connections to workers; the rest is for listeners, probes and the control plane
+PEER_SHARE = 0.4  # for channels from other processes, where a process has no connections to workers
 MIN_CONNECTIONS = 16
 MAX_PROBE_CONNECTIONS = 32  # of the platform's readiness checks and of those who read the metrics
 
@@ -138,6 +139,11 @@
     return ConnectionTable(memory, _share(ACCEPTED_SHARE, max_open_files))
 
 
+def peer_connections(memory: MemoryBudget, max_open_files: int) -> ConnectionTable:
+    """The table for channels from other processes of the fleet, beside that for callers."""
+    return ConnectionTable(memory, _share(PEER_SHARE, max_open_files))
+
+
 def max_worker_connections(max_open_files: int) -> int:
     """How many connections to workers a process with so many descriptors may have."""
     return _share(WORKER_SHARE, max_open_files)
--- a/molespur/system/rpc/channel.py
+++ b/molespur/system/rpc/channel.py
@@ -12,6 +12,8 @@
 
 from absl import logging
 
+from ..inbound.connections import AcceptedConnection, ConnectionState
+from ..inbound.memory import SMALL_BODY_BYTES
 from . import molespur_pb2 as pb
 from . import traffic
 from .liveness import PING_AFTER_IDLE_S, ChannelLiveness, LivenessAction
@@ -30,8 +32,10 @@
 class Channel(asyncio.Protocol):
     """A connection that carries frames.  `on_frame` and `on_lost` are called in the event loop."""
 
-    def __init__(self, on_frame: Callable, on_lost: Callable):
-        self.on_frame, self.on_lost = on_frame, on_lost
+    def __init__(self, on_frame: Callable, on_lost: Callable, admit: Callable | None = None):
+        """`admit`: takes an accepted connection into the process's table; None for one that was dialed."""
+        self.on_frame, self.on_lost, self._admit = on_frame, on_lost, admit
+        self._accepted: AcceptedConnection | None = None
         self.transport: asyncio.Transport | None = None
         self._received = bytearray()
         self._outgoing: list[bytes] = []
@@ -49,6 +53,12 @@
         sock = transport.get_extra_info("socket")
         if sock is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+        if self._admit is not None:
+            self._accepted = self._admit()
+            if self._accepted is None:
+                self.abort()
+                return
+            self._accepted.on_evict = self.abort
 
     def data_received(self, data: bytes) -> None:
         """Split the bytes into frames (asyncio callback)."""
@@ -64,11 +74,28 @@
                 return
             end = LENGTH_BYTES + length
             if len(self._received) < end:
+                self._hold_unfinished_frame()
                 return
             frame = bytes(self._received[LENGTH_BYTES:end])
             del self._received[:end]
             self._handle_frame(frame)
 
+    def _hold_unfinished_frame(self) -> None:
+        """Charge a long frame that is not complete; abort the channel if there is no memory for it."""
+        size = len(self._received)
+        if self._accepted is None or size <= SMALL_BODY_BYTES:
+            return
+        if not self._accepted.try_hold(size, large=True):
+            logging.warning("rpc: no memory for a frame from %s; aborting connection", self.label)
+            self._received.clear()
+            self.abort()
+
+    def _record_frame(self) -> None:
+        """A frame is complete: its memory is returned, and the connection is a peer's."""
+        if self._accepted is not None:
+            self._accepted.hold(0)
+            self._accepted.set_state(ConnectionState.SERVING)
+
     def _handle_frame(self, data: bytes) -> None:
         try:
             frame = pb.Frame.FromString(data)
@@ -79,6 +106,7 @@
         if frame.HasField("ping") and not frame.ping.sent_at_ms:
             self.send(pb.Frame(pong=pb.Pong()))  # a liveness check, not a query of the state age
             return
+        self._record_frame()
         self.on_frame(self, frame)
 
     def _check_liveness(self) -> None:
@@ -101,6 +129,9 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the owner (asyncio callback)."""
         self.transport, self.error = None, error
+        self._received.clear()
+        if self._accepted is not None:
+            self._accepted.close()
         self.on_lost(self)
 
     @property
