A single large body may always be held; bytes after the last request of a connection are ignored

Found while testing the budget. A body or response that may take all that large ones may have waited for its own connection's charge until its time was over: now one large body at a time may also use the reserve for small ones. What a client sends after a request with Connection: close is an error to h11, whose 400 took the place of the response to that request: it is ignored now.

--- a/molespur/system/inbound/connections.py
+++ b/molespur/system/inbound/connections.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from enum import Enum
 
-from .memory import STALL_S, MemoryBudget, Reservation
+from .memory import SMALL_RESERVE_SHARE, STALL_S, MemoryBudget, Reservation
 
 IDLE_BYTES = 48 << 10  # of a connection without a request: objects and receive buffer
 REQUEST_BYTES = 96 << 10  # of a request in progress, beyond its body: bytes read ahead, tasks, a worker call
@@ -61,7 +61,9 @@
 
     def try_hold(self, size: int, large: bool) -> bool:
         """Charge so many bytes if there is room for them; `large`: as for a large body."""
-        return self.is_open and self._memory.try_resize(IDLE_BYTES + size, large)
+        if not self.is_open or (large and self._table.is_nearly_full):
+            return False
+        return self._memory.try_resize(IDLE_BYTES + size, large)
 
     def close(self) -> None:
         """It has been closed; again has no effect."""
@@ -90,6 +92,11 @@
         """How many connections are open."""
         return sum(len(connections) for connections in self._by_state.values())
 
+    @property
+    def is_nearly_full(self) -> bool:
+        """Whether the connections that are left are for requests without large bodies only."""
+        return self.open >= self.limit - int(SMALL_RESERVE_SHARE * self.limit)
+
     def admit(self) -> AcceptedConnection | None:
         """Take in a connection, at the expense of one that serves no request; None if there is no room."""
         if self.open >= self.limit and not self._evict_one():
--- a/molespur/system/inbound/http1.py
+++ b/molespur/system/inbound/http1.py
@@ -94,12 +94,22 @@
         if isinstance(event, Closed):
             self.stop_reading()
         elif isinstance(event, RawData):
+            if self._is_last_request_read:
+                return
             self._unparsed_bytes += len(event.data)
         await super().handle(event)
 
+    @property
+    def _is_last_request_read(self) -> bool:
+        """Whether the client has announced that it sends nothing more; what it sends all the same is ignored.
+
+        To h11 it is an error, and its response would take the place of that to the request.
+        """
+        return self.connection.their_state is h11.MUST_CLOSE
+
     async def _handle_events(self) -> None:
         pieces: list[bytes] = []
-        while not self.is_closing:
+        while not self.is_closing and not self._is_last_request_read:
             if self.connection.they_are_waiting_for_100_continue:
                 await self._send_h11_event(h11.InformationalResponse(status_code=100, headers=[]))
             try:
--- a/molespur/system/inbound/memory.py
+++ b/molespur/system/inbound/memory.py
@@ -34,12 +34,15 @@
 class Reservation:
     """A part of the budget that is in use."""
 
-    def __init__(self, budget: "MemoryBudget", size: int):
-        self._budget, self.size = budget, size
+    def __init__(self, budget: "MemoryBudget", size: int, counts_as_large: bool = False):
+        self._budget, self.size, self._counts_as_large = budget, size, counts_as_large
 
     def resize(self, size: int) -> None:
         """Use more or less.  What is more does not wait: it has been received already."""
         change, self.size = size - self.size, size
+        if not size and self._counts_as_large:
+            self._counts_as_large = False
+            self._budget._large_held -= 1
         self._budget._use(change)
 
     def try_resize(self, size: int, large: bool = False) -> bool:
@@ -75,6 +78,7 @@
         self.used = 0
         self.max_large = total - int(SMALL_RESERVE_SHARE * total)
         self.room_makers: list[Callable[[int], None]] = []
+        self._large_held = 0  # reservations of large bodies
         self._clock = clock
         self._denied_at = float("-inf")
         self._waiting: deque[_Waiter] = deque()
@@ -101,8 +105,7 @@
         size = int(min(size, self.max_large))
         small = _is_small(size)
         if (small or not self._large_waits()) and self._has_room(size, not small):
-            self.used += size
-            return Reservation(self, size)
+            return self._grant(size)
         waiter = _Waiter(size, asyncio.get_running_loop().create_future())
         self._waiting.append(waiter)
         try:
@@ -110,7 +113,7 @@
         except asyncio.CancelledError:
             self._withdraw(waiter)
             raise
-        return Reservation(self, size)
+        return waiter.granted.result()
 
     def charge(self, size: int) -> Reservation:
         """Count bytes that are received in any case; the budget may be exceeded, and new bodies wait."""
@@ -126,7 +129,7 @@
 
     def _has_room(self, size: int, large: bool) -> bool:
         """Whether so many bytes more fit, after room has been made if they did not."""
-        limit = self.max_large if large else self.total
+        limit = self._limit(large)
         for make_room in self.room_makers:
             missing = self.used + size - limit
             if missing > 0:
@@ -136,8 +139,18 @@
         self.record_denied()
         return False
 
+    def _limit(self, large: bool) -> int:
+        """What may be in use; a single large body may also take the place of small ones."""
+        return self.max_large if large and self._large_held else self.total
+
+    def _grant(self, size: int) -> Reservation:
+        large = not _is_small(size)
+        self._large_held += large
+        self.used += size
+        return Reservation(self, size, large)
+
     def _fits(self, size: int) -> bool:
-        return self.used + size <= (self.total if _is_small(size) else self.max_large)
+        return self.used + size <= self._limit(not _is_small(size))
 
     def _large_waits(self) -> bool:
         return any(not _is_small(waiter.size) for waiter in self._waiting)
@@ -155,7 +168,7 @@
             self._waiting.remove(waiter)
             self._grant_waiting()  # others may have waited behind it
         elif waiter.granted.done() and not waiter.granted.cancelled():
-            self._use(-waiter.size)  # it was granted, and its caller can't use it any more
+            waiter.granted.result().release()  # it was granted, and its caller can't use it any more
 
     def _grant_waiting(self) -> None:
         still_waiting: deque[_Waiter] = deque()
@@ -165,8 +178,7 @@
             if waiter.granted.done():
                 continue
             if self._fits(waiter.size) and (is_small or not large_waits):
-                self.used += waiter.size
-                waiter.granted.set_result(None)
+                waiter.granted.set_result(self._grant(waiter.size))
             else:
                 still_waiting.append(waiter)
                 large_waits = large_waits or not is_small
