--- a/tests/crowds/test_control_plane_crowds.py
+++ b/tests/crowds/test_control_plane_crowds.py
@@ -21,6 +21,8 @@
 CONFIG, INSTANCE = b"/api/config", b"/api/instances/i-9"
 PUT = {"method": b"PUT", "path": CONFIG}
 LARGE_ROUTES = 2000
+WORKERS_EACH = 200
+LONG_RECORD_BYTES = 60_000
 
 
 def whole(body, **fields):
@@ -33,7 +35,27 @@
     return b'{"Version":9,"Routes":[' + b"{}," * (size // 3) + b"{}]}"
 
 
+def registrations(count, padding):
+    """Registrations of workers that do not exist, one after the other."""
+
+    async def behave(client, number):
+        for order in range(count):
+            host = f"127.200.{number % 250}.{order % 250}"
+            document = {
+                "Service": "s", "Address": f"{host}:{1000 + number}", "Zone": "z" * padding, "Version": "v1",
+                "Capacity": 1, "State": "ready", "Sequence": 1,
+            }  # fmt: skip
+            body = json.dumps(document).encode()
+            path = f"/api/instances/i-{number}-{order}".encode()
+            fields = behaviors.length(len(body))
+            await client.send(behaviors.head(fields, method=b"PUT", path=path) + body)
+
+    return behave
+
+
 HTTP_CROWDS = {
+    "registrations-of-many-workers": (registrations(WORKERS_EACH, 10), SMALL_CROWD),
+    "registrations-of-long-records": (registrations(WORKERS_EACH, LONG_RECORD_BYTES), SMALL_CROWD),
     "configuration-short-of-its-end": (
         behaviors.body_short_of_its_end(LARGE_CONFIGURATION_BYTES, **PUT),
         CROWD,
