A shard registers a bounded number of workers, with records of a bounded size

Callers saw: registrations of 60 KB records under ever new ids took a control-plane process to 642 MB; what they leave is replicated, written to disk and sent to every scheduler.

Cause: neither the number of workers nor the size of a record was bounded; silent ones are removed only after 30 s.

Change: at most 2,048 workers and 4 MiB of records in a shard, 16 KiB a record; beyond it 503 (413 for a record that is too long), before anything is proposed.

--- a/molespur/system/control_plane/calls.py
+++ b/molespur/system/control_plane/calls.py
@@ -30,6 +30,7 @@
 from ..shards.configuration import PutOutcome
 from ..shards.host import ReplicaHost
 from ..shards.placement import CONFIGURATION, WORKER_GROUPS, group_of_service
+from ..workers.directory import MAX_RECORD_BYTES
 from ..workers.liveness import WorkerLiveness
 from .methods import IS_LEADER, LIST_SCHEDULERS, PUT_WORKER, READ_INDEX, REMOVE_WORKER
 
@@ -89,6 +90,10 @@
             if worker.id in directory.workers or worker.id not in directory.removed:
                 await self.host.propose(name, pb.WorkerCommand(workers=[worker]).SerializeToString())
             return
+        if worker.ByteSize() > MAX_RECORD_BYTES:
+            raise FleetError(ErrorKind.BODY_TOO_LARGE, f"record of more than {MAX_RECORD_BYTES} bytes")
+        if not self.host.groups[name].state_machine.has_room_for(worker):
+            raise FleetError(ErrorKind.NO_MEMORY, "too many workers are registered")
         liveness = self.liveness[name]
         changed = liveness.heartbeat(self.clock(), worker)
         if changed is not None:
--- a/molespur/system/workers/directory.py
+++ b/molespur/system/workers/directory.py
@@ -8,6 +8,9 @@
 from ..rpc import molespur_pb2 as pb
 from ..shards.interfaces import IStateMachine
 
+MAX_WORKERS = 2048  # of one shard
+MAX_RECORD_BYTES = 16 << 10  # of one worker
+MAX_RECORDS_BYTES = 4 << 20  # of all workers of one shard
 MAX_REMOVED_IDS = 4096  # ids of deregistered workers, kept so that late heartbeats are recognized
 
 
@@ -18,6 +21,7 @@
     def __init__(self):
         self.workers: dict[str, pb.Worker] = {}
         self.removed: dict[str, None] = {}
+        self.records_bytes = 0  # of all workers
         self._at_address: dict[str, str] = {}  # address -> worker id
         self._feed_snapshot: bytes | None = None  # cached until the next change
 
@@ -26,6 +30,14 @@
         """Approximate size of a snapshot (bytes)."""
         return 300 * len(self.workers) + 24 * len(self.removed)
 
+    def has_room_for(self, worker: pb.Worker) -> bool:
+        """Whether the record of a worker may be added, or take the place of an older one."""
+        known = self.workers.get(worker.id)
+        others_bytes = self.records_bytes - (known.ByteSize() if known is not None else 0)
+        if others_bytes + worker.ByteSize() > MAX_RECORDS_BYTES:
+            return False
+        return known is not None or len(self.workers) < MAX_WORKERS
+
     def apply(self, data: bytes) -> tuple[None, bytes | None]:
         """Put or remove workers; return the resulting update for the feed, if any."""
         changed = []
@@ -53,6 +65,7 @@
             changed.insert(0, _gone_record(previous))
         self._remove(worker.id)
         self.workers[worker.id] = worker
+        self.records_bytes += worker.ByteSize()
         self._at_address[worker.address] = worker.id
         return changed
 
@@ -70,6 +83,8 @@
     def _remove(self, worker_id: str) -> bool:
         """Remove a worker; return whether it was registered."""
         worker = self.workers.pop(worker_id, None)
+        if worker is not None:
+            self.records_bytes -= worker.ByteSize()
         if worker is not None and self._at_address.get(worker.address) == worker_id:
             del self._at_address[worker.address]
         return worker is not None
@@ -83,6 +98,7 @@
         state = pb.WorkerSet.FromString(data)
         self.workers = {worker.id: worker for worker in state.workers}
         self.removed = dict.fromkeys(state.removed)
+        self.records_bytes = sum(worker.ByteSize() for worker in state.workers)
         self._at_address = {worker.address: worker.id for worker in state.workers}
         self._feed_snapshot = None
 
--- a/tests/system/test_inbound.py
+++ b/tests/system/test_inbound.py
@@ -10,6 +10,7 @@
 from types import SimpleNamespace
 
 import pytest
+from control import OneControlPlane
 from test_request_bodies import (
     BODY_BYTES,
     LONG_RESPONSE_BYTES,
@@ -58,6 +59,7 @@
 from molespur.system.inbound.memory import SMALL_BODY_BYTES, STALL_S, MemoryBudget
 from molespur.system.rpc import molespur_pb2 as pb
 from molespur.system.rpc.channel import LENGTH_BYTES, Channel
+from molespur.system.workers import directory
 
 SHORT_S = 0.01
 FEW = 4
@@ -520,6 +522,59 @@
     assert policy("/none").max_body_bytes == 64 << 10
 
 
+# -- Registered workers --------------------------------------------------------------------------
+
+
+def record(worker_id, size=0):
+    """The record of a worker at an address of its own."""
+    return pb.Worker(id=worker_id, service="s", address=f"{worker_id}:1", zone="z" * size, state=pb.READY)
+
+
+def put(records, *workers):
+    records.apply(pb.WorkerCommand(workers=workers).SerializeToString())
+
+
+def register(plane, worker_id, zone="a"):
+    """Register a worker at a control-plane process; returns the status."""
+    document = {
+        "Service": "s", "Address": f"{worker_id}:1", "Zone": zone, "State": "ready", "Capacity": 1
+    }  # fmt: skip
+    return plane.call("PUT", f"/api/instances/{worker_id}", json.dumps(document).encode())[0]
+
+
+def test_a_shard_has_room_for_a_bounded_number_of_workers(monkeypatch):
+    monkeypatch.setattr(directory, "MAX_WORKERS", FEW)
+    records = directory.WorkerDirectory()
+    put(records, *(record(f"i-{number}") for number in range(FEW)))
+    assert records.has_room_for(record("i-0")) and not records.has_room_for(record("i-9"))
+    put(records, pb.Worker(id="i-0", state=pb.GONE))
+    assert records.has_room_for(record("i-9"))
+
+
+def test_a_shard_has_room_for_records_of_a_bounded_size(monkeypatch):
+    monkeypatch.setattr(directory, "MAX_RECORDS_BYTES", 2000)
+    records = directory.WorkerDirectory()
+    put(records, record("i-1", 900), record("i-2", 900))
+    assert records.has_room_for(record("i-1", 950)) and not records.has_room_for(record("i-3", 900))
+    restored = directory.WorkerDirectory()
+    restored.restore(records.snapshot())
+    put(restored, pb.Worker(id="i-2", state=pb.GONE))
+    assert restored.has_room_for(record("i-3", 900))
+    assert restored.records_bytes == record("i-1", 900).ByteSize()
+
+
+def test_registrations_beyond_the_bounds_are_refused(monkeypatch, tmp_path):
+    monkeypatch.setattr(directory, "MAX_WORKERS", 1)
+    plane = OneControlPlane(tmp_path)
+    try:
+        assert register(plane, "i-1") == 200
+        assert register(plane, "i-2") == 503
+        assert register(plane, "i-1") == 200
+        assert register(plane, "i-1", zone="z" * (directory.MAX_RECORD_BYTES + 1)) == 413
+    finally:
+        plane.close()
+
+
 # -- Channels ------------------------------------------------------------------------------------
 
 
