Prefix segments remembered of a worker are bounded in number, size and per request

A client that names ever new segments of few tokens, a thousand in one header, made a scheduler remember them for each worker without end.

Cause: the least recently used segments were evicted by the worker's capacity in tokens alone; a segment of 0 tokens never filled it.

Four tests, red before, green after.

--- a/molespur/policy/tracking.py
+++ b/molespur/policy/tracking.py
@@ -8,6 +8,7 @@
 REPORT_LAG_MS = 400.0  # a report describes the load of about this long ago
 REPORT_HALF_WEIGHT_MS = 1500.0  # age, beyond the lag, at which a report has half its weight
 EJECTION_FAILURES, MIN_EJECTION_MS, MAX_EJECTION_MS = 2.0, 1000.0, 6000.0
+MAX_PREFIX_SEGMENTS = 2048  # remembered of one worker
 PACE_GAIN, MIN_LOG_PACE, MAX_LOG_PACE = 0.06, -0.7, 2.3
 
 # workers run short prefills first: the rank of a prefill, 0 first, follows from its expected duration
@@ -98,9 +99,14 @@
             else:
                 self.prefixes[segment_id] = tokens
                 self.prefix_tokens += tokens
-        while self.prefix_tokens > max(self.capacity_tokens, 1.0) and self.prefixes:
+        while self.prefixes and self._has_too_many_prefixes():
             self.prefix_tokens -= self.prefixes.popitem(last=False)[1]
 
+    def _has_too_many_prefixes(self):
+        """Whether the segments exceed the worker's memory, or the number that is remembered."""
+        too_many_tokens = self.prefix_tokens > max(self.capacity_tokens, 1.0)
+        return too_many_tokens or len(self.prefixes) > MAX_PREFIX_SEGMENTS
+
     @property
     def unknown_peer_share(self):
         """Share of the other schedulers whose work is unknown; 1 if none announces its work."""
--- a/molespur/system/data_plane/client_request.py
+++ b/molespur/system/data_plane/client_request.py
@@ -17,6 +17,8 @@
 NOT_FORWARDED = HOP_BY_HOP | SET_BY_SCHEDULER
 END_TO_END_PREFIX = b"molespur-"  # a `Connection` header can't remove these
 DEFAULT_DEADLINE_MS = 30_000.0
+MAX_SEGMENTS = 64  # of a prompt's prefix; one with more, or with longer ids, is not used for placement
+MAX_SEGMENT_ID_BYTES = 64
 
 
 @dataclass(slots=True)
@@ -98,9 +100,12 @@
 def _segments(header: bytes) -> tuple[tuple[str, float], ...]:
     """The prompt's prefix segments in order; none for a header that can't be parsed."""
     segments = []
-    for item in header.decode("latin1").split(","):
+    items = header.decode("latin1").split(",")
+    if len(items) > MAX_SEGMENTS:
+        return ()
+    for item in items:
         segment_id, _, tokens = item.strip().partition(":")
-        if not segment_id or not tokens.isdigit():
+        if not 0 < len(segment_id) <= MAX_SEGMENT_ID_BYTES or not tokens.isdigit():
             return ()
         segments.append((segment_id, float(tokens)))
     return tuple(segments)
--- a/tests/system/test_pair_policy.py
+++ b/tests/system/test_pair_policy.py
@@ -6,6 +6,7 @@
 
 from molespur.policy.pair import PREFERRED_MATCH, Demand, EngineShape, PairPolicy, Step
 from molespur.policy.tracking import (
+    MAX_PREFIX_SEGMENTS,
     IN_PROGRESS_PROBABILITY,
     IN_PROGRESS_REMAINING_SHARE,
     RANKS,
@@ -13,6 +14,7 @@
     ServingPhase,
     WorkerTrack,
 )
+from molespur.system.data_plane.client_request import MAX_SEGMENT_ID_BYTES, MAX_SEGMENTS, _segments
 from molespur.system.data_plane.worker_call import silence_age_s
 
 ENGINE = EngineShape(18_432.0, 550_000.0, 400_000.0)
@@ -155,6 +157,31 @@
     assert track.cached_tokens((("c", 400.0),)) == 400.0
 
 
+@pytest.mark.parametrize("tokens", [0.0, 1.0])
+def test_segments_of_few_tokens_are_evicted_too(tokens):
+    """Guards against clients that name ever new segments, which the capacity in tokens does not bound."""
+    track = worker("p", "prefill")
+    track.capacity_tokens = 1e6
+    for number in range(3 * MAX_PREFIX_SEGMENTS):
+        track.add_prefix(((f"s{number}", tokens),))
+    assert len(track.prefixes) <= MAX_PREFIX_SEGMENTS
+    last = f"s{3 * MAX_PREFIX_SEGMENTS - 1}"
+    assert last in track.prefixes
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        b",".join(b"%x:1" % number for number in range(MAX_SEGMENTS + 1)),
+        b"%s:1" % (b"a" * (MAX_SEGMENT_ID_BYTES + 1)),
+    ],
+    ids=["many", "long"],
+)
+def test_a_prefix_of_too_many_or_too_long_segments_is_not_kept(header):
+    assert _segments(header) == ()
+    assert _segments(b"a1:5,b2:6") == (("a1", 5.0), ("b2", 6.0))
+
+
 def test_short_prefills_rank_before_long_ones_and_transfers_before_any():
     policy, workers = PairPolicy("a", Random(9)), fleet()
     plans = plans_of(policy, workers, demand(LONG), 20)
