--- a/tests/system/test_pair_policy.py
+++ b/tests/system/test_pair_policy.py
@@ -6,9 +6,9 @@
 
 from molespur.policy.pair import PREFERRED_MATCH, Demand, EngineShape, PairPolicy, Step
 from molespur.policy.tracking import (
-    MAX_PREFIX_SEGMENTS,
     IN_PROGRESS_PROBABILITY,
     IN_PROGRESS_REMAINING_SHARE,
+    MAX_PREFIX_SEGMENTS,
     RANKS,
     LoadReport,
     ServingPhase,
