A connection that gives way to its own charge leaves no memory charged

Cause: a charge makes room by closing connections, the oldest idle one first, which may be the one that is charged; its reservation was released, and then grew by the charge.

Change: a released reservation stays released, and the charge fails.

--- a/molespur/system/inbound/memory.py
+++ b/molespur/system/inbound/memory.py
@@ -36,9 +36,12 @@
 
     def __init__(self, budget: "MemoryBudget", size: int, counts_as_large: bool = False):
         self._budget, self.size, self._counts_as_large = budget, size, counts_as_large
+        self._is_released = False
 
     def resize(self, size: int) -> None:
         """Use more or less.  What is more does not wait: it has been received already."""
+        if self._is_released:
+            return
         change, self.size = size - self.size, size
         if not size and self._counts_as_large:
             self._counts_as_large = False
@@ -46,9 +49,13 @@
         self._budget._use(change)
 
     def try_resize(self, size: int, large: bool = False) -> bool:
-        """Use more if there is room for it; `large`: without the reserve for small bodies."""
+        """Use more if there is room for it; `large`: without the reserve for small bodies.
+
+        The room may be made by closing the connection that this belongs to, which releases it.
+        """
         growth = size - self.size
-        if growth > 0 and not self._budget._has_room(growth, large):
+        has_room = growth <= 0 or self._budget._has_room(growth, large)
+        if not has_room or self._is_released:
             return False
         self.resize(size)
         return True
@@ -56,6 +63,7 @@
     def release(self) -> None:
         """Return all of it; again has no effect."""
         self.resize(0)
+        self._is_released = True
 
 
 @dataclass(eq=False, slots=True)
--- a/tests/system/test_inbound.py
+++ b/tests/system/test_inbound.py
@@ -144,6 +144,16 @@
     assert connections.admit() is None and connections.memory.is_contended
 
 
+def test_a_connection_that_gives_way_to_its_own_request_leaves_no_memory_charged():
+    connections, _time = table(total=2 * IDLE_BYTES, limit=100)
+    connection = connections.admit()
+    assert not connection.try_hold(REQUEST_BYTES, large=False)
+    assert not connection.is_open and connections.memory.used == 0
+    other = connections.admit()
+    other.hold(REQUEST_BYTES)
+    assert not other.is_open and connections.memory.used == 0
+
+
 def test_large_requests_leave_connections_and_memory_to_others():
     connections, _time = table(limit=8)
     held = [connections.admit() for _ in range(7)]
