--- a/molespur/system/data_plane/network.py
+++ b/molespur/system/data_plane/network.py
@@ -16,8 +16,9 @@
 UNACKNOWLEDGED_MS = 1500
 MIN_LONG_WRITE_BYTES = 32 << 10  # more may fill the receive window of a worker that does not read
 LONG_UNACKNOWLEDGED_MS = 30_000  # until such a worker responds; the request's deadline is earlier
-MAX_UNREAD_BYTES = 32 << 10  # with more unread bytes, the worker is not read from
-RECEIVE_BUFFER_BYTES = 32 << 10  # option of the sockets; the kernel lets 48 KiB arrive unread
+MAX_UNREAD_BYTES = 16 << 10  # with more unread bytes, the worker is not read from
+READ_BYTES = 16 << 10  # given to the HTTP library at once
+RECEIVE_BUFFER_BYTES = 16 << 10  # option of the sockets; the kernel lets 24 KiB arrive unread
 SEND_BUFFER_BYTES = 128 << 10  # option of the sockets
 
 
@@ -106,8 +107,9 @@
             if self._error is not None:
                 raise httpcore.ReadError(str(self._error)) from self._error
             return b""
-        data = bytes(self._buffer[:max_bytes])
-        del self._buffer[:max_bytes]
+        size = min(max_bytes, READ_BYTES)
+        data = bytes(self._buffer[:size])
+        del self._buffer[:size]
         if self._paused and len(self._buffer) < MAX_UNREAD_BYTES and not self._ended:
             self._paused = False
             self._transport.resume_reading()
--- a/molespur/system/data_plane/upstream.py
+++ b/molespur/system/data_plane/upstream.py
@@ -10,6 +10,7 @@
 import httpx
 
 from ..faults import FaultPoint, trigger
+from ..inbound.memory import SMALL_BODY_BYTES
 from .exchange_messages import Failure
 from .pool import ConnectionPool, DescriptorLimit
 
@@ -128,14 +129,18 @@
 
         `hold` is awaited with the size that the body is about to have, each time that more has come.
         """
-        body = bytearray()
+        body, size = bytearray(), 0
         async for chunk in self.chunks():
-            size = len(body) + len(chunk)
-            if size > MAX_BODY_BYTES:
+            end = size + len(chunk)
+            if end > MAX_BODY_BYTES:
                 raise UpstreamError(Failure.MAY_HAVE_RUN, "response body is too large")
             if hold is not None:
-                await hold(size)
-            body += chunk
+                await hold(end)
+            if size <= SMALL_BODY_BYTES < end and self.max_length < MAX_BODY_BYTES:
+                body = _grown(body, self.max_length)  # once its memory is granted, and not moved again
+            body[size:end] = chunk
+            size = end
+        del body[size:]
         return body
 
     async def close(self) -> None:
@@ -148,6 +153,13 @@
             await self._response.aclose()
 
 
+def _grown(body: bytearray, size: int) -> bytearray:
+    """A copy of a body with room for so many bytes."""
+    grown = bytearray(size)
+    grown[: len(body)] = body
+    return grown
+
+
 class Upstreams:
     """The connections to all workers."""
 
--- a/molespur/system/inbound/connections.py
+++ b/molespur/system/inbound/connections.py
@@ -12,7 +12,7 @@
 from .memory import SMALL_RESERVE_SHARE, STALL_S, MemoryBudget, Reservation
 
 IDLE_BYTES = 48 << 10  # of a connection without a request: objects and receive buffer
-REQUEST_BYTES = 96 << 10  # of a request in progress, beyond its body: bytes read ahead, tasks, a worker call
+REQUEST_BYTES = 128 << 10  # of a request in progress, beyond its body: bytes read ahead, tasks, a worker call
 RESERVED_FILES = 200  # of MaxOpenFiles, for files outside the disk folder
 ACCEPTED_SHARE = 0.5  # of the other descriptors, for accepted connections
 WORKER_SHARE = 0.4  # for connections to workers; the rest is for listeners, probes and the control plane
--- a/molespur/system/inbound/server.py
+++ b/molespur/system/inbound/server.py
@@ -34,7 +34,7 @@
 
 LINGER_S = 0.5  # a closing connection still reads what its client sends, until nothing has come for so long
 MAX_LINGER_S = 8.0  # the longest time for that
-READ_AHEAD_BYTES = 16 << 10  # of a connection; asyncio stops reading at twice as much
+READ_AHEAD_BYTES = 8 << 10  # of a connection; asyncio stops reading at twice as much
 WRITE_PIECE_BYTES = 64 << 10  # of a response, given to the connection at once
 MAX_UNSENT_BYTES = 16 << 10  # of a response, after which the application waits for its client
 GRACEFUL_SHUTDOWN_S = 1.0
