--- a/tests/crowds/crowd_behaviors.py
+++ b/tests/crowds/crowd_behaviors.py
@@ -2,6 +2,8 @@
 
 from fleet_under_crowd import HOST, MAX_BODY_BYTES, ROUTE_PREFIX, TIMEOUT_MS
 
+from molespur.system.rpc import molespur_pb2 as pb
+
 PATH = ROUTE_PREFIX.encode()
 SMALL_BODY_BYTES = 60_000  # passes beside large bodies that wait for memory
 TINY_CHUNKS = 20_000
@@ -180,3 +182,9 @@
     """A frame that announces more than is allowed."""
     await client.send((1 << 31).to_bytes(FRAME_LENGTH_BYTES, "big"))
     await client.send_zeros(OVER_LIMIT_BYTES)
+
+
+async def rpc_subscription_unread(client, number):
+    """A scheduler's subscription to the feed, whose snapshot is not read."""
+    frame = pb.Frame(subscribe=pb.Subscribe(node=f"edge-{number}", zone="north")).SerializeToString()
+    await client.send(len(frame).to_bytes(FRAME_LENGTH_BYTES, "big") + frame)
--- a/tests/crowds/test_control_plane_crowds.py
+++ b/tests/crowds/test_control_plane_crowds.py
@@ -143,6 +143,17 @@
     asyncio.run(scenario())
 
 
+def test_subscriptions_to_a_large_configuration_left_unread_are_endured(tmp_path):
+    async def scenario():
+        async with asyncio.timeout(LIMIT_S), running_fleet(tmp_path) as fleet:
+            assert await _put(fleet, 2, _large_configuration(2)) == 200
+            crowd = Crowd((fleet.control_host, RPC_PORT), behaviors.rpc_subscription_unread, CROWD)
+            calls = [fleet.read_configuration, fleet.ordinary_request]
+            await endure(fleet.processes["control-plane"], fleet.control_host, [crowd], calls)
+
+    asyncio.run(scenario())
+
+
 def test_a_single_large_configuration_is_taken_in_calm(tmp_path):
     async def scenario():
         async with asyncio.timeout(LIMIT_S), running_fleet(tmp_path) as fleet:
