--- a/molespur/system/early_listener.py
+++ b/molespur/system/early_listener.py
@@ -21,7 +21,7 @@
 
 
 HTTP_BUFFERS = SocketBuffers(16 << 10, SEND_BUFFER_BYTES)
-RPC_BUFFERS = SocketBuffers(128 << 10, 1 << 20)
+RPC_BUFFERS = SocketBuffers(128 << 10, 32 << 10)
 _opened: dict[str, socket.socket] = {}
 
 
--- a/molespur/system/feed/source.py
+++ b/molespur/system/feed/source.py
@@ -23,6 +23,7 @@
 from ..shards.placement import CONFIGURATION
 
 MAX_PEERS = 16  # schedulers with which a scheduler exchanges its load
+SNAPSHOT_COPIES = 3  # of a snapshot that is about to be sent: as a message, as a frame, in the send buffer
 MAX_AGE_MS = 1_000_000  # reported for any greater age, and for an unknown one
 
 
@@ -100,12 +101,15 @@
         for name, group in self.host.groups.items():
             if name in follower.started or not self._is_new_enough(follower, name):
                 continue
-            follower.started.add(name)
             offset = follower.offsets.get(name)
             changes = None if offset is None else group.history.after(offset)
+            snapshot = group.state_machine.feed_snapshot() if changes is None else b""
+            if not follower.channel.try_hold_unsent(SNAPSHOT_COPIES * len(snapshot)):
+                continue  # started again soon
+            follower.started.add(name)
             if changes is None:
                 index = group.replica.log.applied_index
-                self._send(follower, name, index, group.state_machine.feed_snapshot(), snapshot=True)
+                self._send(follower, name, index, snapshot, snapshot=True)
                 continue
             for index, payload in changes:
                 self._send(follower, name, index, payload)
--- a/molespur/system/inbound/connections.py
+++ b/molespur/system/inbound/connections.py
@@ -49,6 +49,11 @@
         self.since = 0.0  # on the table's clock: when the state began
         self.is_open = True
 
+    @property
+    def max_hold(self) -> int:
+        """What may be charged at once (bytes), so that there is room for it in calm."""
+        return self._table.memory.total // 2
+
     def set_state(self, state: ConnectionState) -> None:
         """Change what it does."""
         if self.is_open and state is not self.state:
--- a/molespur/system/rpc/channel.py
+++ b/molespur/system/rpc/channel.py
@@ -36,6 +36,7 @@
         """`admit`: takes an accepted connection into the process's table; None for one that was dialed."""
         self.on_frame, self.on_lost, self._admit = on_frame, on_lost, admit
         self._accepted: AcceptedConnection | None = None
+        self._unfinished_bytes = self._unsent_bytes = 0  # charged for an accepted connection
         self.transport: asyncio.Transport | None = None
         self._received = bytearray()
         self._outgoing: list[bytes] = []
@@ -82,10 +83,10 @@
 
     def _hold_unfinished_frame(self) -> None:
         """Charge a long frame that is not complete; abort the channel if there is no memory for it."""
-        size = len(self._received)
-        if self._accepted is None or size <= SMALL_BODY_BYTES:
+        self._unfinished_bytes = len(self._received)
+        if self._accepted is None or self._unfinished_bytes <= SMALL_BODY_BYTES:
             return
-        if not self._accepted.try_hold(size, large=True):
+        if not self._accepted.try_hold(self._unfinished_bytes + self._unsent_bytes, large=True):
             logging.warning("rpc: no memory for a frame from %s; aborting connection", self.label)
             self._received.clear()
             self.abort()
@@ -93,9 +94,29 @@
     def _record_frame(self) -> None:
         """A frame is complete: its memory is returned, and the connection is a peer's."""
         if self._accepted is not None:
-            self._accepted.hold(0)
+            self._unfinished_bytes = 0
+            self._accepted.hold(self._unsent_bytes)
             self._accepted.set_state(ConnectionState.SERVING)
 
+    def try_hold_unsent(self, size: int) -> bool:
+        """Charge bytes that are about to be sent, until the peer has taken most of them.
+
+        False if there is no room; always true for a few bytes, and on a connection that was dialed.
+        """
+        if self._accepted is None or size <= SMALL_BODY_BYTES:
+            return True
+        size = min(size, self._accepted.max_hold)  # what is larger is sent alone
+        if not self._accepted.try_hold(self._unfinished_bytes + self._unsent_bytes + size, large=True):
+            return False
+        self._unsent_bytes += size
+        return True
+
+    def resume_writing(self) -> None:
+        """The peer has taken what was sent (asyncio callback)."""
+        if self._accepted is not None and self._unsent_bytes:
+            self._unsent_bytes = 0
+            self._accepted.hold(self._unfinished_bytes)
+
     def _handle_frame(self, data: bytes) -> None:
         try:
             frame = pb.Frame.FromString(data)
@@ -158,7 +179,10 @@
         if not self.open:
             return
         self.transport.write(data)
-        if self.transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
+        unsent = self.transport.get_write_buffer_size()
+        if unsent <= SMALL_BODY_BYTES:
+            self.resume_writing()
+        if unsent > MAX_BUFFERED_BYTES:
             logging.warning("rpc: send buffer to %s is full; aborting connection", self.label)
             self.transport.abort()
 
--- a/tests/system/test_feed.py
+++ b/tests/system/test_feed.py
@@ -19,10 +19,14 @@
 
     def __init__(self):
         self.sent = []
+        self.has_room = True
 
     def send(self, frame):
         self.sent.append(pb.Frame.FromString(frame.SerializeToString()))
 
+    def try_hold_unsent(self, _size):
+        return self.has_room
+
     def updates(self, group=CONFIGURATION):
         return [f.update for f in self.sent if f.WhichOneof("body") == "update" and f.update.group == group]
 
@@ -57,6 +61,17 @@
     assert versions(channel) == [1, 3] and not channel.updates()[-1].snapshot
 
 
+def test_a_follower_without_memory_for_its_snapshot_gets_it_later(plane):
+    plane.put(BODY % 1, 0)
+    source, channel = source_of(plane), FakeChannel()
+    channel.has_room = False
+    plane.subscribe(source, channel, pb.Subscribe(node="edge-1"))
+    assert channel.updates() == []
+    channel.has_room = True
+    plane.start_pending_groups(source)
+    assert versions(channel) == [1]
+
+
 def test_a_follower_that_resubscribes_gets_only_the_missing_changes(plane):
     source = source_of(plane)
     for version in (1, 2, 3):
--- a/tests/system/test_inbound.py
+++ b/tests/system/test_inbound.py
@@ -649,3 +649,18 @@
         assert stranger.transport.aborted and not peer.transport.aborted
 
     run(scenario())
+
+
+def test_what_is_about_to_be_sent_is_charged_until_the_peer_has_taken_it():
+    async def scenario():
+        connections, _time = table(total=4 * BODY_BYTES)
+        peer, other = accepted_channel(connections), accepted_channel(connections)
+        assert peer.channel.try_hold_unsent(SMALL_BODY_BYTES)
+        assert connections.memory.used == 2 * IDLE_BYTES
+        assert peer.channel.try_hold_unsent(2 * BODY_BYTES)
+        assert not other.channel.try_hold_unsent(2 * BODY_BYTES)
+        peer.channel.resume_writing()
+        assert connections.memory.used == 2 * IDLE_BYTES
+        assert other.channel.try_hold_unsent(100 * BODY_BYTES), "held alone"
+
+    run(scenario())
