--- a/tests/system/test_inbound.py
+++ b/tests/system/test_inbound.py
@@ -655,6 +655,9 @@
     async def scenario():
         connections, _time = table(total=4 * BODY_BYTES)
         peer, other = accepted_channel(connections), accepted_channel(connections)
+        frame = pb.Frame(call=pb.Call(id=1)).SerializeToString()
+        for each in (peer, other):  # a channel that has sent a frame does not give way
+            each.channel.data_received(len(frame).to_bytes(LENGTH_BYTES, "big") + frame)
         assert peer.channel.try_hold_unsent(SMALL_BODY_BYTES)
         assert connections.memory.used == 2 * IDLE_BYTES
         assert peer.channel.try_hold_unsent(2 * BODY_BYTES)
