A stall of the process itself does not cost a body its place

Beside it, by reading: a pause of the process of over a second ended the time-out of a body whose bytes had already arrived. A stall now takes two steps of half a second, slow progress two periods of a second; a pause of any length is one at most.

--- a/molespur/system/inbound/request_body.py
+++ b/molespur/system/inbound/request_body.py
@@ -9,6 +9,8 @@
 from .memory import SMALL_BODY_BYTES, STALL_S, MemoryBudget, Reservation
 
 MIN_PROGRESS_BYTES = 16 << 10  # of a body in STALL_S; with less it gives way while memory is contended
+MAX_SLOW_PERIODS = 2  # in a row; one may be a stall of this process
+STALL_STEPS = 2
 MAX_MEMORY_WAIT_SHARE = 0.5  # of the time until the request's deadline
 
 Receive = Callable[[], Awaitable[dict]]
@@ -53,6 +55,7 @@
         self._reservation: Reservation | None = None
         self._progress_since = 0.0  # loop time
         self._progress_bytes = 0
+        self._slow_periods = 0  # in a row
         self.is_complete = False  # the client has sent all of it
 
     async def read(self, deadline_ms: float) -> bytes | bytearray:
@@ -122,12 +125,14 @@
 
     async def _receive_unless_stalled(self) -> dict:
         """Receive the next message.  Raises FleetError(NO_MEMORY) if none comes while memory is contended."""
+        stalled_steps = 0  # a stall of this process takes one step at most, however long it is
         while True:
             try:
-                async with asyncio.timeout(STALL_S):
+                async with asyncio.timeout(STALL_S / STALL_STEPS):
                     return await self._receive()
             except TimeoutError as error:
-                if self._memory.is_contended:
+                stalled_steps += 1
+                if stalled_steps >= STALL_STEPS and self._memory.is_contended:
                     raise FleetError(ErrorKind.NO_MEMORY) from error
 
     def _check_progress(self, received: int) -> None:
@@ -136,7 +141,9 @@
         now = asyncio.get_running_loop().time()
         if now - self._progress_since < STALL_S:
             return
-        if self._memory.is_contended and self._progress_bytes < MIN_PROGRESS_BYTES:
+        is_slow = self._progress_bytes < MIN_PROGRESS_BYTES
+        self._slow_periods = self._slow_periods + 1 if is_slow else 0
+        if self._slow_periods >= MAX_SLOW_PERIODS and self._memory.is_contended:
             raise FleetError(ErrorKind.NO_MEMORY)
         self._progress_since, self._progress_bytes = now, 0
 
