Crowds take a net on which nobody listens

Traced: a control-plane process of a run that I had ended 50 minutes earlier (its pytest by id, so its fleet stayed) still listened on the net that was drawn; the new process could not bind. Its two processes are ended; the fleet now passes such a net by.

--- a/tests/crowds/fleet_under_crowd.py
+++ b/tests/crowds/fleet_under_crowd.py
@@ -16,7 +16,7 @@
 
 import yaml
 
-from molespur.standins.loopback import reserved_net
+from molespur.standins.loopback import can_listen, reserved_net
 
 MEMORY_MB = 118  # of an edge machine of the grown omaruru-nav deployment
 MAX_OPEN_FILES = 700
@@ -157,7 +157,7 @@
 
     def __init__(self, folder: Path):
         self.folder = folder
-        self._net_lock, net = reserved_net()
+        self._net_lock, net = reserved_net(usable=_is_free)
         self.control_host, self.data_host, self.worker_host = (f"127.{net}.1.{n}" for n in (1, 2, 3))
         self.processes: dict[str, subprocess.Popen] = {}
 
@@ -228,6 +228,12 @@
         self._net_lock.close()
 
 
+def _is_free(net):
+    """Whether no process is left over on these hosts, of a run that was ended."""
+    addresses = ((1, HTTP_PORT), (2, FRONTEND_PORT), (3, WORKER_PORT))
+    return all(can_listen(f"127.{net}.1.{host}", port) for host, port in addresses)
+
+
 @asynccontextmanager
 async def running_fleet(folder):
     """A fleet that serves; ended at the end."""
