A buffered response gives its bytes back when it ends, not when the collector runs

Cause: an attempt's task refers to its exception, whose traceback refers to the frames that held the body, and they refer to the client call, which lists its tasks. Change: the bytes belong to ResponseBody, which drops them when it returns their memory. It takes the place of ResponseMemory, of the buffer in UpstreamResponse.read and of its copy.

--- a/molespur/system/data_plane/client_answer.py
+++ b/molespur/system/data_plane/client_answer.py
@@ -3,12 +3,12 @@
 from .events import EventFilter
 from .exchange_messages import Failure
 from .request_counts import WORKER
+from .response_body import ResponseBody
 from .serving_context import ServingContext
 from .upstream import Head, UpstreamError
 
 NOT_FORWARDED = frozenset((b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade"))
 VERSIONS = b"versions"
-PIECE_BYTES = 64 << 10  # of a complete response on its way to the client
 
 
 class ClientResponse:
@@ -31,14 +31,13 @@
         if head.get(VERSIONS) != self._versions:
             raise UpstreamError(Failure.MAY_HAVE_RUN, "resumed stream comes from other model weights")
 
-    async def send_complete(self, head: Head, body: bytearray) -> None:
+    async def send_complete(self, head: Head, body: ResponseBody) -> None:
         """Send a worker's complete response, in pieces: the client's connection buffers one at a time."""
-        await self._send_head(head, len(body))
-        content = memoryview(body)
-        for start in range(0, max(len(body), 1), PIECE_BYTES):
-            piece = bytes(content[start : start + PIECE_BYTES])
-            more_body = start + PIECE_BYTES < len(body)
-            await self._send({"type": "http.response.body", "body": piece, "more_body": more_body})
+        await self._send_head(head, body.size)
+        left = body.size
+        for piece in body.pieces():
+            left -= len(piece)
+            await self._send({"type": "http.response.body", "body": piece, "more_body": left > 0})
 
     async def send_events(self, head: Head, events: bytes, source: EventFilter) -> None:
         """Send complete events that follow those that the client has; `source` has parsed them."""
--- a/molespur/system/data_plane/upstream.py
+++ b/molespur/system/data_plane/upstream.py
@@ -3,14 +3,13 @@
 A call fails with `UpstreamError`, which states how far the call came.
 """
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 import httpcore
 import httpx
 
 from ..faults import FaultPoint, trigger
-from ..inbound.memory import SMALL_BODY_BYTES
 from .exchange_messages import Failure
 from .pool import ConnectionPool, DescriptorLimit
 
@@ -121,27 +120,30 @@
     @property
     def max_length(self) -> int:
         """The length (bytes) that the body may reach."""
-        declared = self.head.get(b"content-length") or b""
-        return min(int(declared), MAX_BODY_BYTES) if declared.isdigit() else MAX_BODY_BYTES
+        return min(int(self._declared), MAX_BODY_BYTES) if self.declares_length else MAX_BODY_BYTES
 
-    async def read(self, hold: Callable[[int], Awaitable[None]] | None = None) -> bytearray:
-        """The complete body.  Raises UpstreamError when it breaks off or is too large.
+    @property
+    def declares_length(self) -> bool:
+        """Whether the head states the length of the body."""
+        return self._declared.isdigit()
 
-        `hold` is awaited with the size that the body is about to have, each time that more has come.
-        """
-        body, size = bytearray(), 0
+    @property
+    def _declared(self) -> bytes:
+        return self.head.get(b"content-length") or b""
+
+    async def read(self) -> bytes:
+        """The complete body.  Raises UpstreamError when it breaks off or is too large."""
+        pieces = [chunk async for chunk in self.bounded_chunks()]
+        return b"".join(pieces)
+
+    async def bounded_chunks(self) -> AsyncIterator[bytes]:
+        """The body as it arrives.  Raises UpstreamError when it breaks off or is too large."""
+        size = 0
         async for chunk in self.chunks():
-            end = size + len(chunk)
-            if end > MAX_BODY_BYTES:
+            size += len(chunk)
+            if size > MAX_BODY_BYTES:
                 raise UpstreamError(Failure.MAY_HAVE_RUN, "response body is too large")
-            if hold is not None:
-                await hold(end)
-            if size <= SMALL_BODY_BYTES < end and self.max_length < MAX_BODY_BYTES:
-                body = _grown(body, self.max_length)  # once its memory is granted, and not moved again
-            body[size:end] = chunk
-            size = end
-        del body[size:]
-        return body
+            yield chunk
 
     async def close(self) -> None:
         """Return the connection to the pool, or close it if the response was not read to its end.
@@ -153,13 +155,6 @@
             await self._response.aclose()
 
 
-def _grown(body: bytearray, size: int) -> bytearray:
-    """A copy of a body with room for so many bytes."""
-    grown = bytearray(size)
-    grown[: len(body)] = body
-    return grown
-
-
 class Upstreams:
     """The connections to all workers."""
 
--- a/molespur/system/data_plane/worker_call.py
+++ b/molespur/system/data_plane/worker_call.py
@@ -29,7 +29,7 @@
     StartPrefill,
     StartRun,
 )
-from .response_memory import ResponseMemory
+from .response_body import ResponseBody
 from .serving_context import ServingContext
 from .silence import SilenceTimer
 from .upstream import EXPECTED_INSTANCE, Head, UpstreamError, UpstreamResponse
@@ -251,22 +251,19 @@
 
     async def _relay_complete(self, response: UpstreamResponse) -> Event:
         """Read the response to its end before any of it goes to the client."""
-        memory = ResponseMemory(self.shared.context.memory, response.max_length)
-
-        async def hold(size: int) -> None:
-            if size > SMALL_BODY_BYTES:
-                self._record_response()  # a wait for memory is not the worker's
-            await memory.hold(size)
-
+        body = ResponseBody(self.shared.context.memory, response.max_length, response.declares_length)
         try:
-            body = await response.read(hold)
-            memory.complete(len(body))
+            async for chunk in response.bounded_chunks():
+                if body.size + len(chunk) > SMALL_BODY_BYTES:
+                    self._record_response()  # a wait for memory is not the worker's
+                await body.append(chunk)
+            body.complete()
             self._check_complete(response.head)
             await response.close()
             self.end(ANSWERED)  # the rest is up to the client, and no work of the worker
             return await self._send_complete(response.head, body)
         finally:
-            memory.release()
+            body.release()
 
     def _check_complete(self, head: Head) -> None:
         """Raise UpstreamError if a response that has been read does not count."""
@@ -276,7 +273,7 @@
         if head.status >= 400 and self.shared.is_racing:  # the other attempt may succeed
             raise UpstreamError(Failure.MAY_HAVE_RUN, f"status {head.status} while another attempt is open")
 
-    async def _send_complete(self, head: Head, body: bytearray) -> Event:
+    async def _send_complete(self, head: Head, body: ResponseBody) -> Event:
         self._report_progress()
         await self.shared.client_response.send_complete(head, body)
         return ResponseCompleted(self.attempt)
--- a/tests/system/test_inbound.py
+++ b/tests/system/test_inbound.py
@@ -4,7 +4,9 @@
 """
 
 import asyncio
+import gc
 import json
+import tracemalloc
 from contextlib import asynccontextmanager
 from random import Random
 from types import SimpleNamespace
@@ -42,7 +44,7 @@
 from molespur.system.data_plane.http import HttpServer, IngressApp
 from molespur.system.data_plane.ingress import Ingress
 from molespur.system.data_plane.pool import DescriptorLimit
-from molespur.system.data_plane.response_memory import ResponseMemory
+from molespur.system.data_plane.response_body import ResponseBody
 from molespur.system.data_plane.state import DataPlaneState
 from molespur.system.data_plane.upstream import Upstreams
 from molespur.system.inbound import request_body, server
@@ -64,6 +66,7 @@
 SHORT_S = 0.01
 FEW = 4
 REQUESTS_AHEAD = 40
+UNREAD_RESPONSES = 4
 HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 
 
@@ -406,6 +409,51 @@
     run(scenario())
 
 
+def test_responses_that_clients_leave_unread_need_no_garbage_collector():
+    """Guards against bodies that ended tasks still refer to: their memory came back only when it ran."""
+
+    async def leave_unread(port):
+        client = await connect_slow_reader(port)
+        client.writer.transport.pause_reading()
+        await client.send(request())
+        return client
+
+    async def scenario():
+        large = bytes(LONG_RESPONSE_BYTES)
+        total = UNREAD_RESPONSES * LONG_RESPONSE_BYTES
+        async with serving(lambda received: in_parts(received, large), total=2 * total) as (
+            port, http, ingress, _worker,
+        ):  # fmt: skip
+            clients = [await leave_unread(port) for _ in range(UNREAD_RESPONSES)]
+            await until(lambda: ingress.memory.used >= total)
+            for client in clients:
+                client.writer.transport.abort()
+            await until(lambda: not http._connections and not ingress.memory.used)
+            assert bytes_allocated_by("*/molespur/system/*") < LONG_RESPONSE_BYTES
+        gc.collect()  # closes what is left of connections while there is a loop
+
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        run(scenario())
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
+def in_parts(received, body):
+    """A worker's response that holds no copy of its body."""
+    empty = answer(received, b"")
+    return [empty.replace(b"Content-Length: 0", b"Content-Length: %d" % len(body)), body]
+
+
+def bytes_allocated_by(pattern):
+    """The memory that is held and was allocated by lines of these files since tracing began."""
+    snapshot = tracemalloc.take_snapshot().filter_traces([tracemalloc.Filter(True, pattern)])
+    return sum(trace.size for trace in snapshot.traces)
+
+
 def test_a_response_that_is_read_is_no_work_of_its_worker_any_more():
     """Guards against clients that do not read: their calls looked like load of the worker."""
 
@@ -428,13 +476,15 @@
 def test_a_response_larger_than_the_budget_is_held_alone():
     async def scenario():
         memory = MemoryBudget(TOTAL)
-        first, second = ResponseMemory(memory, 2 * TOTAL), ResponseMemory(memory, BODY_BYTES)
-        await first.hold(SMALL_BODY_BYTES)
-        await first.hold(SMALL_BODY_BYTES + 1)
-        waiting = asyncio.create_task(second.hold(SMALL_BODY_BYTES + 1))
+        first = ResponseBody(memory, 2 * TOTAL, is_declared=True)
+        second = ResponseBody(memory, BODY_BYTES, is_declared=True)
+        await first.append(bytes(SMALL_BODY_BYTES))
+        await first.append(bytes(1))
+        waiting = asyncio.create_task(second.append(bytes(SMALL_BODY_BYTES + 1)))
         await asyncio.sleep(0)
         assert not waiting.done()
-        first.complete(2 * TOTAL)
+        await first.append(bytes(2 * TOTAL - first.size))
+        first.complete()
         assert memory.used == 2 * TOTAL
         first.release()
         await waiting
--- a/tests/system/wrong_process.py
+++ b/tests/system/wrong_process.py
@@ -3,6 +3,7 @@
 Each wrong puts one thing in place of another in the running program, in processes of one role.
 """
 
+import copy
 import os
 import signal
 import sys
@@ -51,7 +52,7 @@
     send, kept = client_answer.ClientResponse.send_complete, []
 
     async def wrong(self, head, body):
-        kept.append((head, body))
+        kept.append((head, copy.copy(body)))  # a released body has no bytes
         await send(self, *kept[-2 if len(kept) % 5 == 0 else -1])
 
     client_answer.ClientResponse.send_complete = wrong
