A learner votes: it may have been made a voter while its process was down

Cause: a replica that is no voter by its own log dropped every vote request. One that was made a voter while it was down lacks the entry that says so, and only a leader could have sent it. Change: it votes by the same rules as a voter (term, log, one vote in each term, on disk first). The candidate counts the votes of its own membership's voters alone (Ongaro 2014, 4.1 and 4.2). A disk that is lost comes back with a new identity, so no vote that counts is forgotten.

--- a/molespur/system/consensus/elections.py
+++ b/molespur/system/consensus/elections.py
@@ -65,8 +65,10 @@
         self._propose(pb.NOOP, b"")
 
     def _handle_vote_request(self, message: pb.ConsensusMessage) -> None:
-        if self.role is Role.NON_MEMBER or not self.is_voter():
-            return  # a learner has no vote, and a replica with an empty disk may have forgotten its votes
+        if self.role is Role.NON_MEMBER:
+            return  # it has no entry yet, so it can't be a voter
+        # A learner votes too: it may lack the entry that made it a voter, and whose votes count is up to the
+        # candidate (Ongaro, section 4.1).  A lost disk comes back with a new identity, so no vote is forgotten.
         request = message.vote_request
         has_leader = self.ms_since_leader_contact(self.now) < MIN_ELECTION_TIMEOUT_MS
         if has_leader and not request.leadership_transfer and message.sender != self.leader_id:
