A group with an even number of voters takes a learner that has stopped replying

Cause: a lost voter is removed while a learner counts as reachable (a reply within a second). By the time that the removal is committed the last reply may be older, so the learner got no vote, and the group stayed at four, which bears one lost disk, until somebody came back. Change: where the number of voters is even and one is missing, the most advanced learner gets the vote whether it can be reached or not. A majority needs as many votes as before. The moment between the two commits themselves is left.

--- a/molespur/system/consensus/elections.py
+++ b/molespur/system/consensus/elections.py
@@ -68,7 +68,8 @@
         if self.role is Role.NON_MEMBER:
             return  # it has no entry yet, so it can't be a voter
         # A learner votes too: it may lack the entry that made it a voter, and whose votes count is up to the
-        # candidate (Ongaro, section 4.1).  A lost disk comes back with a new identity, so no vote is forgotten.
+        # candidate (Ongaro, section 4.1).  A replica that has lost its disk has another identity, so no vote
+        # is forgotten.
         request = message.vote_request
         has_leader = self.ms_since_leader_contact(self.now) < MIN_ELECTION_TIMEOUT_MS
         if has_leader and not request.leadership_transfer and message.sender != self.leader_id:
--- a/molespur/system/shards/membership_changes.py
+++ b/molespur/system/shards/membership_changes.py
@@ -6,7 +6,8 @@
 - a voter that is leaving.  The learner becomes a voter first, so that the group tolerates as many failures as
   before at every moment.  The next change makes the leaving voter a learner;
 - a voter that has not replied for too long.  That voter is removed first, because a group with a failed voter
-  and one additional voter would need all of the others for a majority.
+  and one additional voter would need all of the others for a majority.  The learner then gets the vote even
+  if it has stopped replying meanwhile.
 
 Times are in milliseconds on the leader's steady clock.
 """
@@ -96,11 +97,26 @@
         if not missing and not (leaving and len(voters) == self.target_voters):
             return None
         ready = [m for m in members if not m.voter and self._caught_up(replica, m, now)]
+        if not ready and missing and len(voters) % 2 == 0:
+            ready = self._most_advanced_learner(replica, members)
         if not ready:
             return None
         chosen = min(ready, key=lambda m: (sum(v.zone == m.zone for v in voters), m.replica_id))
         return _with_voter(members, chosen, voter=True)
 
+    def _most_advanced_learner(self, replica: Replica, members) -> list[pb.Member]:
+        """Return the learner that holds most of the log, whether it can be reached or not; none if none does.
+
+        It can join an even number of voters: a majority needs as many votes as before, and the group
+        tolerates one more lost disk.
+        """
+        learners = [
+            m
+            for m in members
+            if not m.voter and m.replica_id not in self._leaving and _match_index(replica, m) > 0
+        ]
+        return sorted(learners, key=lambda m: (-_match_index(replica, m), m.replica_id))[:1]
+
     def _demotion(self, replica: Replica, members, voters, now: float) -> pb.Membership | None:
         """Demote a leaving voter to a learner if there is a surplus voter; never demotes this leader."""
         if len(voters) <= self.target_voters:
@@ -153,13 +169,19 @@
     def _caught_up(self, replica: Replica, member: pb.Member, now: float) -> bool:
         if member.replica_id in self._leaving:
             return False
-        progress = replica.progress.get(member.replica_id)
-        if progress is None or progress.match_index == 0:
+        match_index = _match_index(replica, member)
+        if match_index == 0:
             return False
-        has_caught_up = progress.match_index + MAX_LEARNER_LAG_ENTRIES >= replica.log.last_index
+        has_caught_up = match_index + MAX_LEARNER_LAG_ENTRIES >= replica.log.last_index
         return has_caught_up and self._contact_age_ms(replica, member, now) < MAX_CONTACT_AGE_MS
 
 
+def _match_index(replica: Replica, member: pb.Member) -> int:
+    """Return the last entry that a member is known to hold; 0 if none is known."""
+    progress = replica.progress.get(member.replica_id)
+    return progress.match_index if progress is not None else 0
+
+
 def _with_voter(members: list[pb.Member], chosen: pb.Member, voter: bool) -> pb.Membership:
     """Return the members, with one of them changed to a voter or a learner."""
     changed = pb.Membership()
--- a/tests/system/test_membership_changes.py
+++ b/tests/system/test_membership_changes.py
@@ -94,6 +94,19 @@
     assert planner.plan(replica, group.now) is None, "no majority replies"
 
 
+def test_a_group_with_an_even_number_of_voters_takes_a_learner_that_does_not_reply(leader):
+    """One more voter does not raise the number of votes that a majority needs then."""
+    group, replica, planner = leader
+    lost = followers(replica)[0]
+    replica.progress[lost].last_reply_at_ms = group.now - VOTER_LOST_AFTER_MS - 1.0
+    smaller = planner.plan(replica, group.now)
+    replica.log.memberships.append((replica.log.commit_index, smaller))
+    replica.progress[LEARNER].last_reply_at_ms = group.now - 5000.0
+    assert voters_of(planner.plan(replica, group.now)) == {*voters_of(smaller), LEARNER}
+    planner.record_leaving(LEARNER, group.now)
+    assert planner.plan(replica, group.now) is None
+
+
 def test_a_surplus_voter_is_demoted_even_if_none_is_leaving(leader):
     group, replica, planner = leader
     planner.record_leaving(followers(replica)[0], group.now)
--- a/tests/system/test_restarts_in_a_change.py
+++ b/tests/system/test_restarts_in_a_change.py
@@ -13,6 +13,7 @@
 SETTLE_MS = 4000
 DOWN_MS = 1500
 RECOVERY_MS = 12_000
+SLOW_SYNC_MS = 90.0
 CHANGE_MS = 1500  # after the first kill the leader has replaced the voter
 COMMAND = b"acknowledged"
 
@@ -92,6 +93,21 @@
     check_recovered(group)
 
 
+@pytest.mark.parametrize("between_ms", range(140, 290, 8))
+def test_a_learner_that_falls_silent_after_the_lost_voter_was_removed_still_gets_its_vote(between_ms):
+    """With a slow disk the removal is committed when the learner's last reply is too old to count."""
+    group, spare = grown_group(between_ms, 5)
+    group.sync_ms = SLOW_SYNC_MS
+    group.kill(follower(group))
+    group.run(between_ms)
+    group.kill(spare)
+    group.run(CHANGE_MS - between_ms)
+    propose(group, COMMAND)
+    assert len(group.leader().replica.voters()) == 5
+    final_fault(group, [group.leader().address, follower(group)])
+    check_recovered(group)
+
+
 @pytest.mark.parametrize("after_ms", range(0, 1600, 50))
 def test_a_leader_that_fails_in_the_middle_of_a_change_loses_nothing(after_ms):
     group, spare = grown_group(after_ms, 3)
