A request that becomes complete after the listener has closed is refused, not cut

Cause: a request that had begun to arrive kept its connection beyond the close of the listener, and nothing compared the time that is left with the request once its body had come. Change: once the listener has closed, 2.4 s after the SIGTERM, a request that becomes complete is answered 503 with Retry-After (ErrorKind.STOPPING), which promises that it has not run; its client asks another scheduler.

--- a/molespur/system/data_plane/ingress.py
+++ b/molespur/system/data_plane/ingress.py
@@ -61,6 +61,8 @@
         try:
             request = read_head(scope, limits)
             request.body = await body.read(request.deadline_ms)
+            if self.closing:  # too little may be left of the grace period to serve it
+                raise FleetError(ErrorKind.STOPPING)
             await self._wait_for_state(request)
             route, service = await self._route(request)
             demand = demand_of(
--- a/molespur/system/data_plane/role.py
+++ b/molespur/system/data_plane/role.py
@@ -137,6 +137,7 @@
         self.stopping = self.ingress.stopping = True
         await asyncio.sleep(delay_s)
         self.follower.leave()
+        self.ingress.closing = True
         closing.set()
         await ingress
         ended.set()
--- a/molespur/system/data_plane/serving_context.py
+++ b/molespur/system/data_plane/serving_context.py
@@ -21,7 +21,8 @@
     def __init__(self, state: DataPlaneState, upstreams: Upstreams, clock: Callable[[], float]):
         self.state, self.upstreams, self.clock = state, upstreams, clock
         self.memory = MemoryBudget(budget_bytes(state.settings.limits.memory_mb))
-        self.stopping = False
+        self.stopping = False  # a stop has been requested: responses close their connections
+        self.closing = False  # the listener is closed: a request that becomes complete now is refused
         self.call_keys = count()  # keys of the calls to workers
         self.counts = RequestCounts()
         self._background: set[asyncio.Task] = set()
--- a/molespur/system/inbound/connections.py
+++ b/molespur/system/inbound/connections.py
@@ -97,6 +97,10 @@
         """How many connections are open."""
         return sum(len(connections) for connections in self._by_state.values())
 
+    def in_state(self, state: ConnectionState) -> int:
+        """How many connections are in this state."""
+        return len(self._by_state[state])
+
     @property
     def is_nearly_full(self) -> bool:
         """Whether the connections that are left are for requests without large bodies only."""
--- /dev/null
+++ b/tests/system/test_planned_stop.py
@@ -0,0 +1,140 @@
+"""What a scheduler that stops in order still owes: to clients, and to workers that hold a KV cache for it.
+
+These tests guard against a request that becomes complete too late to be served, is passed on to a worker all
+the same, and is cut when the grace period is over (review/5).
+"""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from test_data_plane_wire import configuration
+from wire import (
+    LAST_CHUNK,
+    Client,
+    ScriptedWorker,
+    answer,
+    chunk,
+    event,
+    header,
+    request,
+    run,
+    stoppable_scheduler,
+    stream_head,
+)
+
+from molespur.system.inbound.connections import ConnectionState
+
+BODY = b"x" * 1000
+LONG_S = 5.0  # for requests that end by themselves
+SHORT_S = 0.05
+
+
+@asynccontextmanager
+async def serving(text, *workers, graceful_s=LONG_S):
+    """A scheduler in front of these workers."""
+    for worker in workers:
+        await worker.start()
+    try:
+        async with stoppable_scheduler(text, *workers, graceful_s=graceful_s) as served:
+            yield served
+    finally:
+        for worker in workers:
+            worker.server.close()
+
+
+def is_refused(status, head):
+    """Whether a response promises that the request has not run, and says when to come back."""
+    return status == 503 and header(head, b"Retry-After") is not None and b"close" in head.lower()
+
+
+def test_a_request_that_becomes_complete_after_the_listener_has_closed_is_refused():
+    async def scenario():
+        worker = ScriptedWorker("w", answer)
+        async with serving(configuration(), worker) as served:
+            client = await Client.connect(served.port)
+            whole = request(body=BODY)
+            await client.send(whole[:-1])
+            await until_open(served, 1)
+            served.begin_close()
+            await client.send(whole[-1:])
+            status, head, _body, _complete = await client.response()
+            assert is_refused(status, head)
+            assert await client.closed() and not worker.requests
+
+    run(scenario())
+
+
+def test_a_request_that_is_complete_while_the_scheduler_serves_on_is_served():
+    async def scenario():
+        async with serving(configuration(), ScriptedWorker("w", answer)) as served:
+            client = await Client.connect(served.port)
+            served.ingress.stopping = True
+            await client.send(request(body=BODY))
+            assert (await client.response())[0] == 200
+
+    run(scenario())
+
+
+def test_a_request_that_was_passed_on_before_the_listener_closed_is_served_to_its_end():
+    async def scenario():
+        requested, released = asyncio.Event(), asyncio.Event()
+
+        def hold(received):
+            requested.set()
+            return [released, answer(received)]
+
+        async with serving(configuration(), ScriptedWorker("w", hold)) as served:
+            client = await Client.connect(served.port)
+            await client.send(request(body=BODY))
+            await requested.wait()
+            served.begin_close()
+            released.set()
+            assert (await client.response())[0] == 200
+
+    run(scenario())
+
+
+def test_an_idle_connection_is_closed_when_the_listener_closes():
+    async def scenario():
+        async with serving(configuration(), ScriptedWorker("w", answer)) as served:
+            client = await Client.connect(served.port)
+            await until_state(served, ConnectionState.IDLE)
+            served.begin_close()
+            assert await client.closed()
+            await served.serving
+
+    run(scenario())
+
+
+def test_a_connection_with_no_request_ahead_is_closed_after_its_last_response_during_the_stop():
+    async def scenario():
+        released = asyncio.Event()
+
+        def stream(received):
+            return [stream_head(received) + chunk(event(1)), released, chunk(event(2)) + LAST_CHUNK]
+
+        async with serving(configuration("streaming"), ScriptedWorker("w", stream)) as served:
+            client = await Client.connect(served.port)
+            await client.send(request())
+            await client.head()
+            served.begin_close()
+            released.set()
+            assert await client.reader.readuntil(LAST_CHUNK)
+            assert await client.closed()
+            await served.serving
+
+    run(scenario())
+
+
+async def until_open(served, count):
+    """Wait until so many requests are open."""
+    async with asyncio.timeout(LONG_S):
+        while served.ingress.open_requests < count:
+            await asyncio.sleep(0.001)
+
+
+async def until_state(served, state):
+    """Wait until the only connection is in a state."""
+    async with asyncio.timeout(LONG_S):
+        while not served.connections.in_state(state):
+            await asyncio.sleep(0.001)
--- a/tests/system/wire.py
+++ b/tests/system/wire.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from random import Random
 
 from molespur.system import early_listener
@@ -10,6 +11,7 @@
 from molespur.system.data_plane.ingress import Ingress
 from molespur.system.data_plane.state import DataPlaneState
 from molespur.system.data_plane.upstream import Upstreams
+from molespur.system.inbound.connections import ConnectionTable
 from molespur.system.rpc import molespur_pb2 as pb
 from molespur.system.settings.process import Bounds, ProcessSettings
 from molespur.system.shards.placement import CONFIGURATION
@@ -170,6 +172,33 @@
 @asynccontextmanager
 async def scheduler(configuration, *workers, clock=clock, node="edge-1", schedulers=1, **bounds):
     """Start an ingress for started workers; yields the port for clients, and the ingress."""
+    async with stoppable_scheduler(
+        configuration, *workers, clock=clock, node=node, schedulers=schedulers, **bounds
+    ) as served:
+        yield served.port, served.ingress
+
+
+@dataclass
+class ServedScheduler:
+    """A scheduler that serves: `stop` ends it, and `serving` is done once all its requests have ended."""
+
+    port: int
+    ingress: Ingress
+    connections: ConnectionTable
+    stop: asyncio.Event
+    serving: asyncio.Task
+
+    def begin_close(self):
+        """Stop in order: close the listener, as after the time in which clients still come."""
+        self.ingress.stopping = self.ingress.closing = True
+        self.stop.set()
+
+
+@asynccontextmanager
+async def stoppable_scheduler(
+    configuration, *workers, clock=clock, node="edge-1", schedulers=1, graceful_s=0.2, **bounds
+):
+    """Start an ingress for started workers; yields a ServedScheduler."""
     state = DataPlaneState(settings(node, **bounds), Random(node if node != "edge-1" else 1))
     state.schedulers = schedulers
     ingress = Ingress(state, Upstreams(), clock, Freshness())
@@ -182,9 +211,9 @@
     early_listener._opened[f"127.0.0.1:{port}"] = listener
     stop = asyncio.Event()
     server = HttpServer(IngressApp(ingress), lambda: state.limits)
-    serving = asyncio.create_task(server.serve(f"127.0.0.1:{port}", stop, graceful_s=0.2))
+    serving = asyncio.create_task(server.serve(f"127.0.0.1:{port}", stop, graceful_s))
     try:
-        yield port, ingress
+        yield ServedScheduler(port, ingress, server.connections, stop, serving)
     finally:
         stop.set()
         await serving
