A request sent ahead gets an answer during a planned stop

What callers could see: a connection that closed without a word on a request that the scheduler had read, sent ahead of the response to the one before it, or whose head had begun when the listener closed. Cause: after the listener has closed a connection ended with its current response, whatever had come behind it, and one with an unfinished head ended at once. Change: such a connection goes on with one request more, which is refused (503, Retry-After, close). Its head has HeaderTimeoutMs as always. Shown: two tests of test_planned_stop.py failed before.

--- a/molespur/system/inbound/http1.py
+++ b/molespur/system/inbound/http1.py
@@ -40,6 +40,9 @@
     async def refuse_for_memory(self) -> None:
         """Answer that there is no memory, and close the connection."""
 
+    def record_received(self) -> None:
+        """Bytes of the next request have come."""
+
 
 class Resumption:
     """Set when the next request on a connection may be read, or the connection has closed."""
@@ -133,6 +136,35 @@
         if self._unparsed_bytes > READ_BYTES:
             self._admission.hold_unparsed(self._unparsed_bytes)
 
+    async def _maybe_recycle(self) -> None:
+        """Go on after a response; while the server stops, only with a request that has begun to arrive.
+
+        It is the last one of its connection.  A stopping application refuses it, so that its client learns
+        that it has not run.
+        """
+        await self._close_stream()
+        if not self._may_continue():
+            await self.can_read.set()
+            await self.send(Closed())
+            return
+        has_begun = self._has_received_ahead
+        self.connection.start_next_cycle()
+        self.response = self.scope = None
+        await self.can_read.set()
+        await self.send(Updated(idle=True))
+        if has_begun:
+            self._admission.record_received()
+
+    def _may_continue(self) -> bool:
+        is_complete = self.connection.our_state is h11.DONE and self.connection.their_state is h11.DONE
+        return is_complete and (self._has_received_ahead or not self.context.terminated.is_set())
+
+    @property
+    def _has_received_ahead(self) -> bool:
+        """Whether bytes of a further request have come."""
+        received, _is_closed = self.connection.trailing_data
+        return bool(received)
+
     async def _pass_on(self, pieces: list[bytes]) -> None:
         """Pass the chunks of a body on that have arrived together."""
         self._unparsed_bytes = 0 if pieces else self._unparsed_bytes
@@ -181,6 +213,10 @@
             )
         )
         self.keep_alive_requests += 1
+        if self.context.terminated.is_set():
+            self.keep_alive_requests = (
+                self.config.keep_alive_max_requests
+            )  # its response closes the connection
         await self.context.mark_request()
 
 
--- a/molespur/system/inbound/server.py
+++ b/molespur/system/inbound/server.py
@@ -118,6 +118,10 @@
         serving = self.idle_task.state is WaitState.RESPONSE
         self._accepted.hold(size + (REQUEST_BYTES if serving else 0))
 
+    def record_received(self) -> None:
+        """Bytes of the next request have come: the connection is not idle."""
+        self.idle_task.record_received()
+
     async def refuse_for_memory(self) -> None:
         """Answer that there is no memory, and close the connection."""
         await self.protocol_send(RawData(closing_response(ErrorKind.NO_MEMORY)))
@@ -184,8 +188,8 @@
     # -- Closing ---------------------------------------------------------------------------------
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is being served on it."""
-        if self.idle_task.state is not WaitState.RESPONSE:
+        """Close the connection unless a request has begun to arrive, or is being served on it."""
+        if self.idle_task.state is WaitState.REQUEST:
             self._close_idle()
 
     def _close_idle(self) -> None:
@@ -248,7 +252,7 @@
             if self._lingering is not None:
                 self._restart_linger()
                 continue  # ignore a request that arrives after the connection has begun to close
-            self.idle_task.record_received()
+            self.record_received()
             await self.protocol.handle(RawData(data))
         await self.protocol.handle(Closed())
 
--- a/tests/system/test_planned_stop.py
+++ b/tests/system/test_planned_stop.py
@@ -55,7 +55,7 @@
             whole = request(body=BODY)
             await client.send(whole[:-1])
             await until_open(served, 1)
-            served.begin_close()
+            await served.begin_close()
             await client.send(whole[-1:])
             status, head, _body, _complete = await client.response()
             assert is_refused(status, head)
@@ -87,19 +87,58 @@
             client = await Client.connect(served.port)
             await client.send(request(body=BODY))
             await requested.wait()
-            served.begin_close()
+            await served.begin_close()
             released.set()
             assert (await client.response())[0] == 200
 
     run(scenario())
 
 
+def test_a_request_sent_ahead_is_refused_when_the_one_before_it_ends_during_the_stop():
+    """Its connection closed without an answer, although the process had read it."""
+
+    async def scenario():
+        released = asyncio.Event()
+
+        def stream(received):
+            return [stream_head(received) + chunk(event(1)), released, chunk(event(2)) + LAST_CHUNK]
+
+        worker = ScriptedWorker("w", stream)
+        async with serving(configuration("streaming"), worker) as served:
+            client = await Client.connect(served.port)
+            await client.send(request(attempt=b"a1") + request(attempt=b"a2", body=BODY))
+            await client.head()
+            await served.begin_close()
+            released.set()
+            assert await client.reader.readuntil(LAST_CHUNK)
+            status, head, _body, _complete = await client.response()
+            assert is_refused(status, head) and await client.closed()
+            assert len(worker.requests) == 1
+
+    run(scenario())
+
+
+def test_a_request_whose_head_has_begun_when_the_listener_closes_is_refused():
+    async def scenario():
+        worker = ScriptedWorker("w", answer)
+        async with serving(configuration(), worker) as served:
+            client = await Client.connect(served.port)
+            await client.send(request()[:20])
+            await until_state(served, ConnectionState.HEAD)
+            await served.begin_close()
+            await client.send(request()[20:])
+            status, head, _body, _complete = await client.response()
+            assert is_refused(status, head) and await client.closed() and not worker.requests
+
+    run(scenario())
+
+
 def test_an_idle_connection_is_closed_when_the_listener_closes():
     async def scenario():
         async with serving(configuration(), ScriptedWorker("w", answer)) as served:
             client = await Client.connect(served.port)
             await until_state(served, ConnectionState.IDLE)
-            served.begin_close()
+            await served.begin_close()
             assert await client.closed()
             await served.serving
 
@@ -117,7 +156,7 @@
             client = await Client.connect(served.port)
             await client.send(request())
             await client.head()
-            served.begin_close()
+            await served.begin_close()
             released.set()
             assert await client.reader.readuntil(LAST_CHUNK)
             assert await client.closed()
@@ -136,5 +175,5 @@
 async def until_state(served, state):
     """Wait until the only connection is in a state."""
     async with asyncio.timeout(LONG_S):
-        while not served.connections.in_state(state):
+        while not served.server.connections.in_state(state):
             await asyncio.sleep(0.001)
--- a/tests/system/wire.py
+++ b/tests/system/wire.py
@@ -11,7 +11,6 @@
 from molespur.system.data_plane.ingress import Ingress
 from molespur.system.data_plane.state import DataPlaneState
 from molespur.system.data_plane.upstream import Upstreams
-from molespur.system.inbound.connections import ConnectionTable
 from molespur.system.rpc import molespur_pb2 as pb
 from molespur.system.settings.process import Bounds, ProcessSettings
 from molespur.system.shards.placement import CONFIGURATION
@@ -184,14 +183,16 @@
 
     port: int
     ingress: Ingress
-    connections: ConnectionTable
+    server: HttpServer
     stop: asyncio.Event
     serving: asyncio.Task
 
-    def begin_close(self):
-        """Stop in order: close the listener, as after the time in which clients still come."""
+    async def begin_close(self):
+        """Stop in order: close the listener and idle connections, as when no new clients come any more."""
         self.ingress.stopping = self.ingress.closing = True
         self.stop.set()
+        await self.server.context.terminated.wait()
+        await asyncio.sleep(0)
 
 
 @asynccontextmanager
@@ -213,7 +214,7 @@
     server = HttpServer(IngressApp(ingress), lambda: state.limits)
     serving = asyncio.create_task(server.serve(f"127.0.0.1:{port}", stop, graceful_s))
     try:
-        yield ServedScheduler(port, ingress, server.connections, stop, serving)
+        yield ServedScheduler(port, ingress, server, stop, serving)
     finally:
         stop.set()
         await serving
