A scheduler that ends waits for the calls that free KV caches

What workers could see: the memory of a prompt that was read for a request which the end of the grace period cut stayed held until HandleTtlS, where nobody else can use it and it is priced. Cause: the call that frees it is made in the background once the request has ended, and the process ended in the same moment. Change: the role waits for such calls, 0.4 s at most, within the margin before the SIGKILL. Shown: two tests of test_planned_stop.py failed before; the second also holds the order of the role's stop.

--- a/molespur/system/data_plane/role.py
+++ b/molespur/system/data_plane/role.py
@@ -140,6 +140,7 @@
         self.ingress.closing = True
         closing.set()
         await ingress
+        await self.ingress.free_remaining_handles()
         ended.set()
         await readiness
 
--- a/molespur/system/data_plane/serving_context.py
+++ b/molespur/system/data_plane/serving_context.py
@@ -13,6 +13,7 @@
 from .upstream import CLOSE_CONNECTION, UpstreamError, Upstreams
 
 FREE_HANDLE_TIMEOUT_S = 1.0
+FREE_REMAINING_TIMEOUT_S = 0.4  # within what is left of the grace period
 
 
 class ServingContext:
@@ -45,6 +46,11 @@
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
+    async def free_remaining_handles(self) -> None:
+        """Wait for the calls that free KV caches, before the process ends."""
+        if self._background:
+            await asyncio.wait(self._background, timeout=FREE_REMAINING_TIMEOUT_S)
+
     async def _free_handle(self, address: str, handle: str, service: Service) -> None:
         target = f"/api/kv-handle/{handle}".encode()
         with suppress(UpstreamError, TimeoutError):
--- a/tests/system/test_planned_stop.py
+++ b/tests/system/test_planned_stop.py
@@ -7,7 +7,7 @@
 import asyncio
 from contextlib import asynccontextmanager
 
-from test_data_plane_wire import configuration
+from test_data_plane_wire import PROMPT, configuration, prefill
 from wire import (
     LAST_CHUNK,
     Client,
@@ -18,10 +18,12 @@
     header,
     request,
     run,
+    settings,
     stoppable_scheduler,
     stream_head,
 )
 
+from molespur.system.data_plane.role import DataPlane
 from molespur.system.inbound.connections import ConnectionState
 
 BODY = b"x" * 1000
@@ -165,6 +167,37 @@
     run(scenario())
 
 
+def test_a_kv_cache_of_a_request_that_is_cut_at_the_end_of_the_grace_period_is_freed():
+    """The call that frees it began as the process ended, and was never sent."""
+
+    async def scenario():
+        freed, requested = [], asyncio.Event()
+
+        def prefill_or_free(received):
+            if received.startswith(b"DELETE /api/kv-handle/3fa09c "):
+                freed.append(received)
+                return b"HTTP/1.1 204 No Content\r\n\r\n"
+            return prefill(received)
+
+        def hang(_received):
+            requested.set()
+            return [asyncio.Event()]
+
+        prefill_worker = ScriptedWorker("p", prefill_or_free, phase="prefill")
+        decode_worker = ScriptedWorker("d", hang, phase="decode")
+        text = configuration("streaming", engine=True)
+        async with serving(text, prefill_worker, decode_worker, graceful_s=SHORT_S) as served:
+            client = await Client.connect(served.port)
+            await client.send(request(extra=PROMPT))
+            await requested.wait()
+            await served.begin_close()
+            await served.serving
+            await served.ingress.free_remaining_handles()
+            assert len(freed) == 1
+
+    run(scenario())
+
+
 async def until_open(served, count):
     """Wait until so many requests are open."""
     async with asyncio.timeout(LONG_S):
@@ -177,3 +210,30 @@
     async with asyncio.timeout(LONG_S):
         while not served.server.connections.in_state(state):
             await asyncio.sleep(0.001)
+
+
+def test_the_role_refuses_late_requests_from_the_close_of_its_listener_on_and_frees_handles_last():
+    async def scenario():
+        plane = DataPlane(settings())
+        stop, closing, ended = asyncio.Event(), asyncio.Event(), asyncio.Event()
+        order = []
+
+        async def serve_clients():
+            await closing.wait()
+            order.append(("closed", plane.ingress.stopping, plane.ingress.closing))
+
+        async def free():
+            order.append(("freed", ended.is_set()))
+
+        plane.ingress.free_remaining_handles = free
+        clients = asyncio.create_task(serve_clients())
+        readiness = asyncio.create_task(ended.wait())
+        leaving = asyncio.create_task(plane._leave(stop, SHORT_S, closing, ended, clients, readiness))
+        stop.set()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert plane.ingress.stopping and not plane.ingress.closing, "it serves on for a while"
+        await leaving
+        assert order == [("closed", True, True), ("freed", False)]
+
+    run(scenario())
