Changes told to subscribers that do not read are charged to the memory budget

What any other frame leaves unread on an accepted channel is charged where it is written; without room the channel is aborted.

--- a/molespur/system/feed/source.py
+++ b/molespur/system/feed/source.py
@@ -19,11 +19,13 @@
 from ..membership.ring import ring_position
 from ..rpc import molespur_pb2 as pb
 from ..rpc.channel import Channel
+from ..rpc.frames import OutgoingFrame, SharedFrame
+from ..shards.group import HostedGroup
 from ..shards.host import ReplicaHost
 from ..shards.placement import CONFIGURATION
 
 MAX_PEERS = 16  # schedulers with which a scheduler exchanges its load
-SNAPSHOT_COPIES = 3  # of a snapshot that is about to be sent: as a message, as a frame, in the send buffer
+COPIES = 3  # of what a follower lacks when it is started: as a message, as a frame, in the send buffer
 MAX_AGE_MS = 1_000_000  # reported for any greater age, and for an unknown one
 
 
@@ -38,6 +40,11 @@
     started: set[str] = field(default_factory=set)  # groups whose changes it is being sent
     peers: list[str] | None = None  # the peers that it was last sent
 
+    def send(self, index: int, group: str, update: OutgoingFrame) -> None:
+        """Send an update of a group, after which it has been sent the group up to this index."""
+        self.offsets[group] = index
+        self.channel.send(update)
+
 
 def peers_of(node: str, addresses: dict[str, str]) -> list[str]:
     """The schedulers with which a node exchanges its load: all others or, if there are many, its neighbours.
@@ -101,18 +108,23 @@
         for name, group in self.host.groups.items():
             if name in follower.started or not self._is_new_enough(follower, name):
                 continue
-            offset = follower.offsets.get(name)
-            changes = None if offset is None else group.history.after(offset)
-            snapshot = group.state_machine.feed_snapshot() if changes is None else b""
-            if not follower.channel.try_hold_unsent(SNAPSHOT_COPIES * len(snapshot)):
+            updates = self._missing_updates(follower, group)
+            size = sum(len(update.payload) for update in updates)
+            if not follower.channel.try_hold_unsent(COPIES * size):
                 continue  # started again soon
             follower.started.add(name)
-            if changes is None:
-                index = group.replica.log.applied_index
-                self._send(follower, name, index, snapshot, snapshot=True)
-                continue
-            for index, payload in changes:
-                self._send(follower, name, index, payload)
+            for update in updates:
+                follower.send(update.index, name, pb.Frame(update=update))
+
+    @staticmethod
+    def _missing_updates(follower: Follower, group: HostedGroup) -> list[pb.FeedUpdate]:
+        """The changes since the follower's offset if they are still kept, otherwise a snapshot."""
+        offset = follower.offsets.get(group.name)
+        changes = None if offset is None else group.history.after(offset)
+        if changes is not None:
+            return [pb.FeedUpdate(group=group.name, index=i, payload=payload) for i, payload in changes]
+        snapshot, index = group.state_machine.feed_snapshot(), group.replica.log.applied_index
+        return [pb.FeedUpdate(group=group.name, index=index, payload=snapshot, snapshot=True)]
 
     def _is_new_enough(self, follower: Follower, name: str) -> bool:
         replica = self.host.groups[name].replica
@@ -146,10 +158,15 @@
         self.start_pending_groups()
 
     def changed(self, name: str, index: int, payload: bytes) -> None:
-        """Send a committed change to the followers of the group."""
+        """Send a committed change to the followers of the group; those without room get it later."""
+        frame = SharedFrame(pb.Frame(update=pb.FeedUpdate(group=name, index=index, payload=payload)))
         for follower in list(self.followers.values()):
-            if name in follower.started:
-                self._send(follower, name, index, payload)
+            if name not in follower.started:
+                continue
+            if follower.channel.try_hold_unsent(frame.size):
+                follower.send(index, name, frame)
+            else:
+                follower.started.discard(name)  # started again soon, from its offset
 
     def restored(self, name: str) -> None:
         """The group's state here was replaced by a snapshot: start it again for all followers."""
@@ -194,12 +211,6 @@
                 follower.peers = peers
             follower.channel.send(frame)
 
-    @staticmethod
-    def _send(follower: Follower, group: str, index: int, payload: bytes, snapshot: bool = False) -> None:
-        update = pb.FeedUpdate(group=group, index=index, payload=payload, snapshot=snapshot)
-        follower.offsets[group] = index
-        follower.channel.send(pb.Frame(update=update))
-
 
 def _rounded_age(age_ms: float) -> int:
     """An age for a message, rounded up and bounded."""
--- a/molespur/system/rpc/channel.py
+++ b/molespur/system/rpc/channel.py
@@ -16,6 +16,7 @@
 from ..inbound.memory import SMALL_BODY_BYTES
 from . import molespur_pb2 as pb
 from . import traffic
+from .frames import OutgoingFrame
 from .liveness import PING_AFTER_IDLE_S, ChannelLiveness, LivenessAction
 
 LENGTH_BYTES = 4
@@ -160,7 +161,7 @@
         """Whether frames can be sent."""
         return self.transport is not None and not self.transport.is_closing()
 
-    def send(self, frame: pb.Frame) -> bool:
+    def send(self, frame: OutgoingFrame) -> bool:
         """Send a frame; return False if the channel is closed.
 
         Frames of one event loop iteration go out in one write.
@@ -171,7 +172,7 @@
             self._loop.call_soon(self._flush)
         data = frame.SerializeToString()
         traffic.sent.count(frame.WhichOneof("body"), LENGTH_BYTES + len(data))
-        self._outgoing.append(len(data).to_bytes(LENGTH_BYTES, "big") + data)
+        self._outgoing += (len(data).to_bytes(LENGTH_BYTES, "big"), data)
         return True
 
     def _flush(self) -> None:
@@ -180,12 +181,25 @@
             return
         self.transport.write(data)
         unsent = self.transport.get_write_buffer_size()
-        if unsent <= SMALL_BODY_BYTES:
-            self.resume_writing()
-        if unsent > MAX_BUFFERED_BYTES:
+        if unsent > MAX_BUFFERED_BYTES or not self._try_charge_unsent(unsent):
             logging.warning("rpc: send buffer to %s is full; aborting connection", self.label)
             self.transport.abort()
 
+    def _try_charge_unsent(self, unsent: int) -> bool:
+        """Charge what the peer has not taken, beyond what was charged before it was sent.
+
+        False if there is no room for it.
+        """
+        if unsent <= SMALL_BODY_BYTES:
+            self.resume_writing()
+            return True
+        if self._accepted is None or unsent <= self._unsent_bytes:
+            return True
+        if not self._accepted.try_hold(self._unfinished_bytes + unsent, large=True):
+            return False
+        self._unsent_bytes = unsent
+        return True
+
     def abort(self) -> None:
         """Close the connection at once and drop the bytes that have not been sent."""
         if self.transport is not None:
--- a/tests/crowds/test_control_plane_crowds.py
+++ b/tests/crowds/test_control_plane_crowds.py
@@ -21,6 +21,8 @@
 CONFIG, INSTANCE = b"/api/config", b"/api/instances/i-9"
 PUT = {"method": b"PUT", "path": CONFIG}
 LARGE_ROUTES = 2000
+LARGE_CHANGES = 8
+BETWEEN_CHANGES_S = 0.1
 WORKERS_EACH = 200
 LONG_RECORD_BYTES = 60_000
 
@@ -154,6 +156,28 @@
     asyncio.run(scenario())
 
 
+def test_changes_told_to_subscribers_that_do_not_read_are_endured(tmp_path):
+    """Subscribers take a small configuration, and then nothing of the large ones that follow."""
+
+    async def scenario():
+        async with asyncio.timeout(LIMIT_S), running_fleet(tmp_path) as fleet:
+            subscribers = Crowd((fleet.control_host, RPC_PORT), behaviors.rpc_subscription_unread, CROWD)
+            operator = Crowd((fleet.control_host, HTTP_PORT), _put_large_changes, 1)
+            calls = [fleet.read_configuration, fleet.ordinary_request]
+            process = fleet.processes["control-plane"]
+            await endure(process, fleet.control_host, [subscribers, operator], calls)
+
+    asyncio.run(scenario())
+
+
+async def _put_large_changes(client, _number):
+    for version in range(2, 2 + LARGE_CHANGES):
+        body = _large_configuration(version)
+        fields = (b"If-Match: %d" % (version - 1), behaviors.length(len(body)))
+        await client.send(behaviors.head(*fields, **PUT) + body)
+        await asyncio.sleep(BETWEEN_CHANGES_S)
+
+
 def test_a_single_large_configuration_is_taken_in_calm(tmp_path):
     async def scenario():
         async with asyncio.timeout(LIMIT_S), running_fleet(tmp_path) as fleet:
--- a/tests/system/test_feed.py
+++ b/tests/system/test_feed.py
@@ -18,10 +18,11 @@
     """A channel that records the frames that are sent."""
 
     def __init__(self):
-        self.sent = []
+        self.sent, self.frames = [], []
         self.has_room = True
 
     def send(self, frame):
+        self.frames.append(frame)
         self.sent.append(pb.Frame.FromString(frame.SerializeToString()))
 
     def try_hold_unsent(self, _size):
@@ -72,6 +73,28 @@
     assert versions(channel) == [1]
 
 
+def test_a_follower_without_memory_for_a_change_gets_it_later_and_in_order(plane):
+    plane.put(BODY % 1, 0)
+    source, channel = source_of(plane), FakeChannel()
+    plane.subscribe(source, channel, pb.Subscribe(node="edge-1"))
+    channel.has_room = False
+    plane.put(BODY % 2, 1)
+    channel.has_room = True
+    plane.put(BODY % 3, 2)
+    assert versions(channel) == [1], "no change passes by the one that waits"
+    plane.start_pending_groups(source)
+    assert versions(channel) == [1, 2, 3] and not channel.updates()[-1].snapshot
+
+
+def test_a_change_is_serialized_once_for_all_followers(plane):
+    plane.put(BODY % 1, 0)
+    source, channels = source_of(plane), [FakeChannel() for _ in range(3)]
+    for channel in channels:
+        plane.subscribe(source, channel, pb.Subscribe(node="edge-1"))
+    plane.put(BODY % 2, 1)
+    assert all(channel.frames[-1] is channels[0].frames[-1] for channel in channels)
+
+
 def test_a_follower_that_resubscribes_gets_only_the_missing_changes(plane):
     source = source_of(plane)
     for version in (1, 2, 3):
--- a/tests/system/test_inbound.py
+++ b/tests/system/test_inbound.py
@@ -642,6 +642,13 @@
     """The transport of a channel."""
 
     aborted = False
+    unsent = 0  # nothing is taken by the peer
+
+    def write(self, data):
+        self.unsent += len(data)
+
+    def get_write_buffer_size(self):
+        return self.unsent
 
     def get_extra_info(self, _name):
         return None
@@ -688,6 +695,24 @@
     run(scenario())
 
 
+def test_what_a_peer_leaves_unread_is_charged_and_without_memory_its_channel_is_aborted():
+    async def scenario():
+        connections, _time = table(total=8 * BODY_BYTES)
+        peer = accepted_channel(connections)
+        frame = pb.Frame(call=pb.Call(id=1, body=bytes(BODY_BYTES)))
+        peer.channel.send(frame)
+        await asyncio.sleep(0)
+        assert connections.memory.used == IDLE_BYTES + peer.transport.unsent
+        for _ in range(8):
+            peer.channel.send(frame)
+        await asyncio.sleep(0)
+        assert peer.transport.aborted
+        peer.channel.connection_lost(None)
+        assert connections.memory.used == 0
+
+    run(scenario())
+
+
 def test_a_channel_that_has_sent_a_frame_does_not_give_way_to_a_new_one():
     async def scenario():
         connections, _time = table(limit=2)
