A lost voter is replaced by adding the learner first, as a leaving one is

Cause: a lost voter was removed before a learner got its vote. The smaller group bears one lost disk fewer until the second change is committed, and a cut, a freeze or the loss of the leader draws that out. The lost voter's disk was whole, but its vote did not count any more. Change: the learner becomes a voter first, then the lost voter a learner. In a group of three the first change needs the learner's acknowledgement, so one that has been silent for 0.4 s replaces nobody. Price: a learner that falls silent in the very moment holds a group of three up until it or the lost voter is back; two processes are down then, of one that is tolerated.

--- a/molespur/system/shards/membership_changes.py
+++ b/molespur/system/shards/membership_changes.py
@@ -3,11 +3,9 @@
 A replica that starts with an empty disk is a learner until it has the whole log.  It then takes the vote of
 
 - the previous replica at its address, whose disk is lost;
-- a voter that is leaving.  The learner becomes a voter first, so that the group tolerates as many failures as
-  before at every moment.  The next change makes the leaving voter a learner;
-- a voter that has not replied for too long.  That voter is removed first, because a group with a failed voter
-  and one additional voter would need all of the others for a majority.  The learner then gets the vote even
-  if it has stopped replying meanwhile.
+- a voter that is leaving, or that has not replied for too long.  The learner becomes a voter first, and the
+  next change makes the other voter a learner, so that the group tolerates as many lost disks as before at
+  every moment.  The disk of a silent voter may be whole, and its vote is needed if another disk is lost.
 
 Times are in milliseconds on the leader's steady clock.
 """
@@ -18,6 +16,8 @@
 VOTER_LOST_AFTER_MS = 1200.0  # a voter without replies for this long is replaced by a caught-up learner
 LEARNER_LOST_AFTER_MS = 10_000.0  # a learner without replies for this long is removed
 MAX_CONTACT_AGE_MS = 1000.0  # a learner that replied within this time is considered reachable
+# the same where a voter is lost: in a small group the change can't be committed without the learner
+MAX_REPLACEMENT_CONTACT_AGE_MS = 400.0
 LEAVE_NOTICE_TTL_MS = 1000.0  # a leaving replica repeats its notice; without it the replica counts as staying
 SURPLUS_VOTER_TIMEOUT_MS = 1500.0  # a surplus voter is demoted after this time even if none is leaving
 MAX_LEARNER_LAG_ENTRIES = 4  # a learner at most this far behind the end of the log has caught up
@@ -87,16 +87,18 @@
         return (
             self._promotion(replica, members, voters, now)
             or self._demotion(replica, members, voters, now)
-            or self._removal(replica, members, voters, now)
+            or self._removal(replica, members, now)
         )
 
     def _promotion(self, replica: Replica, members, voters, now: float) -> pb.Membership | None:
-        """Promote a caught-up learner to a voter if a voter is missing or leaving."""
+        """Promote a caught-up learner to a voter if a voter is missing, leaving or lost."""
         leaving = any(voter.replica_id in self._leaving for voter in voters)
+        replaceable = leaving or bool(self._lost_voters(replica, voters, now))
         missing = len(voters) < self.target_voters
-        if not missing and not (leaving and len(voters) == self.target_voters):
+        if not missing and not (replaceable and len(voters) == self.target_voters):
             return None
-        ready = [m for m in members if not m.voter and self._caught_up(replica, m, now)]
+        max_age_ms = MAX_CONTACT_AGE_MS if missing or leaving else MAX_REPLACEMENT_CONTACT_AGE_MS
+        ready = [m for m in members if not m.voter and self._caught_up(replica, m, now, max_age_ms)]
         if not ready and missing and len(voters) % 2 == 0:
             ready = self._most_advanced_learner(replica, members)
         if not ready:
@@ -118,7 +120,7 @@
         return sorted(learners, key=lambda m: (-_match_index(replica, m), m.replica_id))[:1]
 
     def _demotion(self, replica: Replica, members, voters, now: float) -> pb.Membership | None:
-        """Demote a leaving voter to a learner if there is a surplus voter; never demotes this leader."""
+        """Demote a leaving or lost voter to a learner if there is a surplus voter; never this leader."""
         if len(voters) <= self.target_voters:
             self._surplus_since = None
             return None
@@ -126,31 +128,28 @@
             self._surplus_since = now
         others = [voter for voter in voters if voter.replica_id != replica.id]
         chosen = [voter for voter in others if voter.replica_id in self._leaving]
+        chosen = chosen or self._lost_voters(replica, voters, now)
         if not chosen and now - self._surplus_since > SURPLUS_VOTER_TIMEOUT_MS:
             # the voter that was leaving has stopped, or has lost leadership and keeps running
             chosen = sorted(others, key=lambda m: (-self._contact_age_ms(replica, m, now), m.replica_id))
         return _with_voter(members, chosen[0], voter=False) if chosen else None
 
-    def _removal(self, replica: Replica, members, voters, now: float) -> pb.Membership | None:
-        """Remove a lost voter if a caught-up learner can replace it; remove a lost learner."""
-        ready = [m for m in members if not m.voter and self._caught_up(replica, m, now)]
+    def _lost_voters(self, replica: Replica, voters, now: float) -> list[pb.Member]:
+        """Return the voters that have not replied for too long; none if the fault may be on this side."""
         lost = [m for m in voters if self._contact_age_ms(replica, m, now) > VOTER_LOST_AFTER_MS]
-        max_lost = (len(voters) - 1) // 2  # if more voters are unreachable, the fault may be on this side
-        if (
-            ready
-            and len(voters) >= self.target_voters
-            and 0 < len(lost) <= max_lost
-            and replica.has_quorum_contact(now)
-        ):
-            return pb.Membership(members=[m for m in members if m is not lost[0]])
-        lost_learners = [
+        max_lost = (len(voters) - 1) // 2
+        if len(lost) > max_lost or not replica.has_quorum_contact(now):
+            return []
+        return lost
+
+    def _removal(self, replica: Replica, members, now: float) -> pb.Membership | None:
+        """Remove a lost learner."""
+        lost = [
             m
             for m in members
             if not m.voter and self._contact_age_ms(replica, m, now) > LEARNER_LOST_AFTER_MS
         ]
-        if lost_learners:
-            return pb.Membership(members=[m for m in members if m is not lost_learners[0]])
-        return None
+        return pb.Membership(members=[m for m in members if m is not lost[0]]) if lost else None
 
     @staticmethod
     def _holds_committed(replica: Replica, name: str) -> bool:
@@ -166,14 +165,15 @@
         progress = replica.progress.get(member.replica_id)
         return now - progress.last_reply_at_ms if progress else 0.0
 
-    def _caught_up(self, replica: Replica, member: pb.Member, now: float) -> bool:
+    def _caught_up(self, replica: Replica, member: pb.Member, now: float, max_age_ms: float) -> bool:
+        """Return whether a learner has the log, but for a few entries, and has replied within this time."""
         if member.replica_id in self._leaving:
             return False
         match_index = _match_index(replica, member)
         if match_index == 0:
             return False
         has_caught_up = match_index + MAX_LEARNER_LAG_ENTRIES >= replica.log.last_index
-        return has_caught_up and self._contact_age_ms(replica, member, now) < MAX_CONTACT_AGE_MS
+        return has_caught_up and self._contact_age_ms(replica, member, now) < max_age_ms
 
 
 def _match_index(replica: Replica, member: pb.Member) -> int:
