The soak's checker excuses no cut of a request that was sent late in a planned stop

The test of the excuse had a request sent 6 s after the SIGTERM; it is sent 2.8 s after it now, and the old one is a finding (not found before).

--- a/molespur/system/soak/checker.py
+++ b/molespur/system/soak/checker.py
@@ -14,6 +14,7 @@
 PROMISE_S = 2.0  # ConfigPropagationMs
 DRAIN_S = 2.0  # DrainTimeoutMs
 GRACE_S = 8.0  # GracePeriodS
+SERVED_AFTER_TERM_S = 3.0  # a request sent later than this after a SIGTERM is answered whole, or refused
 IN_TOUCH_S = 3.0
 DEADLINE_S = 4.0  # of a client's request, and the route's time-out
 BODY_S = 0.25  # longest time that the slow bodies of these clients take
@@ -158,7 +159,12 @@
 
 
 def _grace_over(index: _Index, exchange: Exchange) -> bool:
-    told = [d.at for d in index.deeds[exchange.scheduler] if d.deed is Deed.TERMINATE]
+    """Whether the end of its scheduler's grace period excuses a cut: not for a request that was sent late."""
+    told = [
+        deed.at
+        for deed in index.deeds[exchange.scheduler]
+        if deed.deed is Deed.TERMINATE and exchange.sent_at <= deed.at + SERVED_AFTER_TERM_S
+    ]
     return any(at + GRACE_S - SLACK_S <= exchange.ended_at <= at + GRACE_S + 4.0 for at in told)
 
 
--- a/tests/system/test_soak_checker.py
+++ b/tests/system/test_soak_checker.py
@@ -105,9 +105,9 @@
         exchanges=[stream([1, 2], Ending.CUT, ended_at=14.0)], arrivals=[ran()]
     ),
     "a stream cut by the end of the grace period": log(
-        exchanges=[stream([1, 2], Ending.CUT, ended_at=12.0)],
+        exchanges=[stream([1, 2], Ending.CUT, ended_at=15.0)],
         arrivals=[ran()],
-        deeds=[ProcessDeed(4.0, "edge", Deed.TERMINATE)],
+        deeds=[ProcessDeed(7.2, "edge", Deed.TERMINATE)],
     ),
     "a stream cut with its scheduler": log(
         exchanges=[stream([1, 2], Ending.CUT)], arrivals=[ran()], deeds=[ProcessDeed(10.1, "edge", Deed.KILL)]
@@ -182,6 +182,14 @@
         "CUT",
         log(exchanges=[stream([1], Ending.CUT, ended_at=12.0)], arrivals=[ran()], deeds=[TOLD_TO_END]),
     ),
+    "a stream of a request that was sent too late to be served, cut by the end of the grace period": (
+        "CUT",
+        log(
+            exchanges=[stream([1, 2], Ending.CUT, ended_at=12.0)],
+            arrivals=[ran()],
+            deeds=[ProcessDeed(4.0, "edge", Deed.TERMINATE)],
+        ),
+    ),
     "cut long after a reset of its worker's connections": (
         "CUT",
         log(
