Requests that are refused unread for want of memory are counted

A 503 that a connection gives before its request reaches the application was in no figure, so an operator who saw 503 could not tell why. molespur_requests_refused_unread_total counts them, at every listener.

--- a/molespur/system/inbound/connections.py
+++ b/molespur/system/inbound/connections.py
@@ -70,6 +70,10 @@
             return False
         return self._memory.try_resize(IDLE_BYTES + size, large)
 
+    def record_refused_request(self) -> None:
+        """A request on it was refused for want of memory, before it was read."""
+        self._table.refused_requests += 1
+
     def close(self) -> None:
         """It has been closed; again has no effect."""
         if self.is_open:
@@ -84,6 +88,7 @@
     def __init__(self, memory: MemoryBudget, limit: int, clock: Callable[[], float] = time.monotonic):
         self.memory, self.limit = memory, limit
         self.refused = 0
+        self.refused_requests = 0
         self.evicted = 0
         self._clock = clock
         # in the order in which they entered the state
--- a/molespur/system/inbound/figures.py
+++ b/molespur/system/inbound/figures.py
@@ -20,5 +20,10 @@
         gauge("connections", "Accepted connections.", connections.open),
         gauge("connections_limit", "Accepted connections, beyond which none is added.", connections.limit),
         counter("connections_refused", "Connections closed for want of room.", connections.refused),
+        counter(
+            "requests_refused_unread",
+            "Requests refused for want of memory before they were read.",
+            connections.refused_requests,
+        ),
         counter("connections_evicted", "Connections that gave way to others.", connections.evicted),
     ]
--- a/molespur/system/inbound/server.py
+++ b/molespur/system/inbound/server.py
@@ -124,6 +124,7 @@
 
     async def refuse_for_memory(self) -> None:
         """Answer that there is no memory, and close the connection."""
+        self._accepted.record_refused_request()
         await self.protocol_send(RawData(closing_response(ErrorKind.NO_MEMORY)))
         await self.protocol_send(Closed())
 
--- a/tests/system/test_inbound.py
+++ b/tests/system/test_inbound.py
@@ -338,13 +338,14 @@
 
 def test_a_request_without_memory_for_it_gets_a_503_that_says_when_to_come_back():
     async def scenario():
-        async with serving(answer, total=IDLE_BYTES + REQUEST_BYTES - 1) as (port, _http, ingress, worker):
+        async with serving(answer, total=IDLE_BYTES + REQUEST_BYTES - 1) as (port, http, ingress, worker):
             client = await Client.connect(port)
             await client.send(request())
             status, head, *_ = await client.response()
             assert status == 503 and header(head, b"Retry-After") and header(head, b"Connection") == b"close"
             assert await client.closed() and worker.requests == []
             await until(lambda: ingress.memory.used == 0)
+            assert http.connections.refused_requests == 1
 
     run(scenario())
 
