--- a/tests/crowds/test_control_plane_crowds.py
+++ b/tests/crowds/test_control_plane_crowds.py
@@ -9,10 +9,10 @@
 
 import crowd_behaviors as behaviors
 import pytest
-from crowd import Crowd, endure
 from fleet_under_crowd import HTTP_PORT, RPC_PORT, Worker, configuration, http_call, running_fleet
+from meeting import LIMIT_S, meet
 
-LIMIT_S = 240
+ROLE = "control-plane"
 CROWD = 350
 SMALL_CROWD = 100
 FEW_CONNECTIONS = 8
@@ -104,16 +104,14 @@
 }
 
 
-def play(folder, port, behave, size):
-    """Let one crowd meet a control-plane process, which serves a worker and the operator."""
+def calls_of_all(fleet):
+    """What the operator, a worker and a client ask for beside a crowd and after it."""
+    return [fleet.read_configuration, lambda: _heartbeat(fleet), fleet.ordinary_request]
 
-    async def scenario():
-        async with asyncio.timeout(LIMIT_S), running_fleet(folder) as fleet:
-            crowd = Crowd((fleet.control_host, port), behave, size)
-            calls = [fleet.read_configuration, lambda: _heartbeat(fleet), fleet.ordinary_request]
-            await endure(fleet.processes["control-plane"], fleet.control_host, [crowd], calls)
 
-    asyncio.run(scenario())
+def calls_of_operator_and_client(fleet):
+    """The same without the worker."""
+    return [fleet.read_configuration, fleet.ordinary_request]
 
 
 async def _heartbeat(fleet):
@@ -123,51 +121,35 @@
 
 @pytest.mark.parametrize("name", HTTP_CROWDS)
 def test_a_control_plane_process_endures_a_crowd_of_callers(name, tmp_path):
-    play(tmp_path, HTTP_PORT, *HTTP_CROWDS[name])
+    meet(tmp_path, ROLE, calls_of_all, (HTTP_PORT, *HTTP_CROWDS[name]))
 
 
 @pytest.mark.parametrize("name", RPC_CROWDS)
 def test_a_control_plane_process_endures_a_crowd_at_its_rpc_listener(name, tmp_path):
-    play(tmp_path, RPC_PORT, *RPC_CROWDS[name])
+    meet(tmp_path, ROLE, calls_of_all, (RPC_PORT, *RPC_CROWDS[name]))
 
 
 def test_large_answers_left_unread_are_endured(tmp_path):
     """A large configuration, which many callers ask for and do not read."""
-
-    async def scenario():
-        async with asyncio.timeout(LIMIT_S), running_fleet(tmp_path) as fleet:
-            assert await _put(fleet, 2, _large_configuration(2)) == 200
-            behave = behaviors.once(behaviors.head(path=CONFIG, method=b"GET"))
-            crowd = Crowd((fleet.control_host, HTTP_PORT), behave, CROWD)
-            calls = [fleet.read_configuration, fleet.ordinary_request]
-            await endure(fleet.processes["control-plane"], fleet.control_host, [crowd], calls)
-
-    asyncio.run(scenario())
+    behave = behaviors.once(behaviors.head(path=CONFIG, method=b"GET"))
+    crowd = (HTTP_PORT, behave, CROWD)
+    meet(tmp_path, ROLE, calls_of_operator_and_client, crowd, prepare=_put_large_configuration)
 
 
 def test_subscriptions_to_a_large_configuration_left_unread_are_endured(tmp_path):
-    async def scenario():
-        async with asyncio.timeout(LIMIT_S), running_fleet(tmp_path) as fleet:
-            assert await _put(fleet, 2, _large_configuration(2)) == 200
-            crowd = Crowd((fleet.control_host, RPC_PORT), behaviors.rpc_subscription_unread, CROWD)
-            calls = [fleet.read_configuration, fleet.ordinary_request]
-            await endure(fleet.processes["control-plane"], fleet.control_host, [crowd], calls)
-
-    asyncio.run(scenario())
+    crowd = (RPC_PORT, behaviors.rpc_subscription_unread, CROWD)
+    meet(tmp_path, ROLE, calls_of_operator_and_client, crowd, prepare=_put_large_configuration)
 
 
 def test_changes_told_to_subscribers_that_do_not_read_are_endured(tmp_path):
     """Subscribers take a small configuration, and then nothing of the large ones that follow."""
+    subscribers = (RPC_PORT, behaviors.rpc_subscription_unread, CROWD)
+    operator = (HTTP_PORT, _put_large_changes, 1)
+    meet(tmp_path, ROLE, calls_of_operator_and_client, subscribers, operator)
 
-    async def scenario():
-        async with asyncio.timeout(LIMIT_S), running_fleet(tmp_path) as fleet:
-            subscribers = Crowd((fleet.control_host, RPC_PORT), behaviors.rpc_subscription_unread, CROWD)
-            operator = Crowd((fleet.control_host, HTTP_PORT), _put_large_changes, 1)
-            calls = [fleet.read_configuration, fleet.ordinary_request]
-            process = fleet.processes["control-plane"]
-            await endure(process, fleet.control_host, [subscribers, operator], calls)
 
-    asyncio.run(scenario())
+async def _put_large_configuration(fleet):
+    assert await _put(fleet, 2, _large_configuration(2)) == 200
 
 
 async def _put_large_changes(client, _number):
--- a/tests/crowds/test_data_plane_crowds.py
+++ b/tests/crowds/test_data_plane_crowds.py
@@ -9,10 +9,10 @@
 
 import crowd_behaviors as behaviors
 import pytest
-from crowd import Crowd, endure
 from fleet_under_crowd import FRONTEND_PORT, LAST_PORT, MAX_BODY_BYTES, READINESS_PORT, running_fleet
+from meeting import LIMIT_S, meet
 
-LIMIT_S = 240
+ROLE = "data-plane"
 CROWD = 350
 SMALL_CROWD = 100
 FEW_CONNECTIONS = 8
@@ -98,49 +98,33 @@
 }
 
 
-def play(folder, port, behave, size):
-    """Let one crowd meet a scheduler."""
-
-    async def scenario():
-        async with asyncio.timeout(LIMIT_S), running_fleet(folder) as fleet:
-            crowd = Crowd((fleet.data_host, port), behave, size)
-            process = fleet.processes["data-plane"]
-            await endure(process, fleet.data_host, [crowd], [fleet.ordinary_request])
-
-    asyncio.run(scenario())
+def ordinary_calls(fleet):
+    """What has to be answered beside a crowd and after it."""
+    return [fleet.ordinary_request]
 
 
 @pytest.mark.parametrize("name", FRONTEND_CROWDS)
 def test_a_scheduler_endures_a_crowd_of_clients(name, tmp_path):
-    play(tmp_path, FRONTEND_PORT, *FRONTEND_CROWDS[name])
+    meet(tmp_path, ROLE, ordinary_calls, (FRONTEND_PORT, *FRONTEND_CROWDS[name]))
 
 
 @pytest.mark.parametrize("name", READINESS_CROWDS)
 def test_a_scheduler_endures_a_crowd_at_its_readiness_check(name, tmp_path):
-    play(tmp_path, READINESS_PORT, *READINESS_CROWDS[name])
+    meet(tmp_path, ROLE, ordinary_calls, (READINESS_PORT, *READINESS_CROWDS[name]))
 
 
 def test_a_scheduler_endures_several_crowds_at_once(tmp_path):
     names = ("body-short-of-its-end", "small-body-short-of-its-end", "requests-ahead", "idle")
-
-    async def scenario():
-        async with asyncio.timeout(LIMIT_S), running_fleet(tmp_path) as fleet:
-            address = (fleet.data_host, FRONTEND_PORT)
-            crowds = [Crowd(address, *FRONTEND_CROWDS[name]) for name in names]
-            await endure(fleet.processes["data-plane"], fleet.data_host, crowds, [fleet.ordinary_request])
-
-    asyncio.run(scenario())
+    meet(tmp_path, ROLE, ordinary_calls, *((FRONTEND_PORT, *FRONTEND_CROWDS[name]) for name in names))
 
 
 def test_a_scheduler_endures_datagrams_of_strangers(tmp_path):
-    async def scenario():
-        async with asyncio.timeout(LIMIT_S), running_fleet(tmp_path) as fleet:
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
-                for _ in range(DATAGRAMS):
-                    sender.sendto(bytes(DATAGRAM_BYTES), (fleet.data_host, LAST_PORT))
-            await endure(fleet.processes["data-plane"], fleet.data_host, [], [fleet.ordinary_request])
+    async def send_datagrams(fleet):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for _ in range(DATAGRAMS):
+                sender.sendto(bytes(DATAGRAM_BYTES), (fleet.data_host, LAST_PORT))
 
-    asyncio.run(scenario())
+    meet(tmp_path, ROLE, ordinary_calls, prepare=send_datagrams)
 
 
 @pytest.mark.parametrize("framing", ["length", "chunks"])
