A peer that is slow for a moment keeps its channel while there is memory

Read in the change before: what a peer had not taken was charged like a large body, which is refused when the table of connections is nearly full, so a crowd of idle channels could have cost a scheduler its feed. Bytes that are in the buffer already are charged like any others now. The new test failed before.

--- a/molespur/system/inbound/http1.py
+++ b/molespur/system/inbound/http1.py
@@ -213,10 +213,8 @@
             )
         )
         self.keep_alive_requests += 1
-        if self.context.terminated.is_set():
-            self.keep_alive_requests = (
-                self.config.keep_alive_max_requests
-            )  # its response closes the connection
+        if self.context.terminated.is_set():  # the response closes the connection
+            self.keep_alive_requests = self.config.keep_alive_max_requests
         await self.context.mark_request()
 
 
--- a/molespur/system/rpc/channel.py
+++ b/molespur/system/rpc/channel.py
@@ -195,7 +195,7 @@
             return True
         if self._accepted is None or unsent <= self._unsent_bytes:
             return True
-        if not self._accepted.try_hold(self._unfinished_bytes + unsent, large=True):
+        if not self._accepted.try_hold(self._unfinished_bytes + unsent, large=False):
             return False
         self._unsent_bytes = unsent
         return True
--- a/tests/system/test_inbound.py
+++ b/tests/system/test_inbound.py
@@ -714,6 +714,20 @@
     run(scenario())
 
 
+def test_a_peer_that_is_slow_for_a_moment_keeps_its_channel_while_there_is_memory():
+    """Also where few more connections could be accepted."""
+
+    async def scenario():
+        connections, _time = table(total=8 * BODY_BYTES, limit=8)
+        peer, *_others = [accepted_channel(connections) for _ in range(8)]
+        assert connections.is_nearly_full
+        peer.channel.send(pb.Frame(call=pb.Call(id=1, body=bytes(BODY_BYTES))))
+        await asyncio.sleep(0)
+        assert not peer.transport.aborted
+
+    run(scenario())
+
+
 def test_a_channel_that_has_sent_a_frame_does_not_give_way_to_a_new_one():
     async def scenario():
         connections, _time = table(limit=2)
