Mutations of votes, membership, planned stops and memory follow the code

The break "a replica that votes without being a voter" names what is right for a learner now; in its place come a replica without any entry that votes, and a learner that does not. Nine more are new.

--- a/tests/system/mutations/breaks.py
+++ b/tests/system/mutations/breaks.py
@@ -30,6 +30,7 @@
 REST_TESTS = (TESTS + "test_resting_workers.py",)
 PART_TESTS = (TESTS + "test_workers.py", TESTS + "test_liveness_contact.py", TESTS + "test_orders.py")
 SNAPSHOT_TESTS = (TESTS + "test_snapshots_across_leaders.py",)
+STOP_TESTS = (TESTS + "test_planned_stop.py",)
 REDIRECT_TESTS = (TESTS + "test_redirects.py",)
 AGE_TESTS = tuple(
     TESTS + f"test_{name}.py"
@@ -47,9 +48,12 @@
     Break("a vote for a candidate whose log is behind", CONSENSUS + "elections.py",
           "up_to_date = (request.last_term, request.last_index) >= own_log_end",
           "up_to_date = True", CONSENSUS_TESTS),
-    Break("a replica that votes without being a voter", CONSENSUS + "elections.py",
+    Break("a replica without any entry that votes", CONSENSUS + "elections.py",
+          "if self.role is Role.NON_MEMBER:", "if False:", CONSENSUS_TESTS),
+    Break("a learner that does not vote", CONSENSUS + "elections.py",
+          "if self.role is Role.NON_MEMBER:",
           "if self.role is Role.NON_MEMBER or not self.is_voter():",
-          "if self.role is Role.NON_MEMBER:", CONSENSUS_TESTS),
+          (*CONSENSUS_TESTS, TESTS + "test_restarts_in_a_change.py")),
     Break("a commit of an entry of an earlier term", CONSENSUS + "leading.py",
           "if self.log.has_entry(majority, self.hard_state.term):",
           "if True:", CONSENSUS_TESTS),
@@ -118,9 +122,15 @@
           "return 2 * holding > len(voters) + 1", "return True",
           LOSS_TESTS + (TESTS + "test_membership_changes.py",)),
     Break("a learner that is promoted before it has caught up", SHARDS + "membership_changes.py",
-          "has_caught_up = progress.match_index + MAX_LEARNER_LAG_ENTRIES >= replica.log.last_index",
+          "has_caught_up = match_index + MAX_LEARNER_LAG_ENTRIES >= replica.log.last_index",
           "has_caught_up = True",
           LOSS_TESTS + (TESTS + "test_membership_changes.py",)),
+    Break("an even group that waits for its learner to reply", SHARDS + "membership_changes.py",
+          "if not ready and missing and len(voters) % 2 == 0:", "if False:",
+          (TESTS + "test_membership_changes.py",)),
+    Break("a lost voter that keeps its vote beside its replacement", SHARDS + "membership_changes.py",
+          "chosen = chosen or self._lost_voters(replica, voters, now)", "pass",
+          (TESTS + "test_membership_changes.py",)),
     Break("a wiped replica whose previous identity keeps its vote", SHARDS + "membership_changes.py",
           "if m.rpc_address != joining.rpc_address]", "]",
           LOSS_TESTS + (TESTS + "test_membership_changes.py",)),
@@ -266,6 +276,24 @@
           (TESTS + "test_overtaken_attempts.py",)),
     Break("a call that never started and is not ended", DATA_PLANE + "client_call.py",
           'call.end("cancelled")', "pass", (TESTS + "test_overtaken_attempts.py",)),
+    # -- Planned stops, memory -------------------------------------------------------------------------
+    Break("a request that becomes complete during a stop and is passed on", DATA_PLANE + "ingress.py",
+          "            if self.closing:", "            if False:", STOP_TESTS),
+    Break("a request sent ahead that is dropped during a stop", "molespur/system/inbound/http1.py",
+          "return is_complete and (self._has_received_ahead or not self.context.terminated.is_set())",
+          "return is_complete and not self.context.terminated.is_set()", STOP_TESTS),
+    Break("a begun request whose connection is closed as idle", "molespur/system/inbound/server.py",
+          "if self.idle_task.state is WaitState.REQUEST:",
+          "if self.idle_task.state is not WaitState.RESPONSE:", STOP_TESTS),
+    Break("handles whose calls are not waited for", DATA_PLANE + "role.py",
+          "        await self.ingress.free_remaining_handles()\n", "", STOP_TESTS),
+    Break("a response whose bytes outlive their charge", DATA_PLANE + "response_body.py",
+          "        self._content = bytearray()\n        self._reservation.release()",
+          "        self._reservation.release()", (TESTS + "test_inbound.py",)),
+    Break("a change that is sent to a follower without room", "molespur/system/feed/source.py",
+          "if follower.channel.try_hold_unsent(frame.size):", "if True:", (TESTS + "test_feed.py",)),
+    Break("unread frames that are not charged", "molespur/system/rpc/channel.py",
+          "or not self._try_charge_unsent(unsent):", ":", (TESTS + "test_inbound.py",)),
     Break("a long request with the short kernel timeout", DATA_PLANE + "network.py",
           "            self._set_long_write(True)\n", "            pass\n", (TESTS + "test_long_writes.py",)),
 )  # fmt: skip
